--- /dev/null
+++ b/libs/base/include/base/log.h
@@ -0,0 +1,32 @@
+/// \file
+/// Structured logs: one JSON object a line, through easylogging++.
+#ifndef LIMPETBRIDGE_BASE_LOG_H
+#define LIMPETBRIDGE_BASE_LOG_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace limpetbridge {
+
+/// Severity of a log line.
+enum class log_level : std::uint8_t { Debug, Info, Warning, Error };
+
+/// One named field of a log line.
+struct log_field {
+  std::string_view Name;
+  std::string Value;
+};
+
+/// Sets up logging once per process.
+/// \param Instance shown on each line. \param File empty for standard error.
+auto startLog(const std::string &Instance, const std::string &File) -> void;
+
+/// Writes one line. \p Event is a stable snake-case word.
+auto log(log_level Level, std::string_view Event,
+         std::initializer_list<log_field> Fields) -> void;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_BASE_LOG_H
--- /dev/null
+++ b/libs/base/include/base/result_code.h
@@ -0,0 +1,85 @@
+/// \file
+/// Numbered result codes of the whole system and the table that describes them.
+#ifndef LIMPETBRIDGE_BASE_RESULT_CODE_H
+#define LIMPETBRIDGE_BASE_RESULT_CODE_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace limpetbridge {
+
+/// What is known about whether the work behind a request ran.
+enum class run_outcome : std::uint8_t {
+  Done,   ///< It ran to its end and the answer is whole.
+  NotRun, ///< It provably did not run; repeating it is safe.
+  Unknown ///< It may have run; repeating it may run it twice.
+};
+
+/// Result codes. The number is stable and is what users quote.
+enum class result_code : std::uint16_t {
+  Ok = 0,
+
+  MalformedRequest = 1001,
+  Unauthenticated = 1002,
+  Forbidden = 1003,
+  NotFound = 1004,
+  BodyTooLarge = 1005,
+  TooManyRequests = 1006,
+  InvalidDeadline = 1007,
+  MethodNotAllowed = 1008,
+
+  Draining = 2001,
+  QueueFull = 2002,
+  DeadlineUnreachable = 2003,
+  NoTarget = 2004,
+  NoMemory = 2005,
+  StoreUnavailable = 2006,
+  TargetUnreachable = 2007,
+  TargetRefused = 2008,
+  NotReady = 2009,
+  ClaimHeldElsewhere = 2010,
+  StaleIncarnation = 2011,
+  CallerGone = 2012,
+
+  OutcomeUnknown = 3001,
+  AnswerCutShort = 3002,
+  ClaimInProgress = 3003,
+  ServiceFailed = 3004,
+
+  SyntaxError = 4001,
+  RevisionConflict = 4002,
+  InvalidDeclaration = 4003,
+  UnknownName = 4004,
+  ChangeOutcomeUnknown = 4005,
+  ChangeRefusedStoreDown = 4006,
+
+  UnknownSetting = 5001,
+  InvalidSetting = 5002,
+  FileUnreadable = 5003,
+  StartupFailed = 5004,
+  Interrupted = 5005,
+};
+
+/// One row of the table of result codes.
+struct result_code_row {
+  result_code Code;
+  std::string_view Name;    ///< Stable name, snake case.
+  run_outcome Outcome;      ///< Whether the work ran.
+  std::uint16_t HttpStatus; ///< Status towards callers.
+  std::string_view Meaning; ///< One sentence.
+  std::string_view Remedy;  ///< What the reader should do.
+};
+
+/// The whole table, ordered by number. docs/errors.md is tested against it.
+[[nodiscard]] auto resultCodeTable() -> std::span<const result_code_row>;
+
+/// The row of \p Code. \pre Code is an enumerator of result_code.
+[[nodiscard]] auto describe(result_code Code) -> const result_code_row &;
+
+/// Name of an outcome: `done`, `not_run` or `unknown`.
+[[nodiscard]] auto nameOf(run_outcome Outcome) -> std::string_view;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_BASE_RESULT_CODE_H
--- /dev/null
+++ b/libs/base/include/base/settings.h
@@ -0,0 +1,110 @@
+/// \file
+/// Settings of a node: an INI file in which every key is known, typed and
+/// within its range.
+#ifndef LIMPETBRIDGE_BASE_SETTINGS_H
+#define LIMPETBRIDGE_BASE_SETTINGS_H
+
+#include "base/result.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace limpetbridge {
+
+/// Settings of one `limpetbridge` process. Defaults stand in the table of
+/// settings, from which `--print-settings` is written.
+struct node_settings {
+  std::string Role;
+  std::string Name;
+  std::string DataCentre;
+  std::string Address;
+
+  std::int64_t CallerPort = 0;
+  std::int64_t CallerThreads = 0;
+  std::int64_t BodyLimitKb = 0;
+  std::int64_t ReadTimeoutMs = 0;
+  std::int64_t DefaultDeadlineMs = 0;
+
+  std::int64_t PeerPort = 0;
+  std::string PeerToken;
+  std::int64_t OperatorPort = 0;
+  std::string OperatorToken;
+
+  std::string PlatformHost;
+  std::int64_t PlatformPort = 0;
+  std::int64_t PlatformPollMs = 0;
+  std::int64_t PlatformTimeoutMs = 0;
+
+  std::string TargetKind;
+  std::string TargetHost;
+  std::int64_t TargetPort = 0;
+  std::int64_t TargetMemoryMb = 0;
+  bool TargetChecksFence = false;
+  std::int64_t TargetSlots = 0;
+  std::int64_t TargetShortSlots = 0;
+  std::int64_t TargetQueue = 0;
+  std::int64_t ReportMs = 0;
+  std::int64_t OrderTimeoutMs = 0;
+
+  std::int64_t ProgressMs = 0;
+  std::int64_t MaxAttempts = 0;
+  std::int64_t RetryBudgetPercent = 0;
+  std::int64_t HedgeBudgetPercent = 0;
+
+  std::int64_t DrainDeadlineMs = 0;
+  std::int64_t BalancerWaitMs = 0;
+
+  std::string LogFile;
+  std::int64_t TimelineNotes = 0;
+};
+
+/// Where a setting is kept in node_settings.
+using setting_slot =
+    std::variant<std::string node_settings::*, std::int64_t node_settings::*,
+                 bool node_settings::*>;
+
+/// One row of the table of settings.
+struct setting_row {
+  std::string_view Section;
+  std::string_view Key;
+  setting_slot Slot;
+  std::string_view Default; ///< Text form; empty and Required: must be given.
+  std::string_view Unit;    ///< `ms`, `MB`, … or empty.
+  std::int64_t Min = 0;     ///< Least number, or least length of a text.
+  std::int64_t Max = 0;     ///< Greatest number, or greatest length of a text.
+  std::string_view Choices; ///< `a|b` when only some words are taken.
+  std::string_view Help;    ///< One line.
+};
+
+/// The whole table, in the order of `--print-settings`.
+[[nodiscard]] auto settingsTable() -> std::span<const setting_row>;
+
+/// Reads \p Text, of which \p File is the name for error messages.
+/// \returns UnknownSetting, InvalidSetting or FileUnreadable with file, line
+/// and key in the detail.
+[[nodiscard]] auto parseSettings(std::string_view Text, const std::string &File)
+    -> result<node_settings>;
+
+/// Reads the settings file \p File.
+[[nodiscard]] auto loadSettings(const std::string &File)
+    -> result<node_settings>;
+
+/// \p Settings as an INI text with the help of each key as a comment.
+[[nodiscard]] auto printSettings(const node_settings &Settings) -> std::string;
+
+/// Settings with every default in place.
+[[nodiscard]] auto defaultSettings() -> node_settings;
+
+/// Reads a whole file.
+[[nodiscard]] auto readFile(const std::string &File) -> result<std::string>;
+
+/// Number of single-character edits between two words.
+[[nodiscard]] auto editDistance(std::string_view Left, std::string_view Right)
+    -> std::size_t;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_BASE_SETTINGS_H
--- /dev/null
+++ b/libs/base/src/log.cpp
@@ -0,0 +1,63 @@
+#include "base/log.h"
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace limpetbridge {
+
+namespace {
+
+std::string InstanceName; // NOLINT: set once by startLog
+
+auto nameOf(log_level Level) -> const char * {
+  switch (Level) {
+  case log_level::Debug:
+    return "debug";
+  case log_level::Info:
+    return "info";
+  case log_level::Warning:
+    return "warning";
+  case log_level::Error:
+    return "error";
+  }
+  return "error";
+}
+
+auto wallMilliseconds() -> std::int64_t {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
+}
+
+} // namespace
+
+auto startLog(const std::string &Instance, const std::string &File) -> void {
+  InstanceName = Instance;
+  el::Configurations Settings;
+  Settings.setToDefault();
+  Settings.setGlobally(el::ConfigurationType::Format, "%msg");
+  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+  Settings.setGlobally(el::ConfigurationType::ToFile, "true");
+  Settings.setGlobally(el::ConfigurationType::Filename,
+                       File.empty() ? "/dev/stderr" : File);
+  el::Loggers::reconfigureLogger("default", Settings);
+}
+
+auto log(log_level Level, std::string_view Event,
+         std::initializer_list<log_field> Fields) -> void {
+  nlohmann::ordered_json Line;
+  Line["time_ms"] = wallMilliseconds();
+  Line["level"] = nameOf(Level);
+  Line["instance"] = InstanceName;
+  Line["event"] = Event;
+  for (const auto &Field : Fields)
+    Line[std::string(Field.Name)] = Field.Value;
+  const auto Text =
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  LOG(INFO) << Text;
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/libs/base/src/settings_table.cpp
@@ -0,0 +1,100 @@
+#include "base/settings.h"
+
+#include <array>
+
+namespace limpetbridge {
+
+namespace {
+
+using s = node_settings;
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxName = 64;
+constexpr std::int64_t MaxPath = 4096;
+constexpr std::int64_t HourMs = 3'600'000;
+
+constexpr std::array Table = {
+    setting_row{"instance", "role", &s::Role, "entry", "", 1, MaxName,
+                "entry|agent", "What this process is."},
+    setting_row{"instance", "name", &s::Name, "node", "", 1, MaxName, "",
+                "Unique name; an agent's name is its target's name."},
+    setting_row{"instance", "data_centre", &s::DataCentre, "local", "", 1,
+                MaxName, "", "Data centre that this instance runs in."},
+    setting_row{"instance", "address", &s::Address, "127.0.0.1", "", 1, MaxName,
+                "", "IP number that others reach this instance by."},
+
+    setting_row{"caller", "port", &s::CallerPort, "0", "", 0, MaxPort, "",
+                "HTTP port for callers; 0 picks a free one."},
+    setting_row{"caller", "threads", &s::CallerThreads, "256", "", 1, 4096, "",
+                "Connections served at once; more get 429."},
+    setting_row{"caller", "body_limit_kb", &s::BodyLimitKb, "4096", "KB", 1,
+                262144, "", "Largest request body."},
+    setting_row{"caller", "read_timeout_ms", &s::ReadTimeoutMs, "5000", "ms",
+                10, HourMs, "", "Longest wait for the bytes of a request."},
+    setting_row{"caller", "default_deadline_ms", &s::DefaultDeadlineMs, "60000",
+                "ms", 1, HourMs, "", "Deadline of requests that name none."},
+
+    setting_row{"peer", "port", &s::PeerPort, "0", "", 0, MaxPort, "",
+                "gRPC port for other instances; 0 picks a free one."},
+    setting_row{"peer", "token", &s::PeerToken, "", "", 0, MaxName, "",
+                "Shared token between instances; empty asks for none."},
+    setting_row{"operator", "port", &s::OperatorPort, "0", "", 0, MaxPort, "",
+                "gRPC port for operators (entries); 0 picks a free one."},
+    setting_row{"operator", "token", &s::OperatorToken, "", "", 0, MaxName, "",
+                "Token that operators send; empty asks for none."},
+
+    setting_row{"platform", "host", &s::PlatformHost, "127.0.0.1", "", 1,
+                MaxName, "", "IP number of the platform's service."},
+    setting_row{"platform", "port", &s::PlatformPort, "7000", "", 1, MaxPort,
+                "", "Port of the platform's service."},
+    setting_row{"platform", "poll_ms", &s::PlatformPollMs, "1000", "ms", 50,
+                60000, "", "Time between reads of head revision and list."},
+    setting_row{"platform", "timeout_ms", &s::PlatformTimeoutMs, "1000", "ms",
+                10, 60000, "", "Longest wait for an answer of the platform."},
+
+    setting_row{"target", "kind", &s::TargetKind, "engine", "", 1, MaxName,
+                "engine|service", "Model engine or plain service (agents)."},
+    setting_row{"target", "host", &s::TargetHost, "127.0.0.1", "", 1, MaxName,
+                "", "IP number of the target beside this agent."},
+    setting_row{"target", "port", &s::TargetPort, "7100", "", 1, MaxPort, "",
+                "HTTP port of the target."},
+    setting_row{"target", "memory_mb", &s::TargetMemoryMb, "80000", "MB", 1,
+                100'000'000, "", "Memory of the accelerator for models."},
+    setting_row{"target", "checks_fence", &s::TargetChecksFence, "false", "", 0,
+                0, "", "True when the engine refuses old fencing tokens."},
+    setting_row{"target", "slots", &s::TargetSlots, "16", "", 1, 4096, "",
+                "Work that runs in the target at once."},
+    setting_row{"target", "short_slots", &s::TargetShortSlots, "4", "", 0, 4096,
+                "", "Slots that only short work may take."},
+    setting_row{"target", "queue", &s::TargetQueue, "64", "", 0, 100'000, "",
+                "Work that may wait at the agent."},
+    setting_row{"target", "report_ms", &s::ReportMs, "1000", "ms", 20, 60000,
+                "", "Time between readings of the engine's state."},
+    setting_row{"target", "order_timeout_ms", &s::OrderTimeoutMs, "30000", "ms",
+                10, HourMs, "", "Longest wait for the reply to an order."},
+
+    setting_row{"limits", "progress_ms", &s::ProgressMs, "5000", "ms", 20,
+                HourMs, "", "Silence after which a stream is abandoned."},
+    setting_row{"limits", "max_attempts", &s::MaxAttempts, "4", "", 1, 16, "",
+                "Attempts at one request."},
+    setting_row{"limits", "retry_budget_percent", &s::RetryBudgetPercent, "20",
+                "%", 0, 100, "", "Retries as a share of recent requests."},
+    setting_row{"limits", "hedge_budget_percent", &s::HedgeBudgetPercent, "5",
+                "%", 0, 100, "", "Hedges as a share of recent requests."},
+
+    setting_row{"drain", "deadline_ms", &s::DrainDeadlineMs, "60000", "ms", 1,
+                HourMs, "", "Longest wait for work in progress at the end."},
+    setting_row{"drain", "balancer_wait_ms", &s::BalancerWaitMs, "2000", "ms",
+                0, 60000, "", "Time in which the balancer sees readyz fail."},
+
+    setting_row{"log", "file", &s::LogFile, "", "", 0, MaxPath, "",
+                "Log file; empty writes to standard error."},
+    setting_row{"log", "timeline_notes", &s::TimelineNotes, "4096", "", 1,
+                1'000'000, "", "Notes that the time line keeps."},
+};
+
+} // namespace
+
+auto settingsTable() -> std::span<const setting_row> { return Table; }
+
+} // namespace limpetbridge
--- /dev/null
+++ b/libs/base/src/thread.cpp
@@ -0,0 +1,96 @@
+#include "base/thread.h"
+
+#include <cassert>
+#include <system_error>
+#include <utility>
+
+namespace limpetbridge {
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 15;
+
+auto runBody(void *Argument) -> void * {
+  const std::unique_ptr<std::function<void()>> Body(
+      static_cast<std::function<void()> *>(Argument));
+  (*Body)();
+  return nullptr;
+}
+
+} // namespace
+
+thread::thread(const std::string &Name, std::size_t StackBytes,
+               std::function<void()> Body) {
+  assert(Name.size() <= MaxNameLength);
+  pthread_attr_t Attributes;
+  pthread_attr_init(&Attributes);
+  pthread_attr_setstacksize(&Attributes, StackBytes);
+  auto Argument = std::make_unique<std::function<void()>>(std::move(Body));
+  const int Status =
+      pthread_create(&Handle, &Attributes, runBody, Argument.get());
+  pthread_attr_destroy(&Attributes);
+  if (Status != 0)
+    throw std::system_error(Status, std::generic_category(), "pthread_create");
+  Argument.release(); // NOLINT: owned by the new thread from here on.
+  pthread_setname_np(Handle, Name.c_str());
+  Joinable = true;
+}
+
+thread::~thread() { join(); }
+
+thread::thread(thread &&Other) noexcept
+    : Handle(Other.Handle), Joinable(std::exchange(Other.Joinable, false)) {}
+
+auto thread::join() -> void {
+  if (!std::exchange(Joinable, false))
+    return;
+  pthread_join(Handle, nullptr);
+}
+
+thread_pool::thread_pool(const std::string &Name, std::size_t Count,
+                         std::size_t StackBytes, std::size_t QueueLimit)
+    : QueueLimit(QueueLimit) {
+  assert(Count > 0);
+  Threads.reserve(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Threads.push_back(
+        std::make_unique<thread>(Name, StackBytes, [this] { run(); }));
+}
+
+thread_pool::~thread_pool() { stop(); }
+
+auto thread_pool::submit(std::function<void()> Job) -> bool {
+  {
+    const std::lock_guard Lock(Mutex);
+    if (Stopping || Jobs.size() >= QueueLimit)
+      return false;
+    Jobs.push_back(std::move(Job));
+  }
+  Ready.notify_one();
+  return true;
+}
+
+auto thread_pool::stop() -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Ready.notify_all();
+  for (auto &Each : Threads)
+    Each->join();
+}
+
+auto thread_pool::run() -> void {
+  for (;;) {
+    std::unique_lock Lock(Mutex);
+    Ready.wait(Lock, [this] { return Stopping || !Jobs.empty(); });
+    if (Jobs.empty())
+      return;
+    auto Job = std::move(Jobs.front());
+    Jobs.pop_front();
+    Lock.unlock();
+    Job();
+  }
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/libs/base/tests/base_test.cpp
@@ -0,0 +1,151 @@
+/// \file
+/// Tests of result codes, settings, clock and time line.
+
+#include "base/hybrid_clock.h"
+#include "base/settings.h"
+#include "base/thread.h"
+#include "base/timeline.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <set>
+
+using namespace limpetbridge;
+
+class result_code_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(result_code_test);
+  CPPUNIT_TEST(table_everyRow_hasUniqueNumberAndName);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void table_everyRow_hasUniqueNumberAndName() {
+    std::set<result_code> Numbers;
+    std::set<std::string_view> Names;
+    for (const auto &Row : resultCodeTable()) {
+      CPPUNIT_ASSERT(Numbers.insert(Row.Code).second);
+      CPPUNIT_ASSERT(Names.insert(Row.Name).second);
+      CPPUNIT_ASSERT(&describe(Row.Code) == &Row);
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(result_code_test);
+
+class settings_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(settings_test);
+  CPPUNIT_TEST(parse_knownKeys_areStored);
+  CPPUNIT_TEST(parse_misspeltKey_namesLineAndNearest);
+  CPPUNIT_TEST(parse_numberOutOfRange_namesRange);
+  CPPUNIT_TEST(parse_wordOutsideChoices_namesChoices);
+  CPPUNIT_TEST(parse_brokenSyntax_namesLine);
+  CPPUNIT_TEST(print_defaults_parseBackToTheSame);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void parse_knownKeys_areStored() {
+    const auto Settings =
+        parseSettings("[instance]\nrole = agent\n[target]\nslots=3\n", "f");
+    CPPUNIT_ASSERT(Settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("agent"), Settings.value().Role);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, Settings.value().TargetSlots);
+  }
+
+  void parse_misspeltKey_namesLineAndNearest() {
+    const auto Settings = parseSettings("[target]\n\nslotz = 3\n", "f.ini");
+    CPPUNIT_ASSERT(!Settings.has_value());
+    CPPUNIT_ASSERT(Settings.error().Code == result_code::UnknownSetting);
+    CPPUNIT_ASSERT_EQUAL(std::string("f.ini:3: [target] slotz is not a "
+                                     "setting; nearest is target.slots"),
+                         Settings.error().Detail);
+  }
+
+  void parse_numberOutOfRange_namesRange() {
+    const auto Settings = parseSettings("[target]\nslots = 0\n", "f");
+    CPPUNIT_ASSERT(!Settings.has_value());
+    CPPUNIT_ASSERT(Settings.error().Code == result_code::InvalidSetting);
+    CPPUNIT_ASSERT(Settings.error().Detail.find("1 to 4096") !=
+                   std::string::npos);
+  }
+
+  void parse_wordOutsideChoices_namesChoices() {
+    const auto Settings = parseSettings("[instance]\nrole = chief\n", "f");
+    CPPUNIT_ASSERT(!Settings.has_value());
+    CPPUNIT_ASSERT(Settings.error().Detail.find("entry|agent") !=
+                   std::string::npos);
+  }
+
+  void parse_brokenSyntax_namesLine() {
+    const auto Settings = parseSettings("[target\nslots = 1\n", "f");
+    CPPUNIT_ASSERT(!Settings.has_value());
+    CPPUNIT_ASSERT(Settings.error().Code == result_code::FileUnreadable);
+  }
+
+  void print_defaults_parseBackToTheSame() {
+    const auto Text = printSettings(defaultSettings());
+    const auto Again = parseSettings(Text, "f");
+    CPPUNIT_ASSERT(Again.has_value());
+    CPPUNIT_ASSERT_EQUAL(Text, printSettings(Again.value()));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(settings_test);
+
+class timeline_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(timeline_test);
+  CPPUNIT_TEST(clock_receivedStampAhead_nextTickIsLater);
+  CPPUNIT_TEST(clock_stampFarAhead_isIgnored);
+  CPPUNIT_TEST(merge_twoProcesses_ordersCauseBeforeEffect);
+  CPPUNIT_TEST(append_overLimit_dropsOldest);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void clock_receivedStampAhead_nextTickIsLater() {
+    hybrid_clock Slow([] { return std::uint64_t{100}; });
+    hybrid_clock Fast([] { return std::uint64_t{500}; });
+    const auto Sent = Fast.tick();
+    Slow.observe(Sent);
+    CPPUNIT_ASSERT(Slow.tick() > Sent);
+  }
+
+  void clock_stampFarAhead_isIgnored() {
+    hybrid_clock Clock([] { return std::uint64_t{100}; });
+    Clock.observe({std::uint64_t{1} << 60});
+    CPPUNIT_ASSERT(Clock.tick().Value < (std::uint64_t{1} << 40));
+  }
+
+  void merge_twoProcesses_ordersCauseBeforeEffect() {
+    const auto Merged = merge(
+        {{{9}, instance_name("b"), {note_kind::WorkQueued, "", {}, "", ""}},
+         {{4},
+          instance_name("a"),
+          {note_kind::AttemptStarted, "", {}, "", ""}}});
+    CPPUNIT_ASSERT(Merged.front().Note.Kind == note_kind::AttemptStarted);
+  }
+
+  void append_overLimit_dropsOldest() {
+    timeline Line(instance_name("a"), 2);
+    for (const char *Request : {"r1", "r2", "r3"})
+      Line.append({1}, {note_kind::WorkQueued, Request, {}, "", ""});
+    const auto All = Line.select({});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, All.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("r2"), All.front().Note.Request);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(timeline_test);
+
+class thread_pool_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(thread_pool_test);
+  CPPUNIT_TEST(stop_queuedJobs_allRun);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void stop_queuedJobs_allRun() {
+    std::atomic<int> Runs{0};
+    thread_pool Pool("pool", 2, ConnectionStackBytes, 100);
+    for (int I = 0; I < 50; ++I)
+      CPPUNIT_ASSERT(Pool.submit([&Runs] { ++Runs; }));
+    Pool.stop();
+    CPPUNIT_ASSERT_EQUAL(50, Runs.load());
+    CPPUNIT_ASSERT(!Pool.submit([] {}));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(thread_pool_test);
--- /dev/null
+++ b/libs/core/include/core/routing.h
@@ -0,0 +1,62 @@
+/// \file
+/// An entry's picture of targets and the choice among them.
+#ifndef LIMPETBRIDGE_CORE_ROUTING_H
+#define LIMPETBRIDGE_CORE_ROUTING_H
+
+#include "core/work.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace limpetbridge {
+
+/// An entry's picture of one target; a hint, never the truth.
+struct target_view {
+  instance_record Record;
+  std::uint32_t Outstanding = 0;   ///< Own attempts in flight.
+  duration QueueDelay{};           ///< Wait that the agent last told.
+  std::uint32_t FreeSlots = 0;     ///< Open slots that the agent last told.
+  time_point HintAt;               ///< When it told.
+  std::uint32_t SentSinceHint = 0; ///< Own attempts since then.
+  double Slowness = 1.0;           ///< Own observed time over expected time.
+  std::uint32_t Samples = 0;       ///< Observations behind Slowness.
+  time_point AvoidUntil;           ///< Not chosen before, after failures.
+  std::uint32_t Failures = 0;      ///< Consecutive failures.
+};
+
+/// An entry's picture of one loadable unit.
+struct unit_view {
+  std::uint64_t HomesEpoch = 0;      ///< Membership epoch of Homes.
+  std::vector<target_name> Homes;    ///< Best targets by rendezvous hash.
+  std::vector<target_name> Resident; ///< Targets known to hold it.
+  double LoadMs = 0;
+};
+
+/// Moving averages over all targets, by which one is called slow.
+struct service_estimate {
+  double FirstTokenMs = 300; ///< Per attempt that did not queue.
+  double TokenMs = 20;       ///< Between tokens.
+};
+
+/// Routing state of an entry.
+struct routing_state {
+  std::map<target_name, target_view> Targets;
+  std::map<model_name, unit_view> Units;
+  std::map<service_name, std::vector<target_name>> Services;
+  std::uint64_t BuiltAtEpoch = 0;
+  service_estimate Estimate;
+};
+
+/// A target with its expected completion, as the picker sees it.
+struct candidate {
+  const target_view *View = nullptr;
+  duration Expected{};         ///< Until the answer is whole.
+  std::uint8_t HomeRank = 255; ///< Place in the home set; 255 for none.
+  bool Resident = false;
+};
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_CORE_ROUTING_H
--- /dev/null
+++ b/libs/core/include/core/state.h
@@ -0,0 +1,121 @@
+/// \file
+/// The whole state of a node, and the options that never change.
+#ifndef LIMPETBRIDGE_CORE_STATE_H
+#define LIMPETBRIDGE_CORE_STATE_H
+
+#include "core/admission.h"
+#include "core/configuration.h"
+#include "core/ledger.h"
+#include "core/membership.h"
+#include "core/requests.h"
+#include "core/routing.h"
+
+#include <cstdint>
+#include <functional>
+#include <span>
+
+namespace limpetbridge {
+
+/// Chooses among candidates, ordered by expected completion; returns an index.
+/// \param Random a fresh random number.
+using picker_hook = std::function<std::size_t(
+    std::span<const candidate> Candidates, std::uint64_t Random)>;
+
+/// Time that a round trip between two data centres adds.
+using distance_hook = std::function<duration(const data_centre_name &From,
+                                             const data_centre_name &To)>;
+
+/// Options of an entry.
+struct entry_options {
+  std::uint32_t MaxAttempts = 4;
+  double RetryShare = 0.2;  ///< Retries per request.
+  double HedgeShare = 0.05; ///< Hedges per request.
+  duration ProgressTimeout = seconds(5);
+  duration BalancerWait = seconds(2);
+  std::vector<std::string> Seeds; ///< Peer addresses known from settings.
+};
+
+/// Options of an agent.
+struct agent_options {
+  target_kind Kind = target_kind::Engine;
+  byte_count Memory;
+  bool ChecksFence = false;
+  std::uint32_t Slots = 16;
+  std::uint32_t ShortSlots = 4;
+  std::uint32_t QueueLimit = 64;
+  duration ReportInterval = seconds(1);
+  duration OrderTimeout = seconds(30);
+  std::uint32_t MaxOrders = 4; ///< Orders under way at once.
+};
+
+/// Deliberate faults, by which the tests show that the checks can fail.
+/// Never set outside tests.
+enum class mutation : std::uint8_t {
+  None,
+  ReleaseOnTimeout,    ///< Frees memory when an order goes unanswered.
+  SkipLoadOnDemand,    ///< Never loads what is not resident.
+  AcceptAnyFrame,      ///< Takes frames of abandoned attempts.
+  NotRunAfterDispatch, ///< Calls a broken run not run.
+  ResendCalls,         ///< Repeats non-idempotent calls without a claim.
+  IgnoreLeaving,       ///< Keeps offering work to leaving targets.
+  CutAtDrain,          ///< Stops at once when drained.
+  RevertRevision       ///< Takes any revision that a peer sends.
+};
+
+/// Options of a node.
+struct node_options {
+  instance_record Self;
+  entry_options Entry;
+  agent_options Agent;
+  duration PollInterval = seconds(1);
+  duration StoreRetry = milliseconds(200);
+  duration SpreadTimeout = seconds(4);
+  duration DrainTimeout = seconds(60);
+  picker_hook Picker;     ///< Null: two random choices.
+  distance_hook Distance; ///< Null: 0 within, 7 ms between data centres.
+  mutation Mutation = mutation::None;
+};
+
+/// State of a graceful shutdown.
+struct drain_state {
+  bool Draining = false;
+  time_point RefuseFrom = NoDeadline; ///< New work is refused from here on.
+  time_point Deadline = NoDeadline;
+  bool Stopped = false; ///< The stop effect was given.
+};
+
+/// A small seeded generator; state, so that sessions replay exactly.
+struct random_state {
+  std::uint64_t Value = 1;
+
+  /// The next number.
+  auto next() -> std::uint64_t;
+};
+
+/// Everything a node knows.
+struct node_state {
+  node_options Options;
+  random_state Random;
+  std::uint64_t LastTicket = 0;
+  configuration_state Configuration;
+  membership_state Membership;
+  routing_state Routing;
+  requests_state Requests;
+  ledger_state Ledger;
+  admission_state Admission;
+  drain_state Drain;
+
+  /// A ticket that was never used before.
+  auto nextTicket() -> ticket { return {++LastTicket}; }
+  [[nodiscard]] auto isEntry() const -> bool {
+    return Options.Self.Role == instance_role::Entry;
+  }
+};
+
+/// A node that has just started. \param Seed of its random choices.
+[[nodiscard]] auto makeNode(node_options Options, std::uint64_t Seed)
+    -> node_state;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_CORE_STATE_H
--- /dev/null
+++ b/libs/core/src/admission.cpp
@@ -0,0 +1,488 @@
+#include "core/admission.h"
+
+#include "details/handlers.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace limpetbridge::details {
+
+namespace {
+
+constexpr auto HeartbeatInterval = seconds(1);
+constexpr std::size_t SeenLimit = 65536; ///< Calls remembered of one entry.
+constexpr double SpeedShare = 0.1;       ///< Weight of a new observation.
+constexpr int AgingFactor = 10; ///< Waits of so many aims lift to the top.
+
+auto queuedCount(const admission_state &Admission) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      Admission.Works.begin(), Admission.Works.end(), [](const auto &Each) {
+        return Each.second.Phase == work_phase::Queued;
+      }));
+}
+
+/// Order of urgency. Work that has waited many times its aim goes first, so
+/// that the unimportant is slowed and never starved.
+struct urgency {
+  bool Fresh = true;
+  std::uint8_t Rank = 9;
+  time_point By;
+  attempt_id Id;
+
+  auto operator<=>(const urgency &) const = default;
+};
+
+auto urgencyOf(const work_state &Work, time_point Now) -> urgency {
+  const auto &Of = Work.Offer.Work;
+  const auto Aim = Of.FirstTokenBy - Work.QueuedAt;
+  const bool Aged =
+      Now - Work.QueuedAt > Aim * AgingFactor && Of.FirstTokenBy != NoDeadline;
+  return {!Aged, Of.Rank, Of.FirstTokenBy, Work.Offer.Attempt};
+}
+
+/// Refuses duplicates of calls that must not run twice; a life of an entry
+/// counts its requests upwards, which bounds what must be remembered.
+auto wasSeen(admission_state &Admission, const attempt_id &Id) -> bool {
+  auto &Of = Admission.Seen[Id.Request.Entry];
+  if (Id.Request.Counter <= Of.Floor || !Of.Seen.insert(Id).second)
+    return true;
+  if (Of.Seen.size() > SeenLimit) {
+    Of.Floor = Of.Seen.begin()->Request.Counter;
+    Of.Seen.erase(Of.Seen.begin());
+  }
+  return false;
+}
+
+auto refuseOffer(const context &Ctx, const attempt_id &Id, result_code Code,
+                 std::string Detail) -> void {
+  attempt_ended End;
+  End.Attempt = Id;
+  End.Outcome = run_outcome::NotRun;
+  End.Code = Code;
+  End.Detail = std::move(Detail);
+  End.Hint = hintOf(Ctx);
+  Ctx.emit(count_metric{"refused", describe(Code).Name});
+  Ctx.emit(send_end{std::move(End)});
+}
+
+auto learnRevision(const context &Ctx, const work_offered &Event) -> void {
+  auto &Admission = Ctx.State.Admission;
+  // An entry offers only to targets that are not drained at its revision.
+  if (Event.Revision <= Admission.DrainRevision)
+    return;
+  Admission.DrainRevision = Event.Revision;
+  Admission.Drained = false;
+}
+
+auto queueDelay(const context &Ctx) -> duration {
+  const auto &Admission = Ctx.State.Admission;
+  const auto Slots = std::max(Ctx.State.Options.Agent.Slots, 1U);
+  duration Ahead{};
+  for (const auto &[Id, Work] : Admission.Works)
+    if (Work.Phase == work_phase::Queued)
+      Ahead += expectedService(Admission, Work.Offer.Work);
+  return Ahead / Slots;
+}
+
+/// Delay before this work starts: what is ahead of it in the queue.
+auto delayAhead(const context &Ctx, const work_offered &Event) -> duration {
+  const auto &Admission = Ctx.State.Admission;
+  duration Ahead{};
+  for (const auto &[Id, Work] : Admission.Works)
+    if (Work.Phase == work_phase::Queued &&
+        Work.Offer.Work.Rank <= Event.Work.Rank)
+      Ahead += expectedService(Admission, Work.Offer.Work);
+  return Ahead / std::max(Ctx.State.Options.Agent.Slots, 1U);
+}
+
+auto fits(const context &Ctx, const work &Work) -> bool {
+  const auto Need = Work.Memory.Value + Work.AdapterMemory.Value;
+  return Need <= Ctx.State.Ledger.Capacity.Value;
+}
+
+auto leastUrgent(admission_state &Admission, time_point Now) -> work_state * {
+  const auto Order = queueOrder(Admission, Now);
+  return Order.empty() ? nullptr : Order.back();
+}
+
+/// Makes room in a full queue for more important work; false if there is none.
+auto makeRoom(const context &Ctx, const work_offered &Event) -> bool {
+  auto &Admission = Ctx.State.Admission;
+  if (queuedCount(Admission) < Ctx.State.Options.Agent.QueueLimit)
+    return true;
+  auto *Last = leastUrgent(Admission, Ctx.Now);
+  if (Last == nullptr || Last->Offer.Work.Rank <= Event.Work.Rank)
+    return false;
+  refuseWork(Ctx, Last->Offer.Attempt, result_code::QueueFull,
+             "displaced by more important work");
+  return true;
+}
+
+auto reasonToRefuse(const context &Ctx, const work_offered &Event)
+    -> result<void> {
+  const auto &State = Ctx.State;
+  const auto &Self = State.Options.Self;
+  const bool Engine = State.Options.Agent.Kind == target_kind::Engine;
+  if (State.Drain.Draining)
+    return failure(result_code::Draining, "the agent is shutting down");
+  if (State.Admission.Drained)
+    return failure(result_code::Draining, "the target is declared drained");
+  if (Event.Agent.Value != 0 && Event.Agent != Self.Incarnation)
+    return failure(result_code::StaleIncarnation, "the agent was restarted");
+  if (Engine != (Event.Work.Kind == work_kind::Generate))
+    return failure(result_code::NoTarget, "wrong kind of target");
+  if (Engine && !fits(Ctx, Event.Work))
+    return failure(result_code::NoMemory,
+                   Event.Work.Unit.Text + " is larger than the accelerator");
+  if (Engine && State.Ledger.Phase == authority_phase::Superseded)
+    return failure(result_code::Draining, "another agent has taken over");
+  const auto Load = Engine && !isResident(State.Ledger, Event.Work)
+                        ? duration(milliseconds(Event.Work.LoadMs))
+                        : duration::zero();
+  const auto Needed = Load + delayAhead(Ctx, Event) +
+                      expectedService(State.Admission, Event.Work);
+  if (Ctx.Now + Needed > Event.Work.Deadline)
+    return failure(result_code::DeadlineUnreachable,
+                   "expected to need " +
+                       std::to_string(toMilliseconds(Needed)) + " ms");
+  return boost::outcome_v2::success();
+}
+
+auto isServiceReady(const context &Ctx) -> bool {
+  const auto &Options = Ctx.State.Options.Agent;
+  return Ctx.State.Admission.Running < Options.Slots;
+}
+
+/// Room kept for short work: long work may not take the last slots.
+auto hasSlot(const context &Ctx, const work &Work) -> bool {
+  const auto &Options = Ctx.State.Options.Agent;
+  const auto &Admission = Ctx.State.Admission;
+  if (Admission.Running >= Options.Slots)
+    return false;
+  const auto LongSlots = Options.Slots > Options.ShortSlots
+                             ? Options.Slots - Options.ShortSlots
+                             : 1;
+  return Work.Short || Admission.RunningLong < LongSlots;
+}
+
+auto ledgerEntries(const context &Ctx, const work &Work)
+    -> std::vector<ledger_entry *> {
+  std::vector<ledger_entry *> Entries;
+  if (Work.Kind != work_kind::Generate)
+    return Entries;
+  for (const auto &Each : neededBy(Work))
+    Entries.push_back(&Ctx.State.Ledger.Entries[Each]);
+  return Entries;
+}
+
+auto releaseSlot(const context &Ctx, const work_state &Work) -> void {
+  if (Work.Phase != work_phase::Running)
+    return;
+  auto &Admission = Ctx.State.Admission;
+  --Admission.Running;
+  if (!Work.Offer.Work.Short)
+    --Admission.RunningLong;
+  for (auto *Entry : ledgerEntries(Ctx, Work.Offer.Work)) {
+    Entry->Running -= std::min(Entry->Running, 1U);
+    Entry->LastUsed = Ctx.Now;
+  }
+}
+
+auto learnSpeed(const context &Ctx, const work_state &Work, std::uint32_t Total)
+    -> void {
+  auto &Speed = Ctx.State.Admission.Speed;
+  const double Took = asMilliseconds(Ctx.Now - Work.StartedAt);
+  if (Work.Offer.Work.Kind == work_kind::Call) {
+    Speed.CallMs += SpeedShare * (Took - Speed.CallMs);
+    return;
+  }
+  const double Prompt = Speed.PromptTokenMs * Work.Offer.Work.PromptTokens;
+  if (Total <= Work.Offer.ResumeOffset)
+    return;
+  const double Tokens = Total - Work.Offer.ResumeOffset;
+  const double Each = std::max(0.1, (Took - Prompt) / Tokens);
+  Speed.TokenMs += SpeedShare * (Each - Speed.TokenMs);
+}
+
+auto endOfRun(const context &Ctx, const target_ended &Event) -> attempt_ended {
+  attempt_ended End;
+  End.Attempt = Event.Attempt;
+  End.Detail = Event.Detail;
+  End.Total = Event.Total;
+  End.Body = Event.Body;
+  End.Status = Event.Status;
+  const bool Mutant =
+      Ctx.State.Options.Mutation == mutation::NotRunAfterDispatch;
+  switch (Event.End) {
+  case target_end::Whole:
+    End.Outcome = run_outcome::Done;
+    End.Code = result_code::Ok;
+    break;
+  case target_end::Refused:
+    End.Outcome = run_outcome::NotRun;
+    End.Code = result_code::TargetRefused;
+    break;
+  case target_end::Unsent:
+    End.Outcome = run_outcome::NotRun;
+    End.Code = result_code::TargetUnreachable;
+    break;
+  case target_end::Broken:
+    End.Outcome = Mutant ? run_outcome::NotRun : run_outcome::Unknown;
+    End.Code =
+        Mutant ? result_code::TargetUnreachable : result_code::OutcomeUnknown;
+    break;
+  }
+  constexpr std::uint32_t ServerFailure = 500;
+  if (End.Outcome == run_outcome::Done && Event.Status >= ServerFailure) {
+    End.Outcome = run_outcome::Unknown;
+    End.Code = result_code::ServiceFailed;
+  }
+  return End;
+}
+
+auto expireQueued(const context &Ctx) -> void {
+  std::vector<attempt_id> Late;
+  for (const auto &[Id, Work] : Ctx.State.Admission.Works)
+    if (Work.Phase == work_phase::Queued && Ctx.Now >= Work.Offer.Work.Deadline)
+      Late.push_back(Id);
+  for (const auto &Id : Late)
+    refuseWork(Ctx, Id, result_code::DeadlineUnreachable,
+               "the deadline passed in the queue");
+}
+
+/// Tells entries that their work still waits, so that silence means failure.
+/// A run that is silent for longer than its prompt explains gets none.
+auto sendHeartbeats(const context &Ctx) -> void {
+  constexpr int Slack = 3;
+  constexpr auto Grace = seconds(5);
+  const auto &Speed = Ctx.State.Admission.Speed;
+  for (auto &[Id, Work] : Ctx.State.Admission.Works) {
+    if (Ctx.Now < Work.HeartbeatAt || Work.Cancelled)
+      continue;
+    const auto Prompt =
+        fromMilliseconds(Speed.PromptTokenMs * Work.Offer.Work.PromptTokens);
+    const bool Stuck = Work.Phase == work_phase::Running &&
+                       Ctx.Now - Work.StartedAt > Prompt * Slack + Grace;
+    Work.HeartbeatAt = Ctx.Now + HeartbeatInterval;
+    if (!Stuck)
+      Ctx.emit(send_frame{Id, {Work.Sent, {}}});
+  }
+}
+
+auto dispatchCalls(const context &Ctx) -> void {
+  for (auto *Work : queueOrder(Ctx.State.Admission, Ctx.Now)) {
+    if (!isServiceReady(Ctx))
+      return;
+    if (Work->Offer.Work.isClaimed())
+      startClaim(Ctx, *Work);
+    else
+      dispatchWork(Ctx, *Work);
+  }
+}
+
+auto dispatchGenerations(const context &Ctx) -> void {
+  for (auto *Work : queueOrder(Ctx.State.Admission, Ctx.Now)) {
+    const auto &Of = Work->Offer.Work;
+    if (!hasSlot(Ctx, Of) || !isResident(Ctx.State.Ledger, Of))
+      continue;
+    dispatchWork(Ctx, *Work);
+  }
+}
+
+} // namespace
+
+auto neededBy(const work &Work) -> std::vector<loadable> {
+  std::vector<loadable> Needed{{Work.Unit, {}}};
+  if (!Work.Adapter.empty())
+    Needed.push_back({Work.Unit, Work.Adapter});
+  return Needed;
+}
+
+auto expectedService(const admission_state &Admission, const work &Work)
+    -> duration {
+  const auto &Speed = Admission.Speed;
+  if (Work.Kind == work_kind::Call)
+    return fromMilliseconds(Speed.CallMs);
+  return fromMilliseconds(Speed.PromptTokenMs * Work.PromptTokens +
+                          Speed.TokenMs * Work.MaxTokens);
+}
+
+auto hintOf(const context &Ctx) -> load_hint {
+  const auto &Options = Ctx.State.Options.Agent;
+  const auto &Admission = Ctx.State.Admission;
+  const auto Running = std::min(Admission.Running, Options.Slots);
+  return {queueDelay(Ctx), Options.Slots - Running,
+          Ctx.State.Options.Self.Incarnation, Admission.DrainRevision};
+}
+
+auto queueOrder(admission_state &State, time_point Now)
+    -> std::vector<work_state *> {
+  std::vector<work_state *> Order;
+  for (auto &[Id, Work] : State.Works)
+    if (Work.Phase == work_phase::Queued)
+      Order.push_back(&Work);
+  std::sort(Order.begin(), Order.end(),
+            [Now](const work_state *Left, const work_state *Right) {
+              return urgencyOf(*Left, Now) < urgencyOf(*Right, Now);
+            });
+  return Order;
+}
+
+auto endWork(const context &Ctx, const attempt_id &Id, attempt_ended End)
+    -> void {
+  auto &Works = Ctx.State.Admission.Works;
+  const auto Found = Works.find(Id);
+  releaseSlot(Ctx, Found->second);
+  const bool Cancelled = Found->second.Cancelled;
+  Works.erase(Found);
+  Ctx.note(note_kind::WorkEnded, toString(Id),
+           targetOf(Ctx.State.Options.Self.Name), "",
+           std::string(nameOf(End.Outcome)));
+  if (Cancelled)
+    return;
+  End.Hint = hintOf(Ctx);
+  Ctx.emit(send_end{std::move(End)});
+}
+
+auto refuseWork(const context &Ctx, const attempt_id &Id, result_code Code,
+                std::string Detail) -> void {
+  Ctx.emit(count_metric{"refused", describe(Code).Name});
+  attempt_ended End;
+  End.Attempt = Id;
+  End.Outcome = run_outcome::NotRun;
+  End.Code = Code;
+  End.Detail = std::move(Detail);
+  endWork(Ctx, Id, std::move(End));
+}
+
+auto dispatchWork(const context &Ctx, work_state &Work) -> void {
+  auto &Admission = Ctx.State.Admission;
+  Work.Phase = work_phase::Running;
+  Work.StartedAt = Ctx.Now;
+  ++Admission.Running;
+  if (!Work.Offer.Work.Short)
+    ++Admission.RunningLong;
+  for (auto *Entry : ledgerEntries(Ctx, Work.Offer.Work)) {
+    ++Entry->Running;
+    Entry->LastUsed = Ctx.Now;
+  }
+  Ctx.emit(observe_metric{"queue", Work.Offer.Work.Short ? "short" : "long",
+                          asMilliseconds(Ctx.Now - Work.QueuedAt)});
+  Ctx.note(note_kind::WorkDispatched, toString(Work.Offer.Attempt),
+           targetOf(Ctx.State.Options.Self.Name), "", "");
+  Ctx.emit(run_work{Work.Offer.Attempt, Work.Offer.Work,
+                    Work.Offer.ResumeOffset, Work.Offer.ResumeText});
+}
+
+auto onOffer(const context &Ctx, const work_offered &Event) -> void {
+  auto &Admission = Ctx.State.Admission;
+  if (Admission.Works.contains(Event.Attempt))
+    return;
+  // Before any refusal: a late duplicate of a refused offer must not run.
+  if (Event.Work.runsAtMostOnce() && wasSeen(Admission, Event.Attempt))
+    return;
+  learnRevision(Ctx, Event);
+  auto Allowed = reasonToRefuse(Ctx, Event);
+  if (!Allowed) {
+    const auto Error = Allowed.error();
+    refuseOffer(Ctx, Event.Attempt, Error.Code, Error.Detail);
+    return;
+  }
+  if (!makeRoom(Ctx, Event)) {
+    refuseOffer(Ctx, Event.Attempt, result_code::QueueFull,
+                "the queue is full");
+    return;
+  }
+  auto &Work = Admission.Works[Event.Attempt];
+  Work.Offer = Event;
+  Work.QueuedAt = Ctx.Now;
+  Work.HeartbeatAt = Ctx.Now + HeartbeatInterval;
+  Work.Sent = Event.ResumeOffset;
+  pump(Ctx);
+}
+
+auto onCancelled(const context &Ctx, const work_cancelled &Event) -> void {
+  auto &Works = Ctx.State.Admission.Works;
+  const auto Found = Works.find(Event.Attempt);
+  if (Found == Works.end())
+    return;
+  auto &Work = Found->second;
+  Work.Cancelled = true;
+  const bool Generates = Work.Offer.Work.Kind == work_kind::Generate;
+  if (Work.Phase == work_phase::Running && Generates)
+    Ctx.emit(stop_work{Event.Attempt});
+  const bool Over = Work.Phase == work_phase::Queued ||
+                    (Work.Phase == work_phase::Running && Generates);
+  if (!Over)
+    return;
+  releaseSlot(Ctx, Work);
+  Works.erase(Found);
+  pump(Ctx);
+}
+
+auto onTargetState(const context &Ctx, const target_state_received &Event)
+    -> void {
+  auto &Admission = Ctx.State.Admission;
+  if (Event.Revision < Admission.DrainRevision)
+    return;
+  Admission.DrainRevision = Event.Revision;
+  Admission.Drained = Event.Drained;
+}
+
+auto onTargetProgress(const context &Ctx, const target_progressed &Event)
+    -> void {
+  auto &Works = Ctx.State.Admission.Works;
+  const auto Found = Works.find(Event.Attempt);
+  if (Found == Works.end() || Found->second.Phase != work_phase::Running)
+    return;
+  auto &Work = Found->second;
+  Work.HeartbeatAt = Ctx.Now + HeartbeatInterval;
+  Work.Sent =
+      std::max(Work.Sent, Event.Frame.Offset + static_cast<std::uint32_t>(
+                                                   Event.Frame.Pieces.size()));
+  Ctx.emit(send_frame{Event.Attempt, Event.Frame});
+}
+
+auto onTargetEnded(const context &Ctx, const target_ended &Event) -> void {
+  auto &Works = Ctx.State.Admission.Works;
+  const auto Found = Works.find(Event.Attempt);
+  if (Found == Works.end() || Found->second.Phase != work_phase::Running)
+    return;
+  auto &Work = Found->second;
+  if (Event.End == target_end::Whole)
+    learnSpeed(Ctx, Work, Event.Total);
+  if (Event.End == target_end::Refused &&
+      Work.Offer.Work.Kind == work_kind::Generate)
+    Ctx.State.Ledger.ReadAt = Ctx.Now;
+  auto End = endOfRun(Ctx, Event);
+  if (!Work.Offer.Work.isClaimed()) {
+    endWork(Ctx, Event.Attempt, std::move(End));
+    pump(Ctx);
+    return;
+  }
+  if (End.Outcome == run_outcome::Done)
+    settleClaim(Ctx, Work, Event);
+  else if (End.Outcome == run_outcome::NotRun)
+    abandonClaim(Ctx, Work);
+  else
+    endWork(Ctx, Event.Attempt, std::move(End));
+  pump(Ctx);
+}
+
+auto pump(const context &Ctx) -> void {
+  if (Ctx.State.Options.Agent.Kind == target_kind::Service) {
+    dispatchCalls(Ctx);
+    return;
+  }
+  dispatchGenerations(Ctx);
+  planLoads(Ctx);
+}
+
+auto tickAdmission(const context &Ctx) -> void {
+  expireQueued(Ctx);
+  tickLoads(Ctx);
+  sendHeartbeats(Ctx);
+  pump(Ctx);
+}
+
+} // namespace limpetbridge::details
--- /dev/null
+++ b/libs/core/src/authority.cpp
@@ -0,0 +1,225 @@
+// Sole authority over an engine: a fence row in the table, and what a
+// predecessor may still have under way.
+#include "core/ledger.h"
+
+#include "core/store_keys.h"
+#include "details/handlers.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace limpetbridge::details {
+
+namespace {
+
+constexpr std::uint32_t IntentPage = 4096;
+
+auto request(const context &Ctx, ledger_request Kind) -> ticket {
+  const auto Ticket = Ctx.State.nextTicket();
+  Ctx.State.Ledger.Requests[Ticket] = {Kind, {}};
+  return Ticket;
+}
+
+auto isAsking(const ledger_state &Ledger) -> bool {
+  return std::any_of(Ledger.Requests.begin(), Ledger.Requests.end(),
+                     [](const auto &Each) {
+                       return Each.second.Kind == ledger_request::ReadFence ||
+                              Each.second.Kind == ledger_request::WriteFence ||
+                              Each.second.Kind == ledger_request::ReadIntents;
+                     });
+}
+
+/// The fence row: epoch and the incarnation that took it.
+auto fenceValue(std::uint64_t Epoch, incarnation Holder) -> std::string {
+  return std::to_string(Epoch) + " " + std::to_string(Holder.Value);
+}
+
+auto intentPrefix(const node_state &State) -> std::string {
+  return std::string(store_keys::IntentPrefix) + State.Options.Self.Name.Text +
+         "/";
+}
+
+auto askNext(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  Ledger.RetryAt = Ctx.Now + Ctx.State.Options.StoreRetry;
+  if (Ledger.Phase == authority_phase::ReadingFence) {
+    Ctx.emit(table_read{request(Ctx, ledger_request::ReadFence),
+                        {fenceKey(Ctx.State)}});
+    return;
+  }
+  if (Ledger.Phase == authority_phase::ReadingIntents) {
+    const auto Prefix = intentPrefix(Ctx.State);
+    Ctx.emit(table_range{request(Ctx, ledger_request::ReadIntents), Prefix,
+                         Prefix, IntentPage});
+  }
+}
+
+auto writeFence(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  Ledger.Phase = authority_phase::WritingFence;
+  ++Ledger.Epoch;
+  Ctx.emit(table_transact{
+      request(Ctx, ledger_request::WriteFence),
+      {{fenceKey(Ctx.State), Ledger.FenceVersion}},
+      {{fenceKey(Ctx.State),
+        fenceValue(Ledger.Epoch, Ctx.State.Options.Self.Incarnation)}}});
+}
+
+/// The fence row as it was read.
+struct fence_row {
+  std::uint64_t Epoch = 0;
+  incarnation Holder;
+};
+
+auto parseFence(const std::string &Text) -> fence_row {
+  fence_row Row;
+  std::istringstream(Text) >> Row.Epoch >> Row.Holder.Value;
+  return Row;
+}
+
+auto becomeSuperseded(const context &Ctx) -> void {
+  Ctx.State.Ledger.Phase = authority_phase::Superseded;
+  Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
+           "", "another agent has taken over; this one gives no more orders");
+}
+
+auto takeFenceRead(const context &Ctx, const table_replied &Event) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase != authority_phase::ReadingFence ||
+      Event.Status != store_status::Applied)
+    return;
+  fence_row Row;
+  Ledger.FenceVersion = 0;
+  for (const auto &Each : Event.Rows) {
+    Row = parseFence(Each.Value);
+    Ledger.FenceVersion = Each.Version;
+  }
+  const auto Self = Ctx.State.Options.Self.Incarnation;
+  const bool Own = Row.Holder == Self && Row.Epoch != 0;
+  // Epochs of the table order agents, never their clocks.
+  if (!Own && Ledger.Epoch != 0 && Row.Epoch > Ledger.Epoch) {
+    becomeSuperseded(Ctx);
+    return;
+  }
+  Ledger.Epoch = std::max(Ledger.Epoch, Row.Epoch);
+  if (Own) {
+    // An earlier write of this agent took effect though its answer was lost.
+    Ledger.Phase = authority_phase::ReadingIntents;
+    askNext(Ctx);
+    return;
+  }
+  writeFence(Ctx);
+}
+
+auto takeFenceWrite(const context &Ctx, const table_replied &Event) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase != authority_phase::WritingFence)
+    return;
+  if (Event.Status != store_status::Applied) {
+    Ledger.Phase = authority_phase::ReadingFence;
+    return;
+  }
+  for (const auto &Row : Event.Rows)
+    Ledger.FenceVersion = Row.Version;
+  Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
+           "", "epoch " + std::to_string(Ledger.Epoch));
+  Ledger.Phase = authority_phase::ReadingIntents;
+  askNext(Ctx);
+}
+
+/// A load that may be under way, as it stands in the table.
+struct intent_row {
+  loadable What;
+  byte_count Bytes;
+  fencing_token Token;
+};
+
+auto parseIntent(const std::string &Value) -> intent_row {
+  std::istringstream Lines(Value);
+  intent_row Intent;
+  std::getline(Lines, Intent.What.Unit.Text);
+  std::getline(Lines, Intent.What.Adapter.Text);
+  Lines >> Intent.Bytes.Value >> Intent.Token.Value;
+  return Intent;
+}
+
+/// Keeps room for a load that a predecessor may have under way, until the
+/// engine shows that it was executed or is fenced against it.
+auto quarantine(const context &Ctx, const table_row &Row) -> void {
+  const auto Intent = parseIntent(Row.Value);
+  auto &Entry = Ctx.State.Ledger.Entries[Intent.What];
+  Entry.Bytes.Value = std::max(Entry.Bytes.Value, Intent.Bytes.Value);
+  Entry.LateLoads.insert(Intent.Token);
+  Entry.IntentVersion = Row.Version;
+  if (Entry.State == unit_state::Absent)
+    Entry.State = unit_state::Uncertain;
+}
+
+auto takeIntents(const context &Ctx, const table_replied &Event) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase != authority_phase::ReadingIntents ||
+      Event.Status != store_status::Applied)
+    return;
+  for (const auto &Row : Event.Rows)
+    quarantine(Ctx, Row);
+  Ledger.Phase = authority_phase::Probing;
+  Ledger.RetryAt = Ctx.Now;
+}
+
+} // namespace
+
+auto fenceKey(const node_state &State) -> std::string {
+  return std::string(store_keys::FencePrefix) + State.Options.Self.Name.Text;
+}
+
+auto intentValue(const loadable &What, byte_count Bytes, fencing_token Token)
+    -> std::string {
+  return What.Unit.Text + "\n" + What.Adapter.Text + "\n" +
+         std::to_string(Bytes.Value) + " " + std::to_string(Token.Value);
+}
+
+auto intentKey(const node_state &State, const loadable &What) -> std::string {
+  return intentPrefix(State) + toString(What);
+}
+
+auto authorityReply(const context &Ctx, const pending_ledger_request &Request,
+                    const table_replied &Event) -> void {
+  switch (Request.Kind) {
+  case ledger_request::ReadFence:
+    takeFenceRead(Ctx, Event);
+    return;
+  case ledger_request::WriteFence:
+    takeFenceWrite(Ctx, Event);
+    return;
+  case ledger_request::ReadIntents:
+    takeIntents(Ctx, Event);
+    return;
+  case ledger_request::WriteIntent:
+  case ledger_request::RemoveIntent:
+    return;
+  }
+}
+
+auto tickAuthority(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  const bool Over = Ledger.Phase == authority_phase::Held ||
+                    Ledger.Phase == authority_phase::Superseded;
+  if (Over || isAsking(Ledger) || Ctx.Now < Ledger.RetryAt)
+    return;
+  if (Ledger.Phase != authority_phase::Probing) {
+    askNext(Ctx);
+    return;
+  }
+  // The reply to an order shows the engine as it is now; a reading may lag.
+  Ledger.RetryAt = Ctx.Now + Ctx.State.Options.StoreRetry;
+  if (Ledger.Orders.empty())
+    sendOrder(Ctx, order_kind::Fence, {}, {});
+}
+
+auto finishProbe(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase == authority_phase::Probing)
+    Ledger.Phase = authority_phase::Held;
+}
+
+} // namespace limpetbridge::details
--- /dev/null
+++ b/libs/core/src/details/handlers.h
@@ -0,0 +1,145 @@
+/// \file
+/// The decision modules behind the reducer: what each does with its events.
+#ifndef LIMPETBRIDGE_CORE_DETAILS_HANDLERS_H
+#define LIMPETBRIDGE_CORE_DETAILS_HANDLERS_H
+
+#include "core/routing.h"
+#include "details/common.h"
+
+#include <optional>
+
+namespace limpetbridge::details {
+
+// Configuration: revisions, catch-up, operators' commands (entries).
+auto tickConfiguration(const context &Ctx) -> void;
+auto onCommand(const context &Ctx, const command_arrived &Event) -> void;
+auto onChanges(const context &Ctx, const changes_received &Event) -> void;
+auto onRevisionSeen(const context &Ctx, const revision_seen &Event) -> void;
+auto onAcknowledged(const context &Ctx, const changes_acknowledged &Event)
+    -> void;
+/// False when the ticket belongs to another module.
+auto onConfigurationReply(const context &Ctx, const table_replied &Event)
+    -> bool;
+auto onSnapshotReply(const context &Ctx, const object_replied &Event) -> void;
+/// Sends the declared state of one target to its agent.
+auto pushTargetState(const context &Ctx, const instance_record &Agent) -> void;
+auto tickCommands(const context &Ctx) -> void;
+auto onCommandReply(const context &Ctx, std::uint64_t Command,
+                    const table_replied &Event) -> void;
+/// Takes changes in force in order; true when the revision moved.
+auto applyChanges(const context &Ctx, const std::vector<change> &Changes)
+    -> bool;
+auto readTail(const context &Ctx) -> void;
+
+// Membership: who is there, and who is leaving.
+auto onInstances(const context &Ctx, const instances_listed &Event) -> void;
+/// An agent said that it is draining.
+auto markLeaving(const context &Ctx, const target_name &Target) -> void;
+/// Takes what an agent told on a reply.
+auto learnHint(const context &Ctx, const target_name &Target,
+               const load_hint &Hint) -> void;
+/// Takes the incarnation that the agent itself named.
+auto adoptIncarnation(const context &Ctx, const target_name &Target,
+                      incarnation Agent) -> void;
+/// True when new work may be offered to the target.
+[[nodiscard]] auto isUsable(const node_state &State, const target_view &View)
+    -> bool;
+
+// Routing: which target an attempt goes to.
+[[nodiscard]] auto chooseTarget(const context &Ctx,
+                                const request_state &Request)
+    -> std::optional<candidate>;
+auto learnResident(node_state &State, const model_name &Unit,
+                   const target_name &Target) -> void;
+auto forgetResident(node_state &State, const model_name &Unit,
+                    const target_name &Target) -> void;
+auto learnFailure(const context &Ctx, const target_name &Target) -> void;
+/// Takes the time to the first piece of an attempt that expected \p Wait.
+auto learnFirstToken(const context &Ctx, const target_name &Target,
+                     duration Took, duration Wait, const work &Work) -> void;
+[[nodiscard]] auto viewOf(node_state &State, const target_name &Target)
+    -> target_view *;
+
+// Requests: attempts, retries, hedges and streams of an entry.
+auto onRequest(const context &Ctx, const request_arrived &Event) -> void;
+auto onCallerLeft(const context &Ctx, const caller_left &Event) -> void;
+auto onProgress(const context &Ctx, const attempt_progressed &Event) -> void;
+auto onAttemptEnded(const context &Ctx, const attempt_ended &Event) -> void;
+auto tickRequests(const context &Ctx) -> void;
+auto startAttempt(const context &Ctx, const request_id &Id,
+                  request_state &Request) -> void;
+auto finishRequest(const context &Ctx, const request_id &Id, answer_end End)
+    -> void;
+
+// Admission: queue and slots of an agent.
+auto onOffer(const context &Ctx, const work_offered &Event) -> void;
+auto onCancelled(const context &Ctx, const work_cancelled &Event) -> void;
+auto onTargetState(const context &Ctx, const target_state_received &Event)
+    -> void;
+auto onTargetProgress(const context &Ctx, const target_progressed &Event)
+    -> void;
+auto onTargetEnded(const context &Ctx, const target_ended &Event) -> void;
+auto tickAdmission(const context &Ctx) -> void;
+/// Dispatches what can run and asks for what must be loaded.
+auto pump(const context &Ctx) -> void;
+/// Queued work, most urgent first.
+[[nodiscard]] auto queueOrder(admission_state &State, time_point Now)
+    -> std::vector<work_state *>;
+/// Ends work towards its entry and forgets it.
+auto endWork(const context &Ctx, const attempt_id &Id, attempt_ended End)
+    -> void;
+auto refuseWork(const context &Ctx, const attempt_id &Id, result_code Code,
+                std::string Detail) -> void;
+/// Sends work to the target.
+auto dispatchWork(const context &Ctx, work_state &Work) -> void;
+[[nodiscard]] auto hintOf(const context &Ctx) -> load_hint;
+/// What the work needs in memory, the model first.
+[[nodiscard]] auto neededBy(const work &Work) -> std::vector<loadable>;
+[[nodiscard]] auto expectedService(const admission_state &State,
+                                   const work &Work) -> duration;
+
+// Claims: at most once for work with a key.
+auto startClaim(const context &Ctx, work_state &Work) -> void;
+auto onClaimReply(const context &Ctx, const table_replied &Event) -> bool;
+auto settleClaim(const context &Ctx, work_state &Work, const target_ended &End)
+    -> void;
+/// Gives back a claim of work that provably did not run.
+auto abandonClaim(const context &Ctx, work_state &Work) -> void;
+auto tickClaims(const context &Ctx) -> void;
+
+// Ledger: memory, orders and authority over the engine.
+auto tickLedger(const context &Ctx) -> void;
+auto onLedgerReply(const context &Ctx, const table_replied &Event) -> bool;
+auto onOrderReply(const context &Ctx, const order_replied &Event) -> void;
+auto onReport(const context &Ctx, const engine_reported &Event) -> void;
+/// Starts loads and evictions for queued work.
+auto planLoads(const context &Ctx) -> void;
+[[nodiscard]] auto isResident(const ledger_state &Ledger, const work &Work)
+    -> bool;
+auto authorityReply(const context &Ctx, const pending_ledger_request &Request,
+                    const table_replied &Event) -> void;
+auto tickAuthority(const context &Ctx) -> void;
+auto finishProbe(const context &Ctx) -> void;
+auto startLoad(const context &Ctx, const loadable &What, byte_count Bytes)
+    -> void;
+auto startUnload(const context &Ctx, const loadable &What) -> void;
+auto sendOrder(const context &Ctx, order_kind Kind, const loadable &What,
+               byte_count Bytes) -> fencing_token;
+/// Loads and evictions: refuses queued work that cannot be loaded in time.
+auto tickLoads(const context &Ctx) -> void;
+[[nodiscard]] auto intentValue(const loadable &What, byte_count Bytes,
+                               fencing_token Token) -> std::string;
+[[nodiscard]] auto intentKey(const node_state &State, const loadable &What)
+    -> std::string;
+[[nodiscard]] auto fenceKey(const node_state &State) -> std::string;
+/// Takes the engine's word, when it is not older than what is known.
+auto adoptSnapshot(const context &Ctx, const engine_snapshot &Snapshot,
+                   fencing_token FencedBelow) -> void;
+
+// Drain: graceful shutdown.
+auto onDrain(const context &Ctx) -> void;
+auto tickDrain(const context &Ctx) -> void;
+
+} // namespace limpetbridge::details
+
+#endif // LIMPETBRIDGE_CORE_DETAILS_HANDLERS_H
--- /dev/null
+++ b/libs/core/src/drain.cpp
@@ -0,0 +1,61 @@
+// Graceful shutdown: refuse new work, finish what runs, then end.
+#include "details/handlers.h"
+
+namespace limpetbridge::details {
+
+namespace {
+
+auto stop(const context &Ctx, result_code Code) -> void {
+  auto &Drain = Ctx.State.Drain;
+  if (Drain.Stopped)
+    return;
+  Drain.Stopped = true;
+  Ctx.emit(stop_process{Code});
+}
+
+auto isIdle(const node_state &State) -> bool {
+  if (State.isEntry())
+    return State.Requests.Open.empty() && State.Configuration.Commands.empty();
+  return State.Admission.Works.empty() && State.Ledger.Orders.empty();
+}
+
+/// Hands queued work back, so that entries take it elsewhere.
+auto returnQueued(const context &Ctx) -> void {
+  std::vector<attempt_id> Queued;
+  for (const auto &[Id, Work] : Ctx.State.Admission.Works)
+    if (Work.Phase == work_phase::Queued)
+      Queued.push_back(Id);
+  for (const auto &Id : Queued)
+    refuseWork(Ctx, Id, result_code::Draining, "the agent is shutting down");
+}
+
+} // namespace
+
+auto onDrain(const context &Ctx) -> void {
+  auto &Drain = Ctx.State.Drain;
+  if (Drain.Draining)
+    return;
+  Drain.Draining = true;
+  Drain.Deadline = Ctx.Now + Ctx.State.Options.DrainTimeout;
+  // An entry serves on while its balancer notices that it is not ready.
+  Drain.RefuseFrom = Ctx.State.isEntry()
+                         ? Ctx.Now + Ctx.State.Options.Entry.BalancerWait
+                         : Ctx.Now;
+  Ctx.note(note_kind::DrainStarted, "", {}, "", "");
+  if (!Ctx.State.isEntry())
+    returnQueued(Ctx);
+  if (Ctx.State.Options.Mutation == mutation::CutAtDrain)
+    stop(Ctx, result_code::Ok);
+}
+
+auto tickDrain(const context &Ctx) -> void {
+  const auto &Drain = Ctx.State.Drain;
+  if (!Drain.Draining)
+    return;
+  if (Ctx.Now >= Drain.RefuseFrom && isIdle(Ctx.State))
+    stop(Ctx, result_code::Ok);
+  else if (Ctx.Now >= Drain.Deadline)
+    stop(Ctx, result_code::Interrupted);
+}
+
+} // namespace limpetbridge::details
--- /dev/null
+++ b/libs/core/src/loads.cpp
@@ -0,0 +1,196 @@
+// Loads on demand and evictions: which loadable gets memory, and whose.
+#include "core/ledger.h"
+
+#include "details/handlers.h"
+
+#include <algorithm>
+#include <set>
+
+namespace limpetbridge::details {
+
+namespace {
+
+constexpr auto MinStay = seconds(2);  ///< A copy stays at least so long …
+constexpr auto Patience = seconds(1); ///< … unless work waits this long.
+
+auto bytesOf(const work &Work, const loadable &What) -> byte_count {
+  return What.Adapter.empty() ? Work.Memory : Work.AdapterMemory;
+}
+
+/// A loadable that may be evicted.
+struct victim {
+  loadable What;
+  ledger_entry *Entry;
+};
+
+auto isUnitOf(const loadable &Adapter, const loadable &Unit) -> bool {
+  return !Adapter.Adapter.empty() && Adapter.Unit == Unit.Unit;
+}
+
+auto hasAdapters(const ledger_state &Ledger, const loadable &Unit) -> bool {
+  if (!Unit.Adapter.empty())
+    return false;
+  return std::any_of(Ledger.Entries.begin(), Ledger.Entries.end(),
+                     [&](const auto &Each) {
+                       return isUnitOf(Each.first, Unit) &&
+                              Each.second.State != unit_state::Absent;
+                     });
+}
+
+auto wantedByQueue(const context &Ctx) -> std::set<loadable> {
+  std::set<loadable> Wanted;
+  for (const auto &[Id, Work] : Ctx.State.Admission.Works) {
+    if (Work.Phase != work_phase::Queued)
+      continue;
+    for (auto &Each : neededBy(Work.Offer.Work))
+      Wanted.insert(std::move(Each));
+  }
+  return Wanted;
+}
+
+/// Copies that belong elsewhere go first, then the least recently used; a
+/// first home keeps its copy longest, since it may be the last.
+auto goesBefore(const victim &Left, const victim &Right) -> bool {
+  if (Left.Entry->HomeRank != Right.Entry->HomeRank)
+    return Left.Entry->HomeRank > Right.Entry->HomeRank;
+  return Left.Entry->LastUsed < Right.Entry->LastUsed;
+}
+
+auto findVictims(const context &Ctx, bool Impatient) -> std::vector<victim> {
+  auto &Ledger = Ctx.State.Ledger;
+  const auto Wanted = wantedByQueue(Ctx);
+  std::vector<victim> Victims;
+  for (auto &[What, Entry] : Ledger.Entries) {
+    const bool Idle = Entry.State == unit_state::Resident &&
+                      Entry.Running == 0 && Entry.LateLoads.empty();
+    const bool Stayed = Impatient || Ctx.Now - Entry.ResidentSince >= MinStay;
+    const bool Needed = Wanted.contains(What) && !Entry.Evicting;
+    if (Idle && Stayed && !Needed && !hasAdapters(Ledger, What))
+      Victims.push_back({What, &Entry});
+  }
+  std::sort(Victims.begin(), Victims.end(), goesBefore);
+  return Victims;
+}
+
+auto bytesBeingFreed(const ledger_state &Ledger) -> std::uint64_t {
+  std::uint64_t Sum = 0;
+  for (const auto &[What, Entry] : Ledger.Entries)
+    if (Entry.State == unit_state::Unloading && Entry.LateLoads.empty())
+      Sum += Entry.Bytes.Value;
+  return Sum;
+}
+
+/// Stops new work on the copy that is missed least, so that it becomes idle
+/// and makes room; without this a busy target never changes what it holds.
+auto markForEviction(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  std::vector<victim> Busy;
+  for (auto &[What, Entry] : Ledger.Entries) {
+    if (Entry.Evicting)
+      return;
+    if (Entry.State == unit_state::Resident && Entry.LateLoads.empty() &&
+        What.Adapter.empty())
+      Busy.push_back({What, &Entry});
+  }
+  if (!Busy.empty())
+    std::min_element(Busy.begin(), Busy.end(), goesBefore)->Entry->Evicting =
+        true;
+}
+
+auto evictFor(const context &Ctx, std::uint64_t Shortfall, bool Impatient)
+    -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  std::uint64_t Freed = bytesBeingFreed(Ledger);
+  for (const auto &Victim : findVictims(Ctx, Impatient)) {
+    if (Freed >= Shortfall ||
+        Ledger.Orders.size() >= Ctx.State.Options.Agent.MaxOrders)
+      return;
+    Freed += Victim.Entry->Bytes.Value;
+    startUnload(Ctx, Victim.What);
+  }
+  if (Freed < Shortfall && Impatient)
+    markForEviction(Ctx);
+}
+
+auto tryLoad(const context &Ctx, const loadable &What, byte_count Bytes,
+             bool Impatient) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  const auto &Entry = Ledger.Entries[What];
+  const auto Reserved = Ledger.reserved();
+  const auto Others = Reserved - Entry.reserved();
+  const auto Need = std::max(Bytes.Value, Entry.reserved());
+  if (Others + Need <= Ledger.Capacity.Value)
+    startLoad(Ctx, What, Bytes);
+  else
+    evictFor(Ctx, Others + Need - Ledger.Capacity.Value, Impatient);
+}
+
+auto planLoad(const context &Ctx, const work_state &Work) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  const bool Impatient = Ctx.Now - Work.QueuedAt > Patience;
+  for (const auto &What : neededBy(Work.Offer.Work)) {
+    auto &Entry = Ledger.Entries[What];
+    Entry.HomeRank = Work.Offer.HomeRank;
+    if (Entry.State == unit_state::Resident && !Entry.Evicting)
+      continue;
+    const bool MayLoad =
+        Entry.State == unit_state::Absent && Ctx.Now >= Entry.RetryAt;
+    if (MayLoad)
+      tryLoad(Ctx, What, bytesOf(Work.Offer.Work, What), Impatient);
+    return;
+  }
+}
+
+auto isComing(const ledger_state &Ledger, const work &Work) -> bool {
+  const auto Needed = neededBy(Work);
+  return std::all_of(Needed.begin(), Needed.end(), [&](const loadable &What) {
+    const auto Found = Ledger.Entries.find(What);
+    return Found != Ledger.Entries.end() && !Found->second.Evicting &&
+           (Found->second.State == unit_state::Resident ||
+            Found->second.State == unit_state::Intending ||
+            Found->second.State == unit_state::Loading);
+  });
+}
+
+auto unloadIdleEvictions(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  for (auto &[What, Entry] : Ledger.Entries) {
+    const bool Idle = Entry.Evicting && Entry.Running == 0 &&
+                      Entry.State == unit_state::Resident;
+    if (Idle && !hasAdapters(Ledger, What) &&
+        Ledger.Orders.size() < Ctx.State.Options.Agent.MaxOrders)
+      startUnload(Ctx, What);
+  }
+}
+
+} // namespace
+
+auto planLoads(const context &Ctx) -> void {
+  auto &State = Ctx.State;
+  if (State.Ledger.Phase != authority_phase::Held ||
+      State.Options.Mutation == mutation::SkipLoadOnDemand)
+    return;
+  unloadIdleEvictions(Ctx);
+  for (const auto *Work : queueOrder(State.Admission, Ctx.Now)) {
+    if (State.Ledger.Orders.size() >= State.Options.Agent.MaxOrders)
+      return;
+    planLoad(Ctx, *Work);
+  }
+}
+
+auto tickLoads(const context &Ctx) -> void {
+  if (Ctx.State.Options.Agent.Kind != target_kind::Engine)
+    return;
+  constexpr int PatienceFactor = 3;
+  std::vector<attempt_id> Hopeless;
+  for (const auto &[Id, Work] : Ctx.State.Admission.Works)
+    if (Work.Phase == work_phase::Queued &&
+        Ctx.Now - Work.QueuedAt > Patience * PatienceFactor &&
+        !isComing(Ctx.State.Ledger, Work.Offer.Work))
+      Hopeless.push_back(Id);
+  for (const auto &Id : Hopeless)
+    refuseWork(Ctx, Id, result_code::NoMemory,
+               "no memory could be freed for the model in time");
+}
+
+} // namespace limpetbridge::details
