The whole path, thin: callers, entries, agents, targets, operators

Cause: the reducer had no processes around it. Change: gRPC between nodes, HTTP towards callers, platform and targets, the node's loop and its two binaries, small stand-ins, scripts/run and scripts/test. One process ends with a segmentation fault at shutdown; that is next.

--- /dev/null
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -0,0 +1,507 @@
+#include "caller_server.h"
+
+#include "base/thread.h"
+#include "caller_protocol.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <stdexcept>
+
+namespace limpetbridge {
+
+namespace {
+
+constexpr const char *JsonType = "application/json";
+constexpr const char *StreamType = "text/event-stream";
+constexpr const char *DeadlineHeader = "X-Request-Deadline-Ms";
+constexpr std::int64_t MaxDeadlineMs = 3'600'000;
+constexpr std::size_t SpareThreads = 16; ///< To refuse politely when full.
+constexpr std::size_t AcceptQueue = 1024;
+constexpr auto KeepAliveInterval = seconds(5);
+constexpr auto EndSlack = seconds(2); ///< Beyond the deadline, for the end.
+constexpr int StatusTooLarge = 413;
+constexpr int StatusNotFound = 404;
+constexpr int StatusMalformed = 400;
+
+/// The way of one answer from the reducer to its connection.
+class answer_queue {
+public:
+  /// What is there to be written.
+  struct portion {
+    std::string Text;
+    std::uint32_t Pieces = 0;
+    std::optional<answer_end> End;
+  };
+
+  auto push(answer_frame Frame) -> void {
+    const std::lock_guard Lock(Mutex);
+    for (const auto &Piece : Frame.Frame.Pieces)
+      Waiting.Text += Piece;
+    Waiting.Pieces += static_cast<std::uint32_t>(Frame.Frame.Pieces.size());
+    Changed.notify_one();
+  }
+
+  auto push(answer_end End) -> void {
+    const std::lock_guard Lock(Mutex);
+    Waiting.End = std::move(End);
+    Changed.notify_one();
+  }
+
+  /// Takes all that waits; empty when nothing came before \p Until.
+  auto take(time_point Until) -> portion {
+    std::unique_lock Lock(Mutex);
+    Changed.wait_for(Lock, remaining(Until, process_clock::now()), [this] {
+      return Waiting.Pieces > 0 || Waiting.End.has_value();
+    });
+    return std::exchange(Waiting, {});
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  portion Waiting;
+};
+
+using answer_handle = std::shared_ptr<answer_queue>;
+
+/// Threads of the listener: named, with bounded stacks.
+class listener_pool : public httplib::TaskQueue {
+public:
+  explicit listener_pool(std::size_t Threads)
+      : Pool("caller", Threads, ConnectionStackBytes, AcceptQueue) {}
+
+  void enqueue(std::function<void()> Job) override { // NOLINT
+    // The queue holds more than the kernel's backlog; a job is never lost
+    // while the listener runs.
+    (void)Pool.submit(std::move(Job));
+  }
+  void shutdown() override { Pool.stop(); } // NOLINT
+
+private:
+  thread_pool Pool;
+};
+
+auto bearerToken(const httplib::Request &Request) -> std::string {
+  constexpr std::string_view Scheme = "Bearer ";
+  const auto Header = Request.get_header_value("Authorization");
+  return Header.starts_with(Scheme) ? Header.substr(Scheme.size()) : "";
+}
+
+auto hasNoControls(std::string_view Text) -> bool {
+  return std::all_of(Text.begin(), Text.end(), [](char Each) {
+    return static_cast<unsigned char>(Each) >= ' ';
+  });
+}
+
+} // namespace
+
+struct caller_server::details {
+  details(caller_server_options Options, caller_hooks Hooks)
+      : Options(std::move(Options)), Hooks(std::move(Hooks)) {}
+
+  caller_server_options Options;
+  caller_hooks Hooks;
+  httplib::Server Server;
+  std::uint16_t Port = 0;
+  std::atomic<std::uint64_t> Counter{0};
+  std::mutex Mutex;
+  std::map<request_id, answer_handle> Answers;
+  std::unique_ptr<thread> Listener;
+
+  auto setRoutes() -> void;
+  auto setLimits() -> void;
+  auto serveGeneration(const httplib::Request &Request,
+                       httplib::Response &Response, generation_shape Shape)
+      -> void;
+  auto serveService(const httplib::Request &Request,
+                    httplib::Response &Response) -> void;
+  auto serveModels(const httplib::Request &Request, httplib::Response &Response)
+      -> void;
+  auto openAnswer(request_arrived &Event) -> answer_handle;
+  auto closeAnswer(const request_id &Id) -> void;
+  auto answerOf(const request_id &Id) -> answer_handle;
+  auto streamAnswer(const request_arrived &Event, answer_handle Answer,
+                    generation_shape Shape, answer_queue::portion First,
+                    httplib::Response &Response) -> void;
+  auto collectAnswer(const request_arrived &Event, answer_queue &Answer,
+                     generation_shape Shape, answer_queue::portion Whole,
+                     httplib::Response &Response) -> void;
+  [[nodiscard]] auto deadlineOf(const httplib::Request &Request) const
+      -> result<time_point>;
+  auto isFull() -> bool {
+    const std::lock_guard Lock(Mutex);
+    return Answers.size() >= Options.Threads;
+  }
+};
+
+namespace {
+
+auto setError(httplib::Response &Response, const error &Error,
+              const std::string &Id, run_outcome Outcome,
+              time_point RetryAt = NoDeadline) -> void {
+  const auto &Row = describe(Error.Code);
+  Response.status = Row.HttpStatus;
+  Response.set_header("X-Outcome", std::string(nameOf(Outcome)));
+  if (!Id.empty())
+    Response.set_header("X-Request-Id", Id);
+  constexpr int StatusBusy = 429;
+  constexpr int StatusUnavailable = 503;
+  if (Row.HttpStatus == StatusBusy || Row.HttpStatus == StatusUnavailable) {
+    const auto Wait = RetryAt == NoDeadline
+                          ? duration(seconds(1))
+                          : remaining(RetryAt, process_clock::now());
+    const auto Seconds =
+        std::max<std::int64_t>(1, (toMilliseconds(Wait) + 999) / 1000);
+    Response.set_header("Retry-After", std::to_string(Seconds));
+  }
+  Response.set_content(encodeError(Error, Id), JsonType);
+}
+
+auto setEndError(httplib::Response &Response, const answer_end &End) -> void {
+  setError(Response, {End.Code, End.Detail}, toString(End.Request), End.Outcome,
+           End.RetryAt);
+}
+
+/// The end that a connection gives itself when the node says nothing.
+auto missingEnd(const request_id &Id) -> answer_end {
+  answer_end End;
+  End.Request = Id;
+  End.Outcome = run_outcome::Unknown;
+  End.Code = result_code::OutcomeUnknown;
+  End.Detail = "the node did not answer in time";
+  return End;
+}
+
+/// One streamed answer on its connection.
+struct stream_writer {
+  answer_handle Answer;
+  generation_shape Shape;
+  std::string Id;
+  std::string Model;
+  answer_queue::portion Next;
+
+  auto writeText(httplib::DataSink &Sink) -> bool {
+    if (Next.Pieces == 0)
+      return true;
+    const auto Chunk = encodeChunk(Shape, Id, Model, Next.Text);
+    return Sink.write(Chunk.data(), Chunk.size());
+  }
+
+  auto writeEnd(httplib::DataSink &Sink) -> bool {
+    const auto &End = *Next.End;
+    const auto Text =
+        End.Outcome == run_outcome::Done
+            ? encodeFinish(Shape, Id, Model)
+            : "data: " + encodeError({End.Code, End.Detail}, Id) + "\n\n";
+    const bool Written = Sink.write(Text.data(), Text.size());
+    Sink.done();
+    return Written;
+  }
+
+  auto writeKeepAlive(httplib::DataSink &Sink) -> bool {
+    constexpr std::string_view Comment = ": waiting\n\n";
+    return Sink.write(Comment.data(), Comment.size());
+  }
+
+  /// Writes what there is, then waits for more.
+  auto step(httplib::DataSink &Sink) -> bool {
+    if (!writeText(Sink))
+      return false;
+    if (Next.End)
+      return writeEnd(Sink);
+    Next = Answer->take(process_clock::now() + KeepAliveInterval);
+    if (Next.Pieces == 0 && !Next.End)
+      return writeKeepAlive(Sink);
+    return true;
+  }
+};
+
+} // namespace
+
+auto caller_server::details::deadlineOf(const httplib::Request &Request) const
+    -> result<time_point> {
+  const auto Now = process_clock::now();
+  if (!Request.has_header(DeadlineHeader))
+    return Now + Options.DefaultDeadline;
+  const auto Text = Request.get_header_value(DeadlineHeader);
+  std::int64_t Ms = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Ms);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Ms < 1 ||
+      Ms > MaxDeadlineMs)
+    return failure(result_code::InvalidDeadline,
+                   std::string(DeadlineHeader) + ": expected 1 to 3600000");
+  return Now + milliseconds(Ms);
+}
+
+auto caller_server::details::openAnswer(request_arrived &Event)
+    -> answer_handle {
+  Event.Request = {Options.Self, ++Counter};
+  auto Answer = std::make_shared<answer_queue>();
+  const std::lock_guard Lock(Mutex);
+  Answers[Event.Request] = Answer;
+  return Answer;
+}
+
+auto caller_server::details::closeAnswer(const request_id &Id) -> void {
+  const std::lock_guard Lock(Mutex);
+  Answers.erase(Id);
+}
+
+auto caller_server::details::answerOf(const request_id &Id) -> answer_handle {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Answers.find(Id);
+  return Found == Answers.end() ? nullptr : Found->second;
+}
+
+auto caller_server::details::serveGeneration(const httplib::Request &Request,
+                                             httplib::Response &Response,
+                                             generation_shape Shape) -> void {
+  if (isFull()) {
+    setError(Response, failure(result_code::TooManyRequests, ""), "",
+             run_outcome::NotRun);
+    return;
+  }
+  auto Parsed = parseGeneration(Request.body, Shape);
+  auto Deadline = deadlineOf(Request);
+  if (!Parsed || !Deadline) {
+    setError(Response, Parsed ? Deadline.error() : Parsed.error(), "",
+             run_outcome::NotRun);
+    return;
+  }
+  auto &Wanted = Parsed.value();
+  request_arrived Event;
+  Event.Token = bearerToken(Request);
+  Event.Kind = work_kind::Generate;
+  Event.Model = Wanted.Model;
+  Event.Body = shareText(std::move(Wanted.Prompt));
+  Event.PromptTokens = Wanted.PromptTokens;
+  Event.MaxTokens = Wanted.MaxTokens;
+  Event.PrefixHash = Wanted.PrefixHash;
+  Event.Deadline = Deadline.value();
+  const auto Answer = openAnswer(Event);
+  Hooks.Post(Event);
+  auto First = Answer->take(Event.Deadline + EndSlack);
+  if (First.Pieces == 0 && !First.End)
+    First.End = missingEnd(Event.Request);
+  const bool Failed =
+      First.Pieces == 0 && First.End && First.End->Outcome != run_outcome::Done;
+  if (Failed) {
+    closeAnswer(Event.Request);
+    setEndError(Response, *First.End);
+    return;
+  }
+  if (Wanted.Stream)
+    streamAnswer(Event, Answer, Shape, std::move(First), Response);
+  else
+    collectAnswer(Event, *Answer, Shape, std::move(First), Response);
+}
+
+auto caller_server::details::streamAnswer(const request_arrived &Event,
+                                          answer_handle Answer,
+                                          generation_shape Shape,
+                                          answer_queue::portion First,
+                                          httplib::Response &Response) -> void {
+  auto Writer = std::make_shared<stream_writer>(
+      stream_writer{std::move(Answer), Shape, toString(Event.Request),
+                    Event.Model, std::move(First)});
+  Response.set_header("X-Request-Id", Writer->Id);
+  Response.set_header("Cache-Control", "no-store");
+  Response.set_chunked_content_provider(
+      StreamType,
+      [Writer](std::size_t, httplib::DataSink &Sink) {
+        return Writer->step(Sink);
+      },
+      [this, Id = Event.Request](bool Completed) {
+        closeAnswer(Id);
+        if (!Completed)
+          Hooks.Post(caller_left{Id});
+      });
+}
+
+auto caller_server::details::collectAnswer(
+    const request_arrived &Event, answer_queue &Answer, generation_shape Shape,
+    answer_queue::portion Whole, httplib::Response &Response) -> void {
+  while (!Whole.End) {
+    auto More = Answer.take(Event.Deadline + EndSlack);
+    Whole.Text += More.Text;
+    Whole.Pieces += More.Pieces;
+    Whole.End = std::move(More.End);
+    if (More.Pieces == 0 && !Whole.End)
+      Whole.End = missingEnd(Event.Request);
+  }
+  closeAnswer(Event.Request);
+  const auto Id = toString(Event.Request);
+  if (Whole.End->Outcome != run_outcome::Done) {
+    setEndError(Response, *Whole.End);
+    return;
+  }
+  Response.set_header("X-Request-Id", Id);
+  Response.set_header("X-Outcome", "done");
+  Response.set_content(encodeWhole(Shape, Id, Event.Model, Whole.Text,
+                                   Event.PromptTokens, Whole.Pieces),
+                       JsonType);
+}
+
+auto caller_server::details::serveService(const httplib::Request &Request,
+                                          httplib::Response &Response) -> void {
+  constexpr std::size_t MaxKeyLength = 128;
+  if (isFull()) {
+    setError(Response, failure(result_code::TooManyRequests, ""), "",
+             run_outcome::NotRun);
+    return;
+  }
+  const auto Key = Request.get_header_value("Idempotency-Key");
+  if (Key.size() > MaxKeyLength || !hasNoControls(Key)) {
+    setError(Response,
+             failure(result_code::MalformedRequest,
+                     "Idempotency-Key: expected at most 128 characters"),
+             "", run_outcome::NotRun);
+    return;
+  }
+  auto Deadline = deadlineOf(Request);
+  if (!Deadline) {
+    setError(Response, Deadline.error(), "", run_outcome::NotRun);
+    return;
+  }
+  request_arrived Event;
+  Event.Token = bearerToken(Request);
+  Event.Kind = work_kind::Call;
+  Event.Service = service_name(Request.matches[1].str());
+  Event.Operation = Request.matches[2].str();
+  Event.Key = idempotency_key(Key);
+  Event.Body = shareText(Request.body);
+  Event.Deadline = Deadline.value();
+  const auto Answer = openAnswer(Event);
+  Hooks.Post(Event);
+  auto Got = Answer->take(Event.Deadline + EndSlack);
+  closeAnswer(Event.Request);
+  const auto End = Got.End.value_or(missingEnd(Event.Request));
+  if (End.Outcome != run_outcome::Done) {
+    setEndError(Response, End);
+    return;
+  }
+  Response.status = static_cast<int>(End.Status);
+  Response.set_header("X-Request-Id", toString(Event.Request));
+  Response.set_header("X-Outcome", "done");
+  Response.set_content(End.Body ? *End.Body : "", JsonType);
+}
+
+auto caller_server::details::serveModels(const httplib::Request &Request,
+                                         httplib::Response &Response) -> void {
+  auto Names = Hooks.Models(bearerToken(Request));
+  if (!Names) {
+    setError(Response, Names.error(), "", run_outcome::NotRun);
+    return;
+  }
+  Response.set_content(encodeModels(Names.value()), JsonType);
+}
+
+auto caller_server::details::setLimits() -> void {
+  const auto Threads = Options.Threads + SpareThreads;
+  Server.new_task_queue = [Threads] { return new listener_pool(Threads); };
+  Server.set_payload_max_length(Options.BodyLimitBytes);
+  Server.set_read_timeout(Options.ReadTimeout);
+  Server.set_write_timeout(Options.ReadTimeout);
+  Server.set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(seconds(5)).count());
+  Server.set_tcp_nodelay(true);
+  // What the library refuses by itself gets a numbered error as well.
+  Server.set_error_handler([](const httplib::Request &Request,
+                              httplib::Response &Response) {
+    if (!Response.body.empty())
+      return;
+    const auto Code =
+        Response.status == StatusTooLarge   ? result_code::BodyTooLarge
+        : Response.status == StatusNotFound ? result_code::NotFound
+                                            : result_code::MalformedRequest;
+    const auto Detail = Code == result_code::NotFound
+                            ? "no page " + Request.method + " " + Request.path
+                            : "";
+    setError(Response, failure(Code, Detail), "", run_outcome::NotRun);
+  });
+  Server.set_exception_handler([](const httplib::Request &,
+                                  httplib::Response &Response,
+                                  const std::exception_ptr &) {
+    Response.status = StatusMalformed;
+    setError(Response, failure(result_code::MalformedRequest, ""), "",
+             run_outcome::NotRun);
+  });
+}
+
+auto caller_server::details::setRoutes() -> void {
+  Server.Post("/v1/chat/completions",
+              [this](const auto &Request, auto &Response) {
+                serveGeneration(Request, Response, generation_shape::Chat);
+              });
+  Server.Post("/v1/completions", [this](const auto &Request, auto &Response) {
+    serveGeneration(Request, Response, generation_shape::Completion);
+  });
+  Server.Post(R"(/v1/services/([^/]+)/([^/]+))",
+              [this](const auto &Request, auto &Response) {
+                serveService(Request, Response);
+              });
+  Server.Get("/v1/models", [this](const auto &Request, auto &Response) {
+    serveModels(Request, Response);
+  });
+  Server.Get("/healthz", [](const auto &, auto &Response) {
+    Response.set_content("ok\n", "text/plain");
+  });
+  Server.Get("/readyz", [this](const auto &, auto &Response) {
+    if (Hooks.Ready())
+      Response.set_content("ready\n", "text/plain");
+    else
+      setError(Response, failure(result_code::NotReady, "draining or loading"),
+               "", run_outcome::NotRun);
+  });
+  Server.Get("/metrics", [this](const auto &, auto &Response) {
+    Response.set_content(Hooks.Metrics(), "text/plain");
+  });
+}
+
+caller_server::caller_server(caller_server_options Options, caller_hooks Hooks)
+    : Details(std::make_unique<details>(std::move(Options), std::move(Hooks))) {
+  Details->setLimits();
+  Details->setRoutes();
+  const auto &Chosen = Details->Options;
+  int Port = Chosen.Port;
+  if (Port == 0)
+    Port = Details->Server.bind_to_any_port(Chosen.Address);
+  else if (!Details->Server.bind_to_port(Chosen.Address, Port))
+    Port = -1;
+  if (Port <= 0)
+    throw std::runtime_error("cannot listen on " + Chosen.Address + ":" +
+                             std::to_string(Chosen.Port));
+  Details->Port = static_cast<std::uint16_t>(Port);
+  Details->Listener =
+      std::make_unique<thread>("caller-accept", LoopStackBytes,
+                               [this] { Details->Server.listen_after_bind(); });
+}
+
+caller_server::~caller_server() { stop(); }
+
+auto caller_server::stop() -> void {
+  Details->Server.stop();
+  Details->Listener.reset();
+}
+
+auto caller_server::port() const -> std::uint16_t { return Details->Port; }
+
+auto caller_server::execute(answer_frame Effect) -> void {
+  if (const auto Answer = Details->answerOf(Effect.Request))
+    Answer->push(std::move(Effect));
+}
+
+auto caller_server::execute(answer_end Effect) -> void {
+  if (const auto Answer = Details->answerOf(Effect.Request))
+    Answer->push(std::move(Effect));
+}
+
+} // namespace limpetbridge
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -38,7 +38,10 @@
   std::int64_t PlatformPollMs = 0;
   std::int64_t PlatformTimeoutMs = 0;
 
+  std::string Seeds;
+
   std::string TargetKind;
+  std::string TargetService;
   std::string TargetHost;
   std::int64_t TargetPort = 0;
   std::int64_t TargetMemoryMb = 0;
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -38,6 +38,8 @@
                 "gRPC port for other instances; 0 picks a free one."},
     setting_row{"peer", "token", &s::PeerToken, "", "", 0, MaxName, "",
                 "Shared token between instances; empty asks for none."},
+    setting_row{"peer", "seeds", &s::Seeds, "", "", 0, MaxPath, "",
+                "Entries as ip:port,…, for a start without the platform."},
     setting_row{"operator", "port", &s::OperatorPort, "0", "", 0, MaxPort, "",
                 "gRPC port for operators (entries); 0 picks a free one."},
     setting_row{"operator", "token", &s::OperatorToken, "", "", 0, MaxName, "",
@@ -54,6 +56,8 @@
 
     setting_row{"target", "kind", &s::TargetKind, "engine", "", 1, MaxName,
                 "engine|service", "Model engine or plain service (agents)."},
+    setting_row{"target", "service", &s::TargetService, "", "", 0, MaxName, "",
+                "Name of the service, when the kind is service."},
     setting_row{"target", "host", &s::TargetHost, "127.0.0.1", "", 1, MaxName,
                 "", "IP number of the target beside this agent."},
     setting_row{"target", "port", &s::TargetPort, "7100", "", 1, MaxPort, "",
--- /dev/null
+++ b/libs/engine/src/target_client.cpp
@@ -0,0 +1,313 @@
+#include "engine/target_client.h"
+
+#include "base/thread.h"
+#include "engine/snapshot_codec.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace limpetbridge {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char *JsonType = "application/json";
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr int FirstClientError = 400;
+constexpr std::size_t OrderThreads = 6;
+constexpr std::size_t QueueLimit = 4096;
+constexpr auto ConnectTimeout = std::chrono::seconds(1);
+
+/// Splits a stream of bytes into lines.
+class line_splitter {
+public:
+  /// Feeds \p Data; calls \p Take with each whole line.
+  template <typename take>
+  auto feed(const char *Data, std::size_t Length, take Take) -> void {
+    Rest.append(Data, Length);
+    std::size_t Start = 0;
+    for (;;) {
+      const auto End = Rest.find('\n', Start);
+      if (End == std::string::npos)
+        break;
+      Take(std::string_view(Rest).substr(Start, End - Start));
+      Start = End + 1;
+    }
+    Rest.erase(0, Start);
+  }
+
+private:
+  std::string Rest;
+};
+
+auto encodeGenerate(const run_work &Effect) -> std::string {
+  const auto &Work = Effect.Work;
+  const json Body = {{"id", toString(Effect.Attempt)},
+                     {"model", Work.Unit.Text},
+                     {"adapter", Work.Adapter.Text},
+                     {"prompt", Work.Body ? *Work.Body : ""},
+                     {"prompt_tokens", Work.PromptTokens},
+                     {"max_tokens", Work.MaxTokens},
+                     {"priority", Work.Rank},
+                     {"offset", Effect.ResumeOffset},
+                     {"so_far", Effect.ResumeText}};
+  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Collects one generation from its lines.
+struct generation {
+  attempt_id Attempt;
+  bool Whole = false;
+  std::uint32_t Total = 0;
+  std::string Failure;
+
+  auto take(std::string_view Line, const target_sink &Sink) -> void {
+    const auto Body = json::parse(Line, nullptr, false);
+    if (!Body.is_object())
+      return;
+    if (Body.contains("total")) {
+      Whole = true;
+      Total = Body["total"].get<std::uint32_t>();
+      return;
+    }
+    if (Body.contains("error")) {
+      Failure = Body["error"].get<std::string>();
+      return;
+    }
+    frame Frame;
+    Frame.Offset = Body.value("offset", 0U);
+    for (const auto &Piece : Body["pieces"])
+      Frame.Pieces.push_back(Piece.get<std::string>());
+    Sink(target_progressed{Attempt, std::move(Frame)});
+  }
+};
+
+auto toOrderStatus(const httplib::Result &Result) -> order_status {
+  if (!Result)
+    return Result.error() == httplib::Error::Connection
+               ? order_status::Refused
+               : order_status::NoAnswer;
+  if (Result->status == StatusOk)
+    return order_status::Done;
+  if (Result->status == StatusConflict)
+    return order_status::Stale;
+  return Result->status < 500 ? order_status::Refused : order_status::NoAnswer;
+}
+
+} // namespace
+
+struct target_client::details {
+  details(target_options Options, target_sink Sink)
+      : Options(std::move(Options)), Sink(std::move(Sink)),
+        Runs("run", this->Options.Slots, ConnectionStackBytes, QueueLimit),
+        Orders("order", OrderThreads, ConnectionStackBytes, QueueLimit) {}
+
+  target_options Options;
+  target_sink Sink;
+  std::mutex Mutex;
+  std::set<attempt_id> Stopped;
+  std::map<attempt_id, httplib::Client *> Running;
+  thread_pool Runs;
+  thread_pool Orders;
+
+  auto makeClient(duration ReadTimeout) const
+      -> std::unique_ptr<httplib::Client> {
+    auto Client = std::make_unique<httplib::Client>(Options.Host, Options.Port);
+    Client->set_tcp_nodelay(true);
+    Client->set_connection_timeout(ConnectTimeout);
+    Client->set_read_timeout(ReadTimeout);
+    return Client;
+  }
+
+  /// A kept-alive client of the calling thread, for runs that may be repeated.
+  auto runClient() const -> httplib::Client & {
+    thread_local std::map<const details *, std::unique_ptr<httplib::Client>>
+        Clients;
+    auto &Client = Clients[this];
+    if (!Client) {
+      Client = makeClient(Options.SilenceTimeout);
+      Client->set_keep_alive(true);
+    }
+    return *Client;
+  }
+
+  auto isStopped(const attempt_id &Id) -> bool {
+    const std::lock_guard Lock(Mutex);
+    return Stopped.contains(Id);
+  }
+
+  auto generate(const run_work &Effect) -> void {
+    generation Generation{Effect.Attempt, false, 0, {}};
+    line_splitter Lines;
+    httplib::Request Request;
+    Request.method = "POST";
+    Request.path = "/v1/generate";
+    Request.set_header("Content-Type", JsonType);
+    Request.body = encodeGenerate(Effect);
+    Request.content_receiver = [&](const char *Data, std::size_t Length,
+                                   std::uint64_t, std::uint64_t) {
+      Lines.feed(Data, Length,
+                 [&](std::string_view Line) { Generation.take(Line, Sink); });
+      return !isStopped(Effect.Attempt);
+    };
+    auto &Client = runClient();
+    enter(Effect.Attempt, Client);
+    const auto Result = Client.send(Request);
+    leave(Effect.Attempt);
+    Sink(endOf(Generation, Result, Result ? Result->status : 0));
+  }
+
+  auto enter(const attempt_id &Id, httplib::Client &Client) -> void {
+    const std::lock_guard Lock(Mutex);
+    Running[Id] = &Client;
+  }
+
+  auto leave(const attempt_id &Id) -> void {
+    const std::lock_guard Lock(Mutex);
+    Running.erase(Id);
+    Stopped.erase(Id);
+  }
+
+  /// Also wakes a run that waits for its first byte.
+  auto stop(const attempt_id &Id) -> void {
+    const std::lock_guard Lock(Mutex);
+    const auto Found = Running.find(Id);
+    if (Found == Running.end())
+      return;
+    Stopped.insert(Id);
+    Found->second->stop();
+  }
+
+  static auto endOf(const generation &Generation, const httplib::Result &Result,
+                    int Status) -> target_ended {
+    target_ended Ended;
+    Ended.Attempt = Generation.Attempt;
+    Ended.Total = Generation.Total;
+    Ended.Detail = Generation.Failure;
+    if (!Result && Result.error() == httplib::Error::Connection)
+      Ended.End = target_end::Unsent;
+    else if (Status >= FirstClientError)
+      Ended.End = target_end::Refused;
+    else
+      Ended.End = Generation.Whole ? target_end::Whole : target_end::Broken;
+    return Ended;
+  }
+
+  /// A call that may have to run at most once gets a connection of its own,
+  /// so that no library repeats it on a stale one.
+  auto call(const run_work &Effect, time_point Now) -> void {
+    const auto &Work = Effect.Work;
+    const auto Client = makeClient(
+        std::max<duration>(remaining(Work.Deadline, Now), milliseconds(1)));
+    httplib::Headers Headers;
+    if (!Work.Key.empty())
+      Headers.emplace("Idempotency-Key", Work.Key.Text);
+    Headers.emplace("X-Request-Id", toString(Effect.Attempt.Request));
+    const auto Path = "/v1/" + Work.Operation;
+    const auto Result = Client->Post(Path.c_str(), Headers,
+                                     Work.Body ? *Work.Body : "", JsonType);
+    target_ended Ended;
+    Ended.Attempt = Effect.Attempt;
+    if (Result) {
+      Ended.End = target_end::Whole;
+      Ended.Status = static_cast<std::uint32_t>(Result->status);
+      Ended.Body = shareText(Result->body);
+    } else if (Result.error() == httplib::Error::Connection) {
+      Ended.End = target_end::Unsent;
+      Ended.Detail = "no connection to the service";
+    } else {
+      Ended.End = target_end::Broken;
+      Ended.Detail = "the service's answer was lost";
+    }
+    Sink(std::move(Ended));
+  }
+
+  auto order(const send_order &Effect) -> void {
+    const auto Client = makeClient(Options.OrderTimeout);
+    const auto Result =
+        Client->Post("/v1/orders", encodeOrder(Effect).dump(), JsonType);
+    order_replied Reply;
+    Reply.Token = Effect.Token;
+    Reply.Status = toOrderStatus(Result);
+    if (Result)
+      readReply(Result->body, Reply);
+    Sink(std::move(Reply));
+  }
+
+  static auto readReply(const std::string &Text, order_replied &Reply) -> void {
+    const auto Body = json::parse(Text, nullptr, false);
+    if (!Body.is_object())
+      return;
+    Reply.Highest = {Body.value("highest", std::uint64_t{0})};
+    try {
+      if (Body.contains("state"))
+        Reply.Snapshot = decodeSnapshot(Body["state"]);
+    } catch (const json::exception &) {
+      // An order whose reply cannot be read counts as unanswered.
+      Reply.Status = order_status::NoAnswer;
+    }
+  }
+
+  auto readState() -> void {
+    const auto Client = makeClient(Options.SilenceTimeout);
+    const auto Result = Client->Get("/v1/state");
+    if (!Result || Result->status != StatusOk)
+      return;
+    const auto Body = json::parse(Result->body, nullptr, false);
+    try {
+      Sink(engine_reported{decodeSnapshot(Body)});
+    } catch (const json::exception &) {
+      // A reading that makes no sense is no reading; the next one is awaited.
+      return;
+    }
+  }
+};
+
+target_client::target_client(target_options Options, target_sink Sink)
+    : Details(std::make_unique<details>(std::move(Options), std::move(Sink))) {}
+
+target_client::~target_client() {
+  Details->Runs.stop();
+  Details->Orders.stop();
+}
+
+auto target_client::execute(const run_work &Effect) -> void {
+  const bool Queued = Details->Runs.submit([this, Effect] {
+    if (Effect.Work.Kind == work_kind::Generate)
+      Details->generate(Effect);
+    else
+      Details->call(Effect, process_clock::now());
+  });
+  if (Queued)
+    return;
+  target_ended Ended;
+  Ended.Attempt = Effect.Attempt;
+  Ended.End = target_end::Unsent;
+  Ended.Detail = "too many runs wait";
+  Details->Sink(std::move(Ended));
+}
+
+auto target_client::execute(const stop_work &Effect) -> void {
+  Details->stop(Effect.Attempt);
+}
+
+auto target_client::execute(const send_order &Effect) -> void {
+  const bool Queued =
+      Details->Orders.submit([this, Effect] { Details->order(Effect); });
+  if (!Queued)
+    Details->Sink(
+        order_replied{Effect.Token, order_status::Refused, {}, std::nullopt});
+}
+
+auto target_client::execute(const read_engine & /*Effect*/) -> void {
+  // A reading that finds no thread free is skipped; the next one follows.
+  (void)Details->Orders.submit([this] { Details->readState(); });
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/libs/platform/include/platform/instance_codec.h
@@ -0,0 +1,21 @@
+/// \file
+/// Rows of the list of instances as JSON.
+#ifndef LIMPETBRIDGE_PLATFORM_INSTANCE_CODEC_H
+#define LIMPETBRIDGE_PLATFORM_INSTANCE_CODEC_H
+
+#include "core/work.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace limpetbridge {
+
+/// A row as JSON.
+[[nodiscard]] auto encodeInstance(const instance_record &Record)
+    -> nlohmann::json;
+/// Reads a row. \throws nlohmann::json::exception when a field is missing.
+[[nodiscard]] auto decodeInstance(const nlohmann::json &Body)
+    -> instance_record;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_PLATFORM_INSTANCE_CODEC_H
--- /dev/null
+++ b/libs/platform/src/platform_client.cpp
@@ -0,0 +1,256 @@
+#include "platform/platform_client.h"
+
+#include "base/thread.h"
+#include "platform/instance_codec.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace limpetbridge {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char *JsonType = "application/json";
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusTooMany = 429;
+constexpr int StatusUnavailable = 503;
+
+/// What came of one HTTP exchange.
+struct exchange {
+  store_status Status = store_status::NoAnswer;
+  int HttpStatus = 0;
+  std::string Body;
+};
+
+auto toStoreStatus(int HttpStatus) -> store_status {
+  switch (HttpStatus) {
+  case StatusOk:
+  case StatusNotFound:
+    return store_status::Applied;
+  case StatusConflict:
+    return store_status::Conflict;
+  case StatusTooMany:
+  case StatusUnavailable:
+    return store_status::Refused;
+  default:
+    return store_status::NoAnswer;
+  }
+}
+
+auto toExchange(const httplib::Result &Result) -> exchange {
+  if (Result)
+    return {toStoreStatus(Result->status), Result->status, Result->body};
+  // Without a connection nothing was sent.
+  const bool Unsent = Result.error() == httplib::Error::Connection;
+  return {Unsent ? store_status::Refused : store_status::NoAnswer, 0, {}};
+}
+
+auto decodeRows(const std::string &Text) -> std::vector<table_row> {
+  std::vector<table_row> Rows;
+  const auto Body = json::parse(Text, nullptr, false);
+  if (!Body.is_object() || !Body.contains("rows"))
+    return Rows;
+  for (const auto &Row : Body["rows"])
+    Rows.push_back({Row.value("key", ""), Row.value("value", ""),
+                    Row.value("version", std::uint64_t{0})});
+  return Rows;
+}
+
+auto encodeTransaction(const table_transact &Effect) -> std::string {
+  json Conditions = json::array();
+  for (const auto &Each : Effect.Conditions)
+    Conditions.push_back({{"key", Each.Key}, {"version", Each.Version}});
+  json Writes = json::array();
+  for (const auto &Each : Effect.Writes) {
+    json Write = {{"key", Each.Key}};
+    if (Each.Value)
+      Write["value"] = *Each.Value;
+    Writes.push_back(std::move(Write));
+  }
+  const json Body = {{"conditions", std::move(Conditions)},
+                     {"writes", std::move(Writes)}};
+  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+struct platform_client::details {
+  details(platform_options Options, platform_sink Sink)
+      : Options(std::move(Options)), Sink(std::move(Sink)),
+        Pool("platform", this->Options.Threads, ConnectionStackBytes,
+             this->Options.QueueLimit) {}
+
+  platform_options Options;
+  platform_sink Sink;
+  std::mutex ListMutex;
+  std::uint64_t ListVersion = 0;
+  bool ListReading = false;
+  std::map<std::string, instance_record> Listed;
+  thread_pool Pool;
+
+  /// A kept-alive client of the calling thread.
+  auto client() const -> httplib::Client & {
+    thread_local std::map<const details *, std::unique_ptr<httplib::Client>>
+        Clients;
+    auto &Client = Clients[this];
+    if (!Client) {
+      Client = std::make_unique<httplib::Client>(Options.Host, Options.Port);
+      Client->set_keep_alive(true);
+      Client->set_tcp_nodelay(true);
+      Client->set_connection_timeout(Options.Timeout);
+      Client->set_read_timeout(Options.Timeout);
+      Client->set_write_timeout(Options.Timeout);
+    }
+    return *Client;
+  }
+
+  auto post(const char *Path, const std::string &Body) const -> exchange {
+    return toExchange(client().Post(Path, Body, JsonType));
+  }
+
+  /// Runs \p Exchange on the pool; a full queue counts as refused.
+  auto ask(ticket Ticket, std::function<exchange()> Exchange) -> void {
+    const bool Queued = Pool.submit([this, Ticket, Exchange] {
+      const auto Got = Exchange();
+      Sink(table_replied{Ticket, Got.Status, decodeRows(Got.Body)});
+    });
+    if (!Queued)
+      Sink(table_replied{Ticket, store_status::Refused, {}});
+  }
+
+  auto askObject(ticket Ticket, std::function<exchange()> Exchange) -> void {
+    const bool Queued = Pool.submit([this, Ticket, Exchange] {
+      auto Got = Exchange();
+      Sink(object_replied{Ticket, Got.Status, Got.HttpStatus == StatusOk,
+                          std::move(Got.Body)});
+    });
+    if (!Queued)
+      Sink(object_replied{Ticket, store_status::Refused, false, {}});
+  }
+
+  /// Merges what changed; the whole list when it did.
+  auto mergeList(const std::string &Text) -> std::optional<instances_listed> {
+    const auto Body = json::parse(Text, nullptr, false);
+    if (!Body.is_object())
+      return std::nullopt;
+    const std::lock_guard Lock(ListMutex);
+    const auto Version = Body.value("version", std::uint64_t{0});
+    if (Body.value("full", false))
+      Listed.clear();
+    else if (Version == ListVersion)
+      return std::nullopt;
+    ListVersion = Version;
+    for (const auto &Row : Body["rows"]) {
+      auto Record = decodeInstance(Row);
+      Listed[Record.Name.Text] = std::move(Record);
+    }
+    for (const auto &Name : Body["removed"])
+      Listed.erase(Name.get<std::string>());
+    instances_listed Event;
+    for (const auto &[Name, Record] : Listed)
+      Event.Instances.push_back(Record);
+    return Event;
+  }
+
+  auto readList() -> void {
+    std::uint64_t Since = 0;
+    {
+      const std::lock_guard Lock(ListMutex);
+      Since = ListVersion;
+    }
+    const auto Path = "/instances?since=" + std::to_string(Since);
+    const auto Got = toExchange(client().Get(Path.c_str()));
+    if (Got.HttpStatus != StatusOk)
+      return;
+    try {
+      if (auto Event = mergeList(Got.Body))
+        Sink(std::move(*Event));
+    } catch (const json::exception &) {
+      // A list that cannot be read is no list; the next one is awaited.
+      return;
+    }
+  }
+};
+
+platform_client::platform_client(platform_options Options, platform_sink Sink)
+    : Details(std::make_unique<details>(std::move(Options), std::move(Sink))) {}
+
+platform_client::~platform_client() { Details->Pool.stop(); }
+
+auto platform_client::execute(const table_transact &Effect) -> void {
+  Details->ask(Effect.Ticket, [this, Body = encodeTransaction(Effect)] {
+    return Details->post("/table/transact", Body);
+  });
+}
+
+auto platform_client::execute(const table_read &Effect) -> void {
+  const json Body = {{"keys", Effect.Keys}};
+  Details->ask(Effect.Ticket, [this, Text = Body.dump()] {
+    return Details->post("/table/read", Text);
+  });
+}
+
+auto platform_client::execute(const table_range &Effect) -> void {
+  const json Body = {{"prefix", Effect.Prefix},
+                     {"from", Effect.From},
+                     {"limit", Effect.Limit}};
+  Details->ask(Effect.Ticket, [this, Text = Body.dump()] {
+    return Details->post("/table/range", Text);
+  });
+}
+
+auto platform_client::execute(const object_get &Effect) -> void {
+  Details->askObject(Effect.Ticket, [this, Key = Effect.Key] {
+    return toExchange(Details->client().Get(("/objects/" + Key).c_str()));
+  });
+}
+
+auto platform_client::execute(const object_put &Effect) -> void {
+  Details->askObject(Effect.Ticket,
+                     [this, Key = Effect.Key, Value = Effect.Value] {
+                       return toExchange(Details->client().Put(
+                           ("/objects/" + Key).c_str(), Value, JsonType));
+                     });
+}
+
+auto platform_client::readInstances() -> void {
+  {
+    const std::lock_guard Lock(Details->ListMutex);
+    if (Details->ListReading)
+      return;
+    Details->ListReading = true;
+  }
+  const auto Done = [this] {
+    const std::lock_guard Lock(Details->ListMutex);
+    Details->ListReading = false;
+  };
+  const bool Queued = Details->Pool.submit([this, Done] {
+    Details->readList();
+    Done();
+  });
+  if (!Queued)
+    Done();
+}
+
+auto platform_client::announce(const instance_record &Self) -> result<void> {
+  httplib::Client Client(Details->Options.Host, Details->Options.Port);
+  Client.set_connection_timeout(Details->Options.Timeout);
+  Client.set_read_timeout(Details->Options.Timeout);
+  const auto Path = "/instances/" + Self.Name.Text;
+  const auto Got = toExchange(
+      Client.Put(Path.c_str(), encodeInstance(Self).dump(), JsonType));
+  if (Got.HttpStatus != StatusOk)
+    return failure(result_code::StoreUnavailable,
+                   "the platform did not take the announcement");
+  return boost::outcome_v2::success();
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/libs/query/tests/query_test.cpp
@@ -0,0 +1,125 @@
+/// \file
+/// Tests of the operators' language and of reports.
+
+#include "query/inspect.h"
+#include "query/language.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace limpetbridge;
+
+class language_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(language_test);
+  CPPUNIT_TEST(parse_showWithClauses_keepsAll);
+  CPPUNIT_TEST(parse_severalCommands_formOneChange);
+  CPPUNIT_TEST(parse_drain_declaresTheTarget);
+  CPPUNIT_TEST(parse_wrongWord_namesColumnAndExpected);
+  CPPUNIT_TEST(parse_openQuote_namesColumn);
+  CPPUNIT_TEST(parse_anyBytes_neverCrashes);
+  CPPUNIT_TEST(print_parsedAgain_isTheSame);
+  CPPUNIT_TEST(refine_whereByLimit_selects);
+  CPPUNIT_TEST(refine_unknownColumn_namesKnownOnes);
+  CPPUNIT_TEST(inspect_everySubject_isKnown);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void parse_showWithClauses_keepsAll() {
+    const auto Parsed = parseStatement(
+        "show resident where model = notes and mb > 10 by mb limit 3");
+    const auto &Query = std::get<show_query>(Parsed.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("resident"), Query.Subject);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Query.Where.size());
+    CPPUNIT_ASSERT(Query.Where[1].Comparison == comparison::Greater);
+    CPPUNIT_ASSERT_EQUAL(std::string("mb"), Query.By);
+    CPPUNIT_ASSERT(Query.Limit == 3U);
+  }
+
+  void parse_severalCommands_formOneChange() {
+    const auto Parsed = parseStatement(
+        "declare model notes memory_mb=10; set caller desk models=notes,plan");
+    const auto &Change = std::get<change_command>(Parsed.value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Change.Operations.size());
+    CPPUNIT_ASSERT(Change.Operations[1].Verb == operation_verb::Set);
+    CPPUNIT_ASSERT_EQUAL(std::string("notes,plan"),
+                         Change.Operations[1].Fields[0].Value);
+  }
+
+  void parse_drain_declaresTheTarget() {
+    const auto Parsed = parseStatement("drain target gpu-1");
+    const auto &Change = std::get<change_command>(Parsed.value());
+    CPPUNIT_ASSERT(Change.Operations[0].Kind == declaration_kind::Target);
+    CPPUNIT_ASSERT_EQUAL(std::string("true"),
+                         Change.Operations[0].Fields[0].Value);
+  }
+
+  void parse_wrongWord_namesColumnAndExpected() {
+    expectError("show residents", "column 6: found 'residents', expected "
+                                  "resident, waiting");
+    expectError("declare modle x", "column 9: found 'modle', expected "
+                                   "importance, model");
+    expectError("show models limit x", "column 19: found 'x', expected a "
+                                       "whole number");
+    expectError("", "column 1: found the end, expected show");
+    expectError("set model x memory_mb 3", "expected = after the field");
+  }
+
+  void parse_openQuote_namesColumn() {
+    expectError("set model x serve=\"a", "column 19: the quote is not closed");
+  }
+
+  void parse_anyBytes_neverCrashes() {
+    const bool Held = rc::check([](const std::string &Text) {
+      const auto Parsed = parseStatement(Text);
+      RC_ASSERT(Parsed.has_value() ||
+                Parsed.error().Code == result_code::SyntaxError);
+    });
+    CPPUNIT_ASSERT(Held);
+  }
+
+  void print_parsedAgain_isTheSame() {
+    for (const char *Text :
+         {"show models where name ~ no by memory_mb limit 2", "show change c-1",
+          "withdraw adapter a",
+          "declare caller c token=\"a b\" models=*; drain target t"}) {
+      const auto Once = parseStatement(Text).value();
+      CPPUNIT_ASSERT(parseStatement(toString(Once)).value() == Once);
+    }
+  }
+
+  void refine_whereByLimit_selects() {
+    const report Report{{"name", "mb"},
+                        {{"a", "100"}, {"b", "20"}, {"c", "3"}}};
+    const auto Query = std::get<show_query>(
+        parseStatement("show models where mb < 100 by mb limit 1").value());
+    const auto Refined = refine(Report, Query).value();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Refined.Rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), Refined.Rows[0][0]);
+  }
+
+  void refine_unknownColumn_namesKnownOnes() {
+    const auto Query =
+        std::get<show_query>(parseStatement("show models by colour").value());
+    const auto Refined = refine({{"name"}, {}}, Query);
+    CPPUNIT_ASSERT(!Refined.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("no column colour; known: name"),
+                         Refined.error().Detail);
+  }
+
+  void inspect_everySubject_isKnown() {
+    const auto State = makeNode({}, 1);
+    for (const auto &Row : subjectTable())
+      CPPUNIT_ASSERT(inspect(State, {std::string(Row.Name), ""}, time_point())
+                         .has_value());
+  }
+
+private:
+  static void expectError(const char *Text, const std::string &Part) {
+    const auto Parsed = parseStatement(Text);
+    CPPUNIT_ASSERT(!Parsed.has_value());
+    CPPUNIT_ASSERT_MESSAGE(Parsed.error().Detail,
+                           Parsed.error().Detail.find(Part) !=
+                               std::string::npos);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(language_test);
--- /dev/null
+++ b/libs/wire/tests/wire_test.cpp
@@ -0,0 +1,183 @@
+/// \file
+/// Tests of the conversion to messages and of the gRPC client and server.
+
+#include "convert.h"
+#include "wire/peer_client.h"
+#include "wire/peer_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace limpetbridge;
+
+namespace {
+
+/// Collects events of any thread.
+class event_box {
+public:
+  auto sink() -> event_sink {
+    return [this](event Event) {
+      const std::lock_guard Lock(Mutex);
+      Events.push_back(std::move(Event));
+      Changed.notify_all();
+    };
+  }
+
+  /// Waits for the next event of one kind and returns it.
+  template <typename kind> auto take() -> kind {
+    std::unique_lock Lock(Mutex);
+    for (;;) {
+      for (auto Each = Events.begin(); Each != Events.end(); ++Each) {
+        if (auto *Found = std::get_if<kind>(&*Each)) {
+          auto Copy = *Found;
+          Events.erase(Each);
+          return Copy;
+        }
+      }
+      Changed.wait(Lock);
+    }
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::vector<event> Events;
+};
+
+auto sampleOffer() -> work_offered {
+  work_offered Offer;
+  Offer.Attempt = {{{7}, 8}, 9};
+  Offer.Work.Unit = model_name("m");
+  Offer.Work.Body = shareText("prompt");
+  Offer.Work.Deadline = process_clock::now() + seconds(30);
+  Offer.Work.Rank = 3;
+  Offer.Revision = {12};
+  return Offer;
+}
+
+} // namespace
+
+class wire_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(wire_test);
+  CPPUNIT_TEST(offer_overTheWire_keepsEveryField);
+  CPPUNIT_TEST(deadline_overTheWire_isTheTimeThatRemains);
+  CPPUNIT_TEST(stream_framesAndEnd_arriveInOrder);
+  CPPUNIT_TEST(stream_serverGone_endsAsUnknown);
+  CPPUNIT_TEST(offer_noListener_endsAsNotRun);
+  CPPUNIT_TEST(offer_wrongToken_endsAsUnknown);
+  CPPUNIT_TEST(cancel_openStream_reachesTheAgent);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void offer_overTheWire_keepsEveryField() {
+    const auto Now = process_clock::now();
+    auto Offer = sampleOffer();
+    Offer.Work.Adapter = adapter_name("a");
+    Offer.Work.Key = idempotency_key("k");
+    Offer.ResumeOffset = 4;
+    Offer.ResumeText = "abcd";
+    Offer.HomeRank = 1;
+    wire::WorkOffer Message;
+    toWire(Offer, Now, Message);
+    const auto Back = fromWire(Message, Now);
+    CPPUNIT_ASSERT(Back.Attempt == Offer.Attempt);
+    CPPUNIT_ASSERT(Back.Work.Unit == Offer.Work.Unit);
+    CPPUNIT_ASSERT(Back.Work.Adapter == Offer.Work.Adapter);
+    CPPUNIT_ASSERT(Back.Work.Key == Offer.Work.Key);
+    CPPUNIT_ASSERT(Back.Work.Deadline == Offer.Work.Deadline);
+    CPPUNIT_ASSERT(*Back.Work.Body == *Offer.Work.Body);
+    CPPUNIT_ASSERT_EQUAL(Offer.ResumeText, Back.ResumeText);
+    CPPUNIT_ASSERT(Back.HomeRank == 1 && Back.Revision == revision{12});
+  }
+
+  void deadline_overTheWire_isTheTimeThatRemains() {
+    const time_point Sent(seconds(100));
+    const time_point Received(seconds(900));
+    auto Offer = sampleOffer();
+    Offer.Work.Deadline = Sent + seconds(5);
+    wire::WorkOffer Message;
+    toWire(Offer, Sent, Message);
+    const auto Back = fromWire(Message, Received);
+    CPPUNIT_ASSERT(Back.Work.Deadline == Received + seconds(5));
+  }
+
+  void stream_framesAndEnd_arriveInOrder() {
+    auto Server = makeServer("");
+    peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
+    Client.execute(offerTo(*Server));
+    const auto Offer = AgentBox.take<work_offered>();
+    for (std::uint32_t Offset = 0; Offset < 100; ++Offset)
+      Server->execute(send_frame{Offer.Attempt, {Offset, {"x"}}});
+    attempt_ended End;
+    End.Attempt = Offer.Attempt;
+    End.Outcome = run_outcome::Done;
+    End.Total = 100;
+    Server->execute(send_end{End});
+    std::uint32_t Next = 0;
+    while (Next < 100) {
+      const auto Frame = EntryBox.take<attempt_progressed>().Frame;
+      CPPUNIT_ASSERT_EQUAL(Next, Frame.Offset);
+      Next += static_cast<std::uint32_t>(Frame.Pieces.size());
+    }
+    CPPUNIT_ASSERT(EntryBox.take<attempt_ended>().Total == 100);
+  }
+
+  void stream_serverGone_endsAsUnknown() {
+    auto Server = makeServer("");
+    peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
+    Client.execute(offerTo(*Server));
+    AgentBox.take<work_offered>();
+    Server.reset();
+    const auto End = EntryBox.take<attempt_ended>();
+    CPPUNIT_ASSERT(End.Outcome == run_outcome::Unknown);
+  }
+
+  void offer_noListener_endsAsNotRun() {
+    auto Server = makeServer("");
+    const auto Offer = offerTo(*Server);
+    Server.reset();
+    peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
+    Client.execute(Offer);
+    const auto End = EntryBox.take<attempt_ended>();
+    CPPUNIT_ASSERT(End.Outcome == run_outcome::NotRun);
+    CPPUNIT_ASSERT(End.Code == result_code::TargetUnreachable);
+  }
+
+  void offer_wrongToken_endsAsUnknown() {
+    auto Server = makeServer("secret");
+    peer_client Client({instance_name("e"), "wrong"}, Clock, EntryBox.sink());
+    Client.execute(offerTo(*Server));
+    CPPUNIT_ASSERT(EntryBox.take<attempt_ended>().Outcome ==
+                   run_outcome::Unknown);
+  }
+
+  void cancel_openStream_reachesTheAgent() {
+    auto Server = makeServer("");
+    peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
+    Client.execute(offerTo(*Server));
+    const auto Offer = AgentBox.take<work_offered>();
+    Client.execute(cancel_attempt{Offer.Attempt, false});
+    CPPUNIT_ASSERT(AgentBox.take<work_cancelled>().Attempt == Offer.Attempt);
+  }
+
+private:
+  auto makeServer(const std::string &Token) -> std::unique_ptr<peer_server> {
+    peer_hooks Hooks;
+    Hooks.Sink = AgentBox.sink();
+    return std::make_unique<peer_server>(
+        peer_server_options{"127.0.0.1", 0, Token, true, false}, Clock,
+        std::move(Hooks));
+  }
+
+  static auto offerTo(const peer_server &Server) -> start_attempt {
+    return {instance_name("a"), "127.0.0.1:" + std::to_string(Server.port()),
+            sampleOffer(), false};
+  }
+
+  hybrid_clock Clock;
+  event_box AgentBox;
+  event_box EntryBox;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(wire_test);
