--- a/testing/stand_ins/engine_stand_in.cpp
+++ b/testing/stand_ins/engine_stand_in.cpp
@@ -140,6 +140,8 @@
   Server.start();
 }
 
+engine_stand_in::~engine_stand_in() { Server.stop(); }
+
 auto engine_stand_in::overcommits() -> int {
   const std::lock_guard Lock(Mutex);
   return Engine.overcommits();
--- a/testing/stand_ins/engine_stand_in.h
+++ b/testing/stand_ins/engine_stand_in.h
@@ -70,6 +70,7 @@
 class engine_stand_in {
 public:
   explicit engine_stand_in(engine_stand_in_options Options);
+  ~engine_stand_in();
 
   [[nodiscard]] auto port() const -> std::uint16_t { return Server.port(); }
   auto faults() -> fault_switches & { return Server.faults(); }
--- a/testing/stand_ins/platform_stand_in.cpp
+++ b/testing/stand_ins/platform_stand_in.cpp
@@ -119,6 +119,7 @@
 }
 
 platform_stand_in::~platform_stand_in() {
+  Server.stop();
   Closing = true;
   Prober.reset();
 }
--- a/testing/stand_ins/platform_stand_in.h
+++ b/testing/stand_ins/platform_stand_in.h
@@ -41,6 +41,7 @@
 class platform_stand_in {
 public:
   explicit platform_stand_in(std::uint16_t Port, platform_limits Limits = {});
+  ~platform_stand_in();
 
   [[nodiscard]] auto port() const -> std::uint16_t { return Server.port(); }
   auto faults() -> fault_switches & { return Server.faults(); }
@@ -73,9 +74,6 @@
   std::int64_t ReadsThisSecond = 0;
   std::atomic<bool> Closing{false};
   std::unique_ptr<thread> Prober;
-
-public:
-  ~platform_stand_in();
 };
 
 } // namespace limpetbridge
--- a/testing/stand_ins/service_stand_in.cpp
+++ b/testing/stand_ins/service_stand_in.cpp
@@ -28,6 +28,8 @@
   Server.start();
 }
 
+service_stand_in::~service_stand_in() { Server.stop(); }
+
 auto service_stand_in::bookings(const std::string &Body) -> int {
   const std::lock_guard Lock(Mutex);
   const auto Found = Booked.find(Body);
--- a/testing/stand_ins/service_stand_in.h
+++ b/testing/stand_ins/service_stand_in.h
@@ -17,6 +17,7 @@
 class service_stand_in {
 public:
   explicit service_stand_in(std::uint16_t Port);
+  ~service_stand_in();
 
   [[nodiscard]] auto port() const -> std::uint16_t { return Server.port(); }
   auto faults() -> fault_switches & { return Server.faults(); }
--- a/testing/stand_ins/stand_in_server.cpp
+++ b/testing/stand_ins/stand_in_server.cpp
@@ -69,7 +69,9 @@
   });
 }
 
-stand_in_server::~stand_in_server() {
+stand_in_server::~stand_in_server() { stop(); }
+
+auto stand_in_server::stop() -> void {
   Server.stop();
   Listener.reset();
 }
--- a/testing/stand_ins/stand_in_server.h
+++ b/testing/stand_ins/stand_in_server.h
@@ -46,6 +46,9 @@
       -> void;
   /// Starts listening; routes are set before.
   auto start() -> void;
+  /// Stops listening and waits for open connections. The owner calls it
+  /// before anything that its pages use is destroyed.
+  auto stop() -> void;
 
   [[nodiscard]] auto port() const -> std::uint16_t { return Port; }
   auto faults() -> fault_switches & { return Faults; }
