--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -41,6 +41,7 @@
   ClaimHeldElsewhere = 2010,
   StaleIncarnation = 2011,
   CallerGone = 2012,
+  TargetDrained = 2013,
 
   OutcomeUnknown = 3001,
   AnswerCutShort = 3002,
--- a/libs/core/include/core/ledger.h
+++ b/libs/core/include/core/ledger.h
@@ -37,9 +37,11 @@
   std::set<fencing_token> LateLoads; ///< Load orders that may still act.
   fencing_token Order;               ///< The order under way.
   time_point RetryAt;                ///< No new order before.
-  std::uint64_t IntentVersion = 0;   ///< Version of the intent row; 0: none.
-  bool IntentStale = false;          ///< The row may be removed.
-  bool Evicting = false;             ///< Takes no new work; to be unloaded.
+  time_point CheckAt;              ///< No new look at unanswered orders before.
+  std::uint64_t IntentVersion = 0; ///< Version of the intent row; 0: none.
+  bool IntentStale = false;        ///< The row may be removed.
+  bool MayBeHeld = false; ///< A late load acted while an order was out.
+  bool Evicting = false;  ///< Takes no new work; to be unloaded.
 
   /// Bytes that count against the accelerator.
   [[nodiscard]] auto reserved() const -> std::uint64_t;
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -55,7 +55,7 @@
   ReleaseOnTimeout,    ///< Frees memory when an order goes unanswered.
   SkipLoadOnDemand,    ///< Never loads what is not resident.
   AcceptAnyFrame,      ///< Takes frames of abandoned attempts.
-  NotRunAfterDispatch, ///< Calls a broken run not run.
+  NotRunAfterDispatch, ///< Calls an unknown outcome not run.
   ResendCalls,         ///< Repeats non-idempotent calls without a claim.
   IgnoreLeaving,       ///< Keeps offering work to leaving targets.
   CutAtDrain,          ///< Stops at once when drained.
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -126,7 +126,8 @@
   if (State.Drain.Draining)
     return failure(result_code::Draining, "the agent is shutting down");
   if (State.Admission.Drained)
-    return failure(result_code::Draining, "the target is declared drained");
+    return failure(result_code::TargetDrained,
+                   "the target is declared drained");
   if (Event.Agent.Value != 0 && Event.Agent != Self.Incarnation)
     return failure(result_code::StaleIncarnation, "the agent was restarted");
   if (Engine != (Event.Work.Kind == work_kind::Generate))
@@ -204,15 +205,13 @@
   Speed.TokenMs += SpeedShare * (Each - Speed.TokenMs);
 }
 
-auto endOfRun(const context &Ctx, const target_ended &Event) -> attempt_ended {
+auto endOfRun(const target_ended &Event) -> attempt_ended {
   attempt_ended End;
   End.Attempt = Event.Attempt;
   End.Detail = Event.Detail;
   End.Total = Event.Total;
   End.Body = Event.Body;
   End.Status = Event.Status;
-  const bool Mutant =
-      Ctx.State.Options.Mutation == mutation::NotRunAfterDispatch;
   switch (Event.End) {
   case target_end::Whole:
     End.Outcome = run_outcome::Done;
@@ -227,9 +226,8 @@
     End.Code = result_code::TargetUnreachable;
     break;
   case target_end::Broken:
-    End.Outcome = Mutant ? run_outcome::NotRun : run_outcome::Unknown;
-    End.Code =
-        Mutant ? result_code::TargetUnreachable : result_code::OutcomeUnknown;
+    End.Outcome = run_outcome::Unknown;
+    End.Code = result_code::OutcomeUnknown;
     break;
   }
   constexpr std::uint32_t ServerFailure = 500;
@@ -454,7 +452,7 @@
   if (Event.End == target_end::Refused &&
       Work.Offer.Work.Kind == work_kind::Generate)
     Ctx.State.Ledger.ReadAt = Ctx.Now;
-  auto End = endOfRun(Ctx, Event);
+  auto End = endOfRun(Event);
   if (!Work.Offer.Work.isClaimed()) {
     endWork(Ctx, Event.Attempt, std::move(End));
     pump(Ctx);
--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t MaxClaimPolls = 64;
 constexpr double HedgeFactor = 3.0; ///< Of the expected first-token time.
 constexpr auto HedgeFloor = milliseconds(200);
+constexpr std::uint32_t FreeRedirects = 2; ///< Refusals outside the budget.
 constexpr std::uint64_t PerMille = 1000;
 
 auto loadTime(const candidate &Chosen, const work &Work) -> duration {
@@ -68,6 +69,10 @@
 
 auto endUnknown(const context &Ctx, const request_id &Id,
                 const request_state &Request, std::string Detail) -> void {
+  if (Ctx.State.Options.Mutation == mutation::NotRunAfterDispatch) {
+    endNotRun(Ctx, Id, Request);
+    return;
+  }
   const auto Code = Request.Work.Kind == work_kind::Generate
                         ? result_code::AnswerCutShort
                         : result_code::OutcomeUnknown;
@@ -93,13 +98,18 @@
     endNotRun(Ctx, Id, Request);
 }
 
-/// Refusals are cheap and safe, but in a crest they must die out like retries
-/// of failures; an answer that the caller has part of is always resumed.
+/// The first refusals redirect a request at little cost, or a model could be
+/// out of reach while the budget is spent. Beyond them retries are a share of
+/// requests, so that they die out in a crest; an answer that the caller has
+/// part of is always resumed.
 auto mayRetry(const context &Ctx, const request_state &Request) -> bool {
   const auto &Options = Ctx.State.Options.Entry;
   if (Request.LastAttempt >= Options.MaxAttempts + Request.ClaimPolls)
     return false;
-  return Request.Delivered > 0 || Ctx.State.Requests.Retries.spend();
+  const bool Redirect =
+      !Request.MaybeRan && Request.LastAttempt <= FreeRedirects;
+  return Redirect || Request.Delivered > 0 ||
+         Ctx.State.Requests.Retries.spend();
 }
 
 auto scheduleRetry(const context &Ctx, const request_id &Id,
@@ -145,7 +155,7 @@
                   const target_name &Target, request_state &Request) -> void {
   switch (Event.Code) {
   case result_code::Draining:
-    markLeaving(Ctx, Target);
+    markLeaving(Ctx, Target, Event.Hint.Agent);
     Request.Tried.insert(Target);
     return;
   case result_code::StaleIncarnation:
--- a/libs/core/src/authority.cpp
+++ b/libs/core/src/authority.cpp
@@ -77,12 +77,6 @@
   return Row;
 }
 
-auto becomeSuperseded(const context &Ctx) -> void {
-  Ctx.State.Ledger.Phase = authority_phase::Superseded;
-  Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
-           "", "another agent has taken over; this one gives no more orders");
-}
-
 auto takeFenceRead(const context &Ctx, const table_replied &Event) -> void {
   auto &Ledger = Ctx.State.Ledger;
   if (Ledger.Phase != authority_phase::ReadingFence ||
@@ -168,6 +162,16 @@
 
 } // namespace
 
+auto becomeSuperseded(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase == authority_phase::Superseded)
+    return;
+  Ledger.Phase = authority_phase::Superseded;
+  Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
+           "", "another agent has taken over; this one ends");
+  onDrain(Ctx);
+}
+
 auto fenceKey(const node_state &State) -> std::string {
   return std::string(store_keys::FencePrefix) + State.Options.Self.Name.Text;
 }
--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -121,7 +121,7 @@
   if (Change.Revision <= Current && !Reverts)
     return false;
   const bool Whole = isSnapshot(Change);
-  if (!Whole && Change.Revision.Value != Current.Value + 1)
+  if (!Whole && !Reverts && Change.Revision.Value != Current.Value + 1)
     return false;
   auto Next = (Whole ? catalogue() : *Configuration.Current).apply(Change);
   if (!Next) {
--- a/libs/core/src/details/handlers.h
+++ b/libs/core/src/details/handlers.h
@@ -33,8 +33,9 @@
 
 // Membership: who is there, and who is leaving.
 auto onInstances(const context &Ctx, const instances_listed &Event) -> void;
-/// An agent said that it is draining.
-auto markLeaving(const context &Ctx, const target_name &Target) -> void;
+/// An agent of that incarnation said that it is draining.
+auto markLeaving(const context &Ctx, const target_name &Target,
+                 incarnation Speaker) -> void;
 /// Takes what an agent told on a reply.
 auto learnHint(const context &Ctx, const target_name &Target,
                const load_hint &Hint) -> void;
@@ -119,6 +120,8 @@
 auto authorityReply(const context &Ctx, const pending_ledger_request &Request,
                     const table_replied &Event) -> void;
 auto tickAuthority(const context &Ctx) -> void;
+/// Another agent is in charge of the engine: finish what runs, and end.
+auto becomeSuperseded(const context &Ctx) -> void;
 auto finishProbe(const context &Ctx) -> void;
 auto startLoad(const context &Ctx, const loadable &What, byte_count Bytes)
     -> void;
--- a/libs/core/src/drain.cpp
+++ b/libs/core/src/drain.cpp
@@ -52,8 +52,9 @@
   const auto &Drain = Ctx.State.Drain;
   if (!Drain.Draining)
     return;
+  const bool Superseded = Ctx.State.Ledger.Phase == authority_phase::Superseded;
   if (Ctx.Now >= Drain.RefuseFrom && isIdle(Ctx.State))
-    stop(Ctx, result_code::Ok);
+    stop(Ctx, Superseded ? result_code::StaleIncarnation : result_code::Ok);
   else if (Ctx.Now >= Drain.Deadline)
     stop(Ctx, result_code::Interrupted);
 }
--- a/libs/core/src/ledger.cpp
+++ b/libs/core/src/ledger.cpp
@@ -56,6 +56,7 @@
 
 auto becomeResident(const context &Ctx, ledger_entry &Entry) -> void {
   Entry.State = unit_state::Resident;
+  Entry.MayBeHeld = false;
   Entry.ResidentSince = Ctx.Now;
   Entry.LastUsed = Ctx.Now;
   Entry.Evicting = false;
@@ -63,10 +64,26 @@
 
 auto becomeAbsent(const context &Ctx, ledger_entry &Entry) -> void {
   Entry.State = unit_state::Absent;
+  Entry.MayBeHeld = false;
   Entry.RetryAt = Ctx.Now + OrderRetry;
   Entry.Evicting = false;
 }
 
+/// The next reading of the engine tells whether it holds the loadable.
+auto becomeUncertain(const context &Ctx, ledger_entry &Entry) -> void {
+  Entry.State = unit_state::Uncertain;
+  Entry.MayBeHeld = false;
+  Entry.CheckAt = Ctx.Now;
+}
+
+/// A load that provably did not act; an earlier one may have.
+auto endFailedLoad(const context &Ctx, ledger_entry &Entry) -> void {
+  const bool MayBeHeld = Entry.MayBeHeld;
+  becomeAbsent(Ctx, Entry);
+  if (MayBeHeld)
+    becomeUncertain(Ctx, Entry);
+}
+
 /// Removes the intent row once no order of it can act any more.
 auto maybeRemoveIntent(const context &Ctx, const loadable &What,
                        ledger_entry &Entry) -> void {
@@ -81,13 +98,10 @@
                           {{Key, std::nullopt}}});
 }
 
-auto supersede(const context &Ctx, fencing_token Highest) -> void {
-  auto &Ledger = Ctx.State.Ledger;
-  if ((Highest.Value >> SequenceBits) <= Ledger.Epoch)
-    return;
-  Ledger.Phase = authority_phase::Superseded;
-  Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
-           "", "another agent has taken over; this one gives no more orders");
+/// A token of a higher epoch at the engine is proof of a successor.
+auto checkSuperseded(const context &Ctx, fencing_token Highest) -> void {
+  if ((Highest.Value >> SequenceBits) > Ctx.State.Ledger.Epoch)
+    becomeSuperseded(Ctx);
 }
 
 auto settleLoad(const context &Ctx, const pending_order &Order,
@@ -100,12 +114,12 @@
   case order_status::Stale:
   case order_status::Refused:
     Entry.LateLoads.erase(Event.Token);
-    becomeAbsent(Ctx, Entry);
+    endFailedLoad(Ctx, Entry);
     break;
   case order_status::NoAnswer:
     Entry.State = unit_state::Uncertain;
     Entry.LateLoads.insert(Event.Token);
-    Entry.RetryAt = Ctx.Now + OrderRetry;
+    Entry.CheckAt = Ctx.Now + OrderRetry;
     if (Ctx.State.Options.Mutation == mutation::ReleaseOnTimeout) {
       Entry.LateLoads.clear();
       becomeAbsent(Ctx, Entry);
@@ -119,8 +133,8 @@
                   const order_replied &Event, ledger_entry &Entry) -> void {
   switch (Event.Status) {
   case order_status::Done:
-    becomeAbsent(Ctx, Entry);
-    Entry.RetryAt = Ctx.Now;
+    // The snapshot of the reply confirms it, unless a newer one is known.
+    becomeUncertain(Ctx, Entry);
     break;
   case order_status::Stale:
   case order_status::Refused:
@@ -128,7 +142,7 @@
     break;
   case order_status::NoAnswer:
     Entry.State = unit_state::Uncertain;
-    Entry.RetryAt = Ctx.Now + OrderRetry;
+    Entry.CheckAt = Ctx.Now + OrderRetry;
     if (Ctx.State.Options.Mutation == mutation::ReleaseOnTimeout)
       becomeAbsent(Ctx, Entry);
     break;
@@ -136,22 +150,10 @@
   maybeRemoveIntent(Ctx, Order.What, Entry);
 }
 
-/// A reply after the order was counted as unanswered: it is final at last.
-auto settleLate(const context &Ctx, const order_replied &Event) -> void {
-  if (Event.Status == order_status::NoAnswer)
-    return;
-  for (auto &[What, Entry] : Ctx.State.Ledger.Entries) {
-    if (Entry.LateLoads.erase(Event.Token) == 0)
-      continue;
-    const bool Last = Entry.LateLoads.empty();
-    if (Entry.State == unit_state::Uncertain && Last) {
-      if (Event.Status == order_status::Done)
-        becomeResident(Ctx, Entry);
-      else
-        becomeAbsent(Ctx, Entry);
-    }
-    maybeRemoveIntent(Ctx, What, Entry);
-  }
+auto hasOrder(const ledger_entry &Entry) -> bool {
+  return Entry.State == unit_state::Intending ||
+         Entry.State == unit_state::Loading ||
+         Entry.State == unit_state::Unloading;
 }
 
 /// An engine that checks tokens and executed this order will execute none
@@ -162,6 +164,26 @@
   return Fenced ? Event.Token : fencing_token{};
 }
 
+/// A reply after the order was counted as unanswered. The order acts no more;
+/// what it did is read from the snapshot that came with the reply, which is
+/// ignored if a newer one was taken in meanwhile.
+auto settleLate(const context &Ctx, const order_replied &Event) -> void {
+  if (Event.Status == order_status::NoAnswer)
+    return;
+  for (auto &[What, Entry] : Ctx.State.Ledger.Entries) {
+    if (Entry.LateLoads.erase(Event.Token) == 0)
+      continue;
+    if (Event.Status != order_status::Done)
+      continue;
+    if (hasOrder(Entry))
+      Entry.MayBeHeld = true;
+    else
+      becomeUncertain(Ctx, Entry);
+  }
+  if (Event.Snapshot)
+    adoptSnapshot(Ctx, *Event.Snapshot, fencedBelow(Ctx.State.Ledger, Event));
+}
+
 auto timeOutOrders(const context &Ctx) -> void {
   std::vector<fencing_token> Late;
   for (const auto &[Token, Order] : Ctx.State.Ledger.Orders)
@@ -183,10 +205,10 @@
     return;
   bool Needed = false;
   for (auto &[What, Entry] : Ledger.Entries) {
-    if (!isUncertain(Entry) || Ctx.Now < Entry.RetryAt)
+    if (!isUncertain(Entry) || Ctx.Now < Entry.CheckAt)
       continue;
     Needed = true;
-    Entry.RetryAt = Ctx.Now + OrderRetry;
+    Entry.CheckAt = Ctx.Now + OrderRetry;
   }
   if (!Needed)
     return;
@@ -214,7 +236,7 @@
   }
   if (Loading) {
     Entry.State = unit_state::Uncertain;
-    Entry.RetryAt = Ctx.Now + OrderRetry;
+    Entry.CheckAt = Ctx.Now + OrderRetry;
     return;
   }
   // Late loads, if any, keep the bytes reserved for this unit.
@@ -223,10 +245,9 @@
     becomeAbsent(Ctx, Entry);
 }
 
-auto hasOrder(const ledger_entry &Entry) -> bool {
-  return Entry.State == unit_state::Intending ||
-         Entry.State == unit_state::Loading ||
-         Entry.State == unit_state::Unloading;
+auto isHeldBy(const engine_snapshot &Snapshot, const loadable &What) -> bool {
+  return findHolding(Snapshot.Resident, What) != nullptr ||
+         findHolding(Snapshot.Loading, What) != nullptr;
 }
 
 auto addUnknownHoldings(ledger_state &Ledger,
@@ -253,7 +274,7 @@
     sendOrderAs(Ctx, Entry.Order, order_kind::Load, What, Entry.Bytes);
     return;
   }
-  becomeAbsent(Ctx, Entry);
+  endFailedLoad(Ctx, Entry);
   if (Event.Status == store_status::Conflict) {
     // The fence row moved: another agent is in charge, unless a row of this
     // agent's own stands there; reading the fence again tells.
@@ -302,11 +323,15 @@
   Entry.Order = sendOrder(Ctx, order_kind::Unload, What, Entry.Bytes);
 }
 
-auto onOrderReply(const context &Ctx, const order_replied &Event) -> void {
+auto onOrderReply(const context &Ctx, const order_replied &Given) -> void {
   auto &Ledger = Ctx.State.Ledger;
+  auto Event = Given;
+  // Without a snapshot, later readings could not be told from earlier ones.
+  if (Event.Status == order_status::Done && !Event.Snapshot)
+    Event.Status = order_status::NoAnswer;
   const auto Found = Ledger.Orders.find(Event.Token);
   if (Event.Status == order_status::Stale)
-    supersede(Ctx, Event.Highest);
+    checkSuperseded(Ctx, Event.Highest);
   if (Found == Ledger.Orders.end()) {
     settleLate(Ctx, Event);
     pump(Ctx);
@@ -349,7 +374,9 @@
     std::erase_if(Entry.LateLoads, [&](const fencing_token &Token) {
       return Token < FencedBelow;
     });
-    if (!hasOrder(Entry))
+    if (hasOrder(Entry))
+      Entry.MayBeHeld = Entry.MayBeHeld || isHeldBy(Snapshot, What);
+    else
       adoptEntry(Ctx, Snapshot, What, Entry);
     maybeRemoveIntent(Ctx, What, Entry);
   }
--- a/libs/core/src/loads.cpp
+++ b/libs/core/src/loads.cpp
@@ -92,9 +92,13 @@
         What.Adapter.empty())
       Busy.push_back({What, &Entry});
   }
-  if (!Busy.empty())
-    std::min_element(Busy.begin(), Busy.end(), goesBefore)->Entry->Evicting =
-        true;
+  if (Busy.empty())
+    return;
+  const auto Chosen =
+      std::min_element(Busy.begin(), Busy.end(), goesBefore)->What;
+  for (auto &[What, Entry] : Ledger.Entries)
+    if (What.Unit == Chosen.Unit && Entry.State == unit_state::Resident)
+      Entry.Evicting = true;
 }
 
 auto evictFor(const context &Ctx, std::uint64_t Shortfall, bool Impatient)
@@ -152,6 +156,22 @@
   });
 }
 
+auto isHeld(const ledger_state &Ledger, const loadable &What) -> bool {
+  const auto Found = Ledger.Entries.find(What);
+  return Found != Ledger.Entries.end() &&
+         Found->second.State == unit_state::Resident;
+}
+
+/// Takes marks back once no queued work needs the room any more.
+auto keepUnneededEvictions(const context &Ctx) -> void {
+  auto &Ledger = Ctx.State.Ledger;
+  for (const auto &What : wantedByQueue(Ctx))
+    if (!isHeld(Ledger, What))
+      return;
+  for (auto &[What, Entry] : Ledger.Entries)
+    Entry.Evicting = false;
+}
+
 auto unloadIdleEvictions(const context &Ctx) -> void {
   auto &Ledger = Ctx.State.Ledger;
   for (auto &[What, Entry] : Ledger.Entries) {
@@ -170,6 +190,7 @@
   if (State.Ledger.Phase != authority_phase::Held ||
       State.Options.Mutation == mutation::SkipLoadOnDemand)
     return;
+  keepUnneededEvictions(Ctx);
   unloadIdleEvictions(Ctx);
   for (const auto *Work : queueOrder(State.Admission, Ctx.Now)) {
     if (State.Ledger.Orders.size() >= State.Options.Agent.MaxOrders)
--- a/libs/core/src/membership.cpp
+++ b/libs/core/src/membership.cpp
@@ -56,11 +56,15 @@
     ++Membership.Epoch;
 }
 
-auto markLeaving(const context &Ctx, const target_name &Target) -> void {
+auto markLeaving(const context &Ctx, const target_name &Target,
+                 incarnation Speaker) -> void {
   auto &Membership = Ctx.State.Membership;
   const auto Found = Membership.Members.find(agentOf(Target));
   if (Found == Membership.Members.end() || Found->second.LeftByWord)
     return;
+  // A late word of an earlier life says nothing of the one that followed.
+  if (Found->second.Record.Incarnation != Speaker)
+    return;
   Found->second.LeftByWord = true;
   ++Membership.Epoch;
   Ctx.note(note_kind::TargetLeaving, "", Target, "", "said by its agent");
--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -146,6 +146,7 @@
 struct candidate_builder {
   const context &Ctx;
   const request_state &Request;
+  bool Avoided; ///< Takes targets as well that failed lately.
   std::vector<candidate> Candidates;
 
   auto add(const target_name &Name, bool Resident, std::uint8_t Rank,
@@ -154,8 +155,9 @@
     if (Found == Ctx.State.Routing.Targets.end())
       return;
     const auto &View = Found->second;
-    if (Request.Tried.contains(Name) || View.AvoidUntil > Ctx.Now ||
-        !isUsable(Ctx.State, View))
+    if (Request.Tried.contains(Name) || !isUsable(Ctx.State, View))
+      return;
+    if (View.AvoidUntil > Ctx.Now && !Avoided)
       return;
     const auto Service = serviceTime(Ctx.State, Request.Work);
     auto Expected = expectedWait(View, Service, Ctx.Now) +
@@ -196,9 +198,9 @@
   }
 }
 
-auto gather(const context &Ctx, const request_state &Request)
+auto gather(const context &Ctx, const request_state &Request, bool Avoided)
     -> std::vector<candidate> {
-  candidate_builder Builder{Ctx, Request, {}};
+  candidate_builder Builder{Ctx, Request, Avoided, {}};
   const auto &Work = Request.Work;
   if (Work.Kind == work_kind::Call) {
     for (const auto &Name : Ctx.State.Routing.Services[Work.Service])
@@ -247,7 +249,9 @@
 auto chooseTarget(const context &Ctx, const request_state &Request)
     -> std::optional<candidate> {
   refreshTargets(Ctx.State);
-  auto Candidates = gather(Ctx, Request);
+  auto Candidates = gather(Ctx, Request, false);
+  if (Candidates.empty())
+    Candidates = gather(Ctx, Request, true);
   if (Candidates.empty())
     return std::nullopt;
   std::stable_sort(Candidates.begin(), Candidates.end(),
