The queue of the fuzzing world keeps to what connections can do

Change: a repeated message can no longer be reported as unsent, a repeat goes where the first went, and only offers of work that must not run twice repeat.

--- a/testing/world/world.cpp
+++ b/testing/world/world.cpp
@@ -212,7 +212,12 @@
 auto world::repeat(std::size_t Index) -> void {
   if (Queue.empty() || !Queue[Index % Queue.size()].MayRepeat)
     return;
-  const auto Deliver = Queue[Index % Queue.size()].Deliver;
+  auto &Message = Queue[Index % Queue.size()];
+  // What was delivered once was sent: the sender can no longer be told that
+  // there was no connection.
+  if (Message.TimeOut)
+    Message.Lose = Message.TimeOut;
+  const auto Deliver = Message.Deliver;
   Deliver();
 }
 
@@ -386,8 +391,11 @@
   const auto Id = Effect.Offer.Attempt;
   const auto Name = Effect.Agent;
   const auto Offer = Effect.Offer;
-  const auto Deliver = [this, From, Name, Id, Offer] {
-    const auto Agent = nodeNamed(Name);
+  // A connection leads to one process: a repeat goes where the first went.
+  const auto Bound = std::make_shared<std::optional<node_index>>();
+  const auto Deliver = [this, From, Name, Id, Offer, Bound] {
+    const auto Agent = Bound->value_or(nodeNamed(Name));
+    *Bound = Agent;
     Streams[Id] = {From, Agent};
     const bool Leaving = Nodes[Agent].State.Drain.Draining;
     const auto Before = Nodes[Agent].State.Admission.Works.contains(Id);
@@ -406,7 +414,9 @@
           feed(From, Broken);
           send({"late offer", Deliver, nullptr, nullptr, false});
         },
-        true});
+        // A stream of gRPC never repeats its request; agents guard against it
+        // for work that must not run twice, and only for that.
+        Offer.Work.runsAtMostOnce()});
 }
 
 auto world::perform(node_index From, const cancel_attempt &Effect) -> void {
