A superseded agent learns it from the engine's state

Change: every reading shows the tokens that acted lately; one of a higher epoch ends the agent. No read of the table is needed.

--- a/libs/core/src/ledger.cpp
+++ b/libs/core/src/ledger.cpp
@@ -100,7 +100,9 @@
 
 /// A token of a higher epoch at the engine is proof of a successor.
 auto checkSuperseded(const context &Ctx, fencing_token Highest) -> void {
-  if ((Highest.Value >> SequenceBits) > Ctx.State.Ledger.Epoch)
+  const auto &Ledger = Ctx.State.Ledger;
+  if (Ledger.Phase == authority_phase::Held &&
+      (Highest.Value >> SequenceBits) > Ledger.Epoch)
     becomeSuperseded(Ctx);
 }
 
@@ -363,6 +365,8 @@
   if (Ledger.EngineSeen && !NewLife &&
       Snapshot.Sequence < Ledger.EngineSequence)
     return;
+  for (const auto &Token : Snapshot.Executed)
+    checkSuperseded(Ctx, Token);
   Ledger.Engine = Snapshot.Engine;
   Ledger.EngineSequence = Snapshot.Sequence;
   Ledger.EngineSeen = true;
--- a/testing/world/world.cpp
+++ b/testing/world/world.cpp
@@ -706,6 +706,8 @@
     for (std::size_t Model = 0; Model < ModelCount; ++Model) {
       const auto Id = requestModel(Entry, Model);
       for (int Round = 0; Round < 200; ++Round) {
+        if (Round % 20 == 0)
+          refreshList();
         settleRound();
         const auto *Request = Oracle.find(Id);
         if (Request != nullptr && Request->Ended)
