--- a/libs/core/src/authority.cpp
+++ b/libs/core/src/authority.cpp
@@ -54,15 +54,15 @@
   }
 }
 
-auto writeFence(const context &Ctx) -> void {
+auto writeFence(const context &Ctx, std::uint64_t Epoch) -> void {
   auto &Ledger = Ctx.State.Ledger;
   Ledger.Phase = authority_phase::WritingFence;
-  ++Ledger.Epoch;
+  Ledger.WantedEpoch = Epoch;
   Ctx.emit(table_transact{
       request(Ctx, ledger_request::WriteFence),
       {{fenceKey(Ctx.State), Ledger.FenceVersion}},
       {{fenceKey(Ctx.State),
-        fenceValue(Ledger.Epoch, Ctx.State.Options.Self.Incarnation)}}});
+        fenceValue(Epoch, Ctx.State.Options.Self.Incarnation)}}});
 }
 
 /// The fence row as it was read.
@@ -95,14 +95,14 @@
     becomeSuperseded(Ctx);
     return;
   }
-  Ledger.Epoch = std::max(Ledger.Epoch, Row.Epoch);
   if (Own) {
     // An earlier write of this agent took effect though its answer was lost.
+    Ledger.Epoch = Row.Epoch;
     Ledger.Phase = authority_phase::ReadingIntents;
     askNext(Ctx);
     return;
   }
-  writeFence(Ctx);
+  writeFence(Ctx, Row.Epoch + 1);
 }
 
 auto takeFenceWrite(const context &Ctx, const table_replied &Event) -> void {
@@ -113,6 +113,7 @@
     Ledger.Phase = authority_phase::ReadingFence;
     return;
   }
+  Ledger.Epoch = Ledger.WantedEpoch;
   for (const auto &Row : Event.Rows)
     Ledger.FenceVersion = Row.Version;
   Ctx.note(note_kind::FenceRaised, "", targetOf(Ctx.State.Options.Self.Name),
