--- a/libs/core/src/ledger.cpp
+++ b/libs/core/src/ledger.cpp
@@ -101,8 +101,7 @@
 /// A token of a higher epoch at the engine is proof of a successor.
 auto checkSuperseded(const context &Ctx, fencing_token Highest) -> void {
   const auto &Ledger = Ctx.State.Ledger;
-  if (Ledger.Phase == authority_phase::Held &&
-      (Highest.Value >> SequenceBits) > Ledger.Epoch)
+  if (Ledger.Epoch != 0 && (Highest.Value >> SequenceBits) > Ledger.Epoch)
     becomeSuperseded(Ctx);
 }
 
