End to end under failure, bad input, and a deeper listening backlog

Cause: of 240 requests sent at once up to 8 got no answer: the HTTP library listens with a backlog of five (the connection breaks after a second's retransmission). When an agent was killed, up to 104 requests met a spent retry budget and were cut short. Change: entries listen again on the library's socket with a backlog of 1024; the first two retries of a request are outside the budget.

--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -110,12 +110,14 @@
   caller_hooks Hooks;
   httplib::Server Server;
   std::uint16_t Port = 0;
+  socket_t Socket = INVALID_SOCKET;
   std::atomic<std::uint64_t> Counter{0};
   std::mutex Mutex;
   std::map<request_id, answer_handle> Answers;
   std::unique_ptr<thread> Listener;
 
   auto setRoutes() -> void;
+  auto deepenBacklog() -> void;
   auto setLimits() -> void;
   auto serveGeneration(const httplib::Request &Request,
                        httplib::Response &Response, generation_shape Shape)
@@ -407,6 +409,11 @@
 auto caller_server::details::setLimits() -> void {
   const auto Threads = Options.Threads + SpareThreads;
   Server.new_task_queue = [Threads] { return new listener_pool(Threads); };
+  Server.set_socket_options([this](socket_t Opened) {
+    constexpr int Yes = 1;
+    ::setsockopt(Opened, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    Socket = Opened;
+  });
   Server.set_payload_max_length(Options.BodyLimitBytes);
   Server.set_read_timeout(Options.ReadTimeout);
   Server.set_write_timeout(Options.ReadTimeout);
@@ -436,6 +443,13 @@
   });
 }
 
+/// The library listens with a backlog of five, over which a burst of callers
+/// sees connections break; listening again on its socket deepens it.
+auto caller_server::details::deepenBacklog() -> void {
+  constexpr int Backlog = 1024;
+  ::listen(Socket, Backlog);
+}
+
 auto caller_server::details::setRoutes() -> void {
   Server.Post("/v1/chat/completions",
               [this](const auto &Request, auto &Response) {
@@ -479,6 +493,7 @@
   if (Port <= 0)
     throw std::runtime_error("cannot listen on " + Chosen.Address + ":" +
                              std::to_string(Chosen.Port));
+  Details->deepenBacklog();
   Details->Port = static_cast<std::uint16_t>(Port);
   Details->Listener =
       std::make_unique<thread>("caller-accept", LoopStackBytes,
--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t MaxClaimPolls = 64;
 constexpr double HedgeFactor = 3.0; ///< Of the expected first-token time.
 constexpr auto HedgeFloor = milliseconds(200);
-constexpr std::uint32_t FreeRedirects = 2; ///< Refusals outside the budget.
+constexpr std::uint32_t FreeRetries = 2; ///< Outside the budget.
 constexpr std::uint64_t PerMille = 1000;
 
 auto loadTime(const candidate &Chosen, const work &Work) -> duration {
@@ -98,17 +98,15 @@
     endNotRun(Ctx, Id, Request);
 }
 
-/// The first refusals redirect a request at little cost, or a model could be
-/// out of reach while the budget is spent. Beyond them retries are a share of
-/// requests, so that they die out in a crest; an answer that the caller has
-/// part of is always resumed.
+/// The first retries cost nothing: they redirect a refused request and carry
+/// the work of a dead agent elsewhere, however much of it there was. Beyond
+/// them retries are a share of requests, so that they die out in a crest; an
+/// answer that the caller has part of is always resumed.
 auto mayRetry(const context &Ctx, const request_state &Request) -> bool {
   const auto &Options = Ctx.State.Options.Entry;
   if (Request.LastAttempt >= Options.MaxAttempts + Request.ClaimPolls)
     return false;
-  const bool Redirect =
-      !Request.MaybeRan && Request.LastAttempt <= FreeRedirects;
-  return Redirect || Request.Delivered > 0 ||
+  return Request.LastAttempt <= FreeRetries || Request.Delivered > 0 ||
          Ctx.State.Requests.Retries.spend();
 }
 
--- a/testing/driver/caller_client.cpp
+++ b/testing/driver/caller_client.cpp
@@ -105,8 +105,10 @@
   const auto Client = makeClient(Host, Port);
   const auto Result = Client->send(Request);
   Answer.TotalMs = msSince(Reader.Start);
-  if (!Result)
+  if (!Result) {
+    Answer.Body += httplib::to_string(Result.error());
     return Answer;
+  }
   Answer.Status = Result->status;
   Answer.Outcome = Result->get_header_value("X-Outcome");
   return Answer;
--- a/testing/stand_ins/stand_in_server.cpp
+++ b/testing/stand_ins/stand_in_server.cpp
@@ -55,12 +55,21 @@
   Server.set_tcp_nodelay(true);
   Server.set_keep_alive_max_count(1'000'000);
   Server.set_keep_alive_timeout(30);
+  // As in the callers' listener: the library's backlog of five is too short.
+  socket_t Socket = INVALID_SOCKET;
+  Server.set_socket_options([&Socket](socket_t Opened) {
+    constexpr int Yes = 1;
+    ::setsockopt(Opened, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    Socket = Opened;
+  });
   const int Bound = Wanted == 0 ? Server.bind_to_any_port("127.0.0.1")
                     : Server.bind_to_port("127.0.0.1", Wanted) ? Wanted
                                                                : -1;
   if (Bound <= 0)
     throw std::runtime_error("stand-in: port " + std::to_string(Wanted) +
                              " is taken");
+  constexpr int Backlog = 1024;
+  ::listen(Socket, Backlog);
   Port = static_cast<std::uint16_t>(Bound);
   Server.Post("/faults", [this](const httplib::Request &Request,
                                 httplib::Response &Response) {
