--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -40,7 +40,7 @@
     std::optional<answer_end> End;
   };
 
-  auto push(answer_frame Frame) -> void {
+  auto push(const answer_frame &Frame) -> void {
     const std::lock_guard Lock(Mutex);
     for (const auto &Piece : Frame.Frame.Pieces)
       Waiting.Text += Piece;
@@ -509,9 +509,9 @@
 
 auto caller_server::port() const -> std::uint16_t { return Details->Port; }
 
-auto caller_server::execute(answer_frame Effect) -> void {
+auto caller_server::execute(const answer_frame &Effect) -> void {
   if (const auto Answer = Details->answerOf(Effect.Request))
-    Answer->push(std::move(Effect));
+    Answer->push(Effect);
 }
 
 auto caller_server::execute(answer_end Effect) -> void {
--- a/apps/limpetbridge/src/caller_server.h
+++ b/apps/limpetbridge/src/caller_server.h
@@ -20,7 +20,7 @@
   std::string Address;
   std::uint16_t Port = 0;    ///< 0 picks a free one.
   std::size_t Threads = 256; ///< Connections served at once.
-  std::size_t BodyLimitBytes = 4 * 1024 * 1024;
+  std::size_t BodyLimitBytes = std::size_t{4} * 1024 * 1024;
   duration ReadTimeout = seconds(5);
   duration DefaultDeadline = seconds(60);
   incarnation Self; ///< First part of request ids.
@@ -52,7 +52,7 @@
   auto stop() -> void;
 
   /// Hands a frame to the request's connection.
-  auto execute(answer_frame Effect) -> void;
+  auto execute(const answer_frame &Effect) -> void;
   /// Ends the request's answer.
   auto execute(answer_end Effect) -> void;
 
--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -100,7 +100,7 @@
   // Effects, one executor each.
   auto execute(answer_frame &Effect) -> void {
     Metrics.count("tokens", "", Effect.Frame.Pieces.size());
-    Callers->execute(std::move(Effect));
+    Callers->execute(Effect);
   }
   auto execute(answer_end &Effect) -> void {
     Callers->execute(std::move(Effect));
@@ -175,7 +175,7 @@
       Reply(State.Admission.DrainRevision);
     });
   };
-  Hooks.Inspect = [this](report_request Request, auto Reply) {
+  Hooks.Inspect = [this](const report_request &Request, auto Reply) {
     Loop->visit([Request, Reply](const node_state &State, time_point Now) {
       Reply(inspect(State, Request, Now));
     });
--- a/libs/base/include/base/thread.h
+++ b/libs/base/include/base/thread.h
@@ -17,9 +17,9 @@
 namespace limpetbridge {
 
 /// Stack of a thread that handles one connection, bytes.
-inline constexpr std::size_t ConnectionStackBytes = 256 * 1024;
+inline constexpr std::size_t ConnectionStackBytes = std::size_t{256} * 1024;
 /// Stack of a thread that runs the reducer or a library's callbacks, bytes.
-inline constexpr std::size_t LoopStackBytes = 1024 * 1024;
+inline constexpr std::size_t LoopStackBytes = std::size_t{1024} * 1024;
 
 /// A joinable thread. The destructor joins.
 /// \code
--- a/libs/catalogue/src/catalogue.cpp
+++ b/libs/catalogue/src/catalogue.cpp
@@ -133,11 +133,13 @@
         const bool Builtin = Value.empty() || Value == "standard";
         if (!Refers || Builtin || all(*Refers).contains(Value))
           continue;
-        return failure(result_code::InvalidDeclaration,
-                       std::string(nameOf(Kind)) + " " + Name + ": " +
-                           std::string(Field.Name) + " names " +
-                           std::string(Field.Refers) + " " + Value +
-                           ", which is not declared");
+        std::string Detail(nameOf(Kind));
+        Detail += " " + Name + ": ";
+        Detail += Field.Name;
+        Detail += " names ";
+        Detail += Field.Refers;
+        Detail += " " + Value + ", which is not declared";
+        return failure(result_code::InvalidDeclaration, std::move(Detail));
       }
     }
   }
