Policy: loads that pay, first homes that stay, aims that can be met

Change: a cold unit goes to one home, and to the one that loads it already; a further copy must win by a load, never displaces a first home's copy and is refused soon; declared load times are corrected by observed ones; homes are placed within memory; work that missed its aim goes behind work that can meet it; long work has an aim of its own (long_first_token_ms). A holder that lost its copy may load it as the only one.

--- a/benchmarks/path_benchmark.cpp
+++ b/benchmarks/path_benchmark.cpp
@@ -34,8 +34,8 @@
 
 auto quantile(std::vector<double> &Values, double Share) -> double {
   std::sort(Values.begin(), Values.end());
-  const auto At = static_cast<std::size_t>(
-      Share * static_cast<double>(Values.size() - 1));
+  const auto At =
+      static_cast<std::size_t>(Share * static_cast<double>(Values.size() - 1));
   return Values[At];
 }
 
@@ -50,8 +50,8 @@
 auto direct(std::uint16_t Port) -> double {
   httplib::Client Client(Host, Port);
   Client.set_tcp_nodelay(true);
-  const nlohmann::json Body = {{"id", "x"},      {"model", "helper"},
-                               {"adapter", ""},  {"prompt", "user: x\n"},
+  const nlohmann::json Body = {{"id", "x"},       {"model", "helper"},
+                               {"adapter", ""},   {"prompt", "user: x\n"},
                                {"max_tokens", 1}, {"offset", 0}};
   const auto Start = steady::now();
   const auto Result =
@@ -102,8 +102,9 @@
   const auto Relayed = runStreams(Entry, Streams, Tokens);
   const double Seconds = msSince(Start) / 1000;
   std::cout << Streams << " streams, " << Relayed << " tokens in " << Seconds
-            << " s: " << static_cast<std::uint64_t>(
-                             static_cast<double>(Relayed) / Seconds)
+            << " s: "
+            << static_cast<std::uint64_t>(static_cast<double>(Relayed) /
+                                          Seconds)
             << " tokens/s\n";
   return Relayed == static_cast<std::uint64_t>(Streams) * Tokens ? 0 : 1;
 }
--- a/benchmarks/wire_sizes.cpp
+++ b/benchmarks/wire_sizes.cpp
@@ -48,11 +48,10 @@
                                  Name,
                                  {{"memory_mb", "40000"}}});
     for (int Adapter = 0; Adapter < 3; ++Adapter)
-      Change.Operations.push_back(
-          {operation_verb::Declare,
-           declaration_kind::Adapter,
-           Name + "-adapter-" + std::to_string(Adapter),
-           {{"model", Name}, {"memory_mb", "200"}}});
+      Change.Operations.push_back({operation_verb::Declare,
+                                   declaration_kind::Adapter,
+                                   Name + "-adapter-" + std::to_string(Adapter),
+                                   {{"model", Name}, {"memory_mb", "200"}}});
   }
   return catalogue().apply(Change).value();
 }
@@ -68,8 +67,7 @@
 
 auto printCatchUp(const catalogue &Catalogue) -> void {
   const auto Snapshot = encodeChange(Catalogue.snapshot());
-  print("catch-up: snapshot of 340 models and 1,020 adapters",
-        Snapshot.size());
+  print("catch-up: snapshot of 340 models and 1,020 adapters", Snapshot.size());
   auto Start = std::chrono::steady_clock::now();
   const auto Again = catalogue().apply(decodeChange(Snapshot).value());
   std::cout << "catch-up: reading the snapshot " << microseconds(Start)
@@ -78,8 +76,8 @@
   const auto One = encodeChange(sampleChange(2)).size();
   print("catch-up: one change of a tail", One);
   print("catch-up: tail of 256 changes", 256 * One);
-  std::cout << "catch-up: the tail is smaller up to "
-            << Snapshot.size() / One << " missing changes\n";
+  std::cout << "catch-up: the tail is smaller up to " << Snapshot.size() / One
+            << " missing changes\n";
 }
 
 } // namespace
--- a/libs/catalogue/include/catalogue/declaration.h
+++ b/libs/catalogue/include/catalogue/declaration.h
@@ -42,9 +42,10 @@
 
 /// How important a kind of work is.
 struct importance_declaration {
-  std::int64_t Rank = 5;            ///< 0 is served first, 9 last.
-  std::int64_t FirstTokenMs = 1300; ///< Aim for the first token, ms.
-  std::int64_t ShortTokens = 2048;  ///< Work of fewer tokens counts as short.
+  std::int64_t Rank = 5;                ///< 0 is served first, 9 last.
+  std::int64_t FirstTokenMs = 1300;     ///< Aim for the first token, ms.
+  std::int64_t LongFirstTokenMs = 5000; ///< The same for long work, ms.
+  std::int64_t ShortTokens = 2048; ///< Work of fewer tokens counts as short.
   auto operator==(const importance_declaration &) const -> bool = default;
 };
 
--- a/libs/catalogue/src/declaration.cpp
+++ b/libs/catalogue/src/declaration.cpp
@@ -38,6 +38,8 @@
       field_row<b>{"rank", &b::Rank, 0, 9, false, "", "0 is served first"},
       field_row<b>{"first_token_ms", &b::FirstTokenMs, 1, HourMs, false, "",
                    "aim for the first token, ms"},
+      field_row<b>{"long_first_token_ms", &b::LongFirstTokenMs, 1, HourMs,
+                   false, "", "the same for long work, ms"},
       field_row<b>{"short_tokens", &b::ShortTokens, 0, 10'000'000, false, "",
                    "work of fewer tokens counts as short"}};
 };
--- a/libs/core/include/core/requests.h
+++ b/libs/core/include/core/requests.h
@@ -22,6 +22,8 @@
   time_point LastProgress;
   std::uint32_t StartOffset = 0; ///< Pieces delivered before it.
   bool Spoke = false;            ///< A piece of it arrived.
+  bool Cold = false;             ///< Its target had to load for it.
+  bool Extra = false;            ///< It would have been a further copy.
   std::map<std::uint32_t, std::vector<std::string>> Early; ///< Beyond a gap.
   std::optional<std::uint32_t> Total; ///< Set once it ended whole.
   duration ExpectedWait{};            ///< Queue delay when it was sent.
@@ -40,6 +42,7 @@
   time_point RetryAt = NoDeadline;
   time_point HedgeAt = NoDeadline;
   bool FreshConnection = false; ///< The next attempt needs one.
+  bool NoExtra = false;         ///< There was no room for a further copy.
   bool MaybeRan = false;        ///< An attempt ended with unknown outcome.
   std::uint32_t ClaimPolls = 0; ///< Attempts that met a claim in progress.
   result_code LastCode = result_code::NoTarget;
--- a/libs/core/include/core/routing.h
+++ b/libs/core/include/core/routing.h
@@ -29,15 +29,18 @@
 /// An entry's picture of one loadable unit.
 struct unit_view {
   std::uint64_t HomesEpoch = 0;      ///< Membership epoch of Homes.
+  std::uint64_t CheckedAtEpoch = 0;  ///< Membership epoch of Resident.
   std::vector<target_name> Homes;    ///< Best targets by rendezvous hash.
   std::vector<target_name> Resident; ///< Targets known to hold it.
-  double LoadMs = 0;
+  target_name Coming;     ///< Home that was sent work that it must load for.
+  time_point ComingUntil; ///< When that load should have ended.
 };
 
 /// Moving averages over all targets, by which one is called slow.
 struct service_estimate {
   double FirstTokenMs = 300; ///< Per attempt that did not queue.
   double TokenMs = 20;       ///< Between tokens.
+  double LoadFactor = 1.0;   ///< Observed time of loads over the declared.
 };
 
 /// Routing state of an entry.
@@ -46,6 +49,7 @@
   std::map<model_name, unit_view> Units;
   std::map<service_name, std::vector<target_name>> Services;
   std::uint64_t BuiltAtEpoch = 0;
+  std::uint64_t PlacedAtEpoch = 0; ///< Membership epoch of all homes.
   service_estimate Estimate;
 };
 
@@ -55,6 +59,7 @@
   duration Expected{};         ///< Until the answer is whole.
   std::uint8_t HomeRank = 255; ///< Place in the home set; 255 for none.
   bool Resident = false;
+  bool Extra = false; ///< A further copy: others hold the unit already.
 };
 
 } // namespace limpetbridge
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -26,6 +26,7 @@
 struct urgency {
   bool Fresh = true;
   std::uint8_t Rank = 9;
+  bool Missed = false; ///< Its aim has passed; others can still meet theirs.
   time_point By;
   attempt_id Id;
 
@@ -37,7 +38,8 @@
   const auto Aim = Of.FirstTokenBy - Work.QueuedAt;
   const bool Aged =
       Now - Work.QueuedAt > Aim * AgingFactor && Of.FirstTokenBy != NoDeadline;
-  return {!Aged, Of.Rank, Of.FirstTokenBy, Work.Offer.Attempt};
+  return {!Aged, Of.Rank, Now > Of.FirstTokenBy, Of.FirstTokenBy,
+          Work.Offer.Attempt};
 }
 
 /// Refuses duplicates of calls that must not run twice; a life of an entry
--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -150,7 +150,9 @@
 }
 
 auto learnRefusal(const context &Ctx, const attempt_ended &Event,
-                  const target_name &Target, request_state &Request) -> void {
+                  const attempt_state &Attempt, request_state &Request)
+    -> void {
+  const auto &Target = Attempt.Target;
   switch (Event.Code) {
   case result_code::Draining:
     markLeaving(Ctx, Target, Event.Hint.Agent);
@@ -161,8 +163,15 @@
     adoptIncarnation(Ctx, Target, Event.Hint.Agent);
     return;
   case result_code::NoMemory:
+    if (Attempt.Extra) {
+      // Not a word against the target: as the only copy it may displace.
+      Request.NoExtra = true;
+      return;
+    }
     forgetResident(Ctx.State, Request.Work.Unit, Target);
-    Request.Tried.insert(Target);
+    // A holder that lost its copy may still load it, as the only one.
+    if (Attempt.Cold)
+      Request.Tried.insert(Target);
     return;
   case result_code::TargetUnreachable:
   case result_code::TargetRefused:
@@ -177,8 +186,8 @@
 }
 
 auto takeNotRun(const context &Ctx, const attempt_ended &Event,
-                request_state &Request, const target_name &Target) -> void {
-  learnRefusal(Ctx, Event, Target, Request);
+                request_state &Request) -> void {
+  learnRefusal(Ctx, Event, Request.Live.at(Event.Attempt.Attempt), Request);
   releaseAttempt(Ctx, Request, Event.Attempt.Attempt);
   if (Event.Code == result_code::ClaimHeldElsewhere) {
     endNotRun(Ctx, Event.Attempt.Request, Request);
@@ -328,7 +337,11 @@
   Offer.ResumeText = Request.Text;
   Offer.Agent = Chosen.View->Record.Incarnation;
   Offer.Revision = Ctx.State.Configuration.Current->currentRevision();
-  Offer.HomeRank = Chosen.HomeRank;
+  // The only copy counts as the first home's, wherever it comes to lie.
+  const bool Only = !Chosen.Resident && !Chosen.Extra;
+  Offer.HomeRank = Only           ? 0
+                   : Chosen.Extra ? std::max<std::uint8_t>(Chosen.HomeRank, 1)
+                                  : Chosen.HomeRank;
   return Offer;
 }
 
@@ -356,6 +369,10 @@
   Attempt.LastProgress = Ctx.Now;
   Attempt.StartOffset = Request.Delivered;
   Attempt.ExpectedWait = Wait;
+  Attempt.Cold = !Chosen->Resident;
+  Attempt.Extra = Chosen->Extra;
+  if (Attempt.Cold)
+    learnColdStart(Ctx, Request.Work, Target);
   ++View->Outstanding;
   ++View->SentSinceHint;
   Request.HedgeAt = hedgeTime(Ctx, Request.Work, Wait);
@@ -388,7 +405,7 @@
   Ctx.note(Refused ? note_kind::AttemptRefused : note_kind::AttemptEnded,
            toString(Event.Attempt), Target, "", Event.Detail);
   if (Refused)
-    takeNotRun(Ctx, Event, Request, Target);
+    takeNotRun(Ctx, Event, Request);
   else
     takeUnknown(Ctx, Event, Request, Target);
 }
--- a/libs/core/src/details/handlers.h
+++ b/libs/core/src/details/handlers.h
@@ -50,6 +50,11 @@
 [[nodiscard]] auto chooseTarget(const context &Ctx,
                                 const request_state &Request)
     -> std::optional<candidate>;
+/// Work was sent to a home that must load the unit for it.
+auto learnColdStart(const context &Ctx, const work &Work,
+                    const target_name &Target) -> void;
+/// Takes the time that a load on demand took.
+auto learnLoad(const context &Ctx, duration Took, const work &Work) -> void;
 auto learnResident(node_state &State, const model_name &Unit,
                    const target_name &Target) -> void;
 auto forgetResident(node_state &State, const model_name &Unit,
--- a/libs/core/src/loads.cpp
+++ b/libs/core/src/loads.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::uint8_t OnlyCopy = 0; ///< Home rank that may displace any.
+constexpr auto ExtraPatience = milliseconds(200); ///< For further copies.
 constexpr auto MinStay = seconds(2);  ///< A copy stays at least so long …
 constexpr auto Patience = seconds(1); ///< … unless work waits this long.
 
@@ -17,6 +19,13 @@
   return What.Adapter.empty() ? Work.Memory : Work.AdapterMemory;
 }
 
+/// What room is wanted for.
+struct demand_for_room {
+  std::uint64_t Shortfall = 0; ///< Bytes that are missing.
+  std::uint8_t HomeRank = 255; ///< Place of this target among its homes.
+  bool Impatient = false;      ///< Its work has waited long.
+};
+
 /// A loadable that may be evicted.
 struct victim {
   loadable What;
@@ -56,16 +65,26 @@
   return Left.Entry->LastUsed < Right.Entry->LastUsed;
 }
 
-auto findVictims(const context &Ctx, bool Impatient) -> std::vector<victim> {
+/// A further copy never displaces a first home's: that may be the last, and
+/// loading it again would only displace the next.
+auto mayDisplace(const ledger_entry &Entry, const demand_for_room &Demand)
+    -> bool {
+  return Demand.HomeRank == OnlyCopy || Entry.HomeRank != OnlyCopy;
+}
+
+auto findVictims(const context &Ctx, const demand_for_room &Demand)
+    -> std::vector<victim> {
   auto &Ledger = Ctx.State.Ledger;
   const auto Wanted = wantedByQueue(Ctx);
   std::vector<victim> Victims;
   for (auto &[What, Entry] : Ledger.Entries) {
     const bool Idle = Entry.State == unit_state::Resident &&
                       Entry.Running == 0 && Entry.LateLoads.empty();
-    const bool Stayed = Impatient || Ctx.Now - Entry.ResidentSince >= MinStay;
+    const bool Stayed =
+        Demand.Impatient || Ctx.Now - Entry.ResidentSince >= MinStay;
     const bool Needed = Wanted.contains(What) && !Entry.Evicting;
-    if (Idle && Stayed && !Needed && !hasAdapters(Ledger, What))
+    if (Idle && Stayed && !Needed && mayDisplace(Entry, Demand) &&
+        !hasAdapters(Ledger, What))
       Victims.push_back({What, &Entry});
   }
   std::sort(Victims.begin(), Victims.end(), goesBefore);
@@ -82,14 +101,15 @@
 
 /// Stops new work on the copy that is missed least, so that it becomes idle
 /// and makes room; without this a busy target never changes what it holds.
-auto markForEviction(const context &Ctx) -> void {
+auto markForEviction(const context &Ctx, const demand_for_room &Demand)
+    -> void {
   auto &Ledger = Ctx.State.Ledger;
   std::vector<victim> Busy;
   for (auto &[What, Entry] : Ledger.Entries) {
     if (Entry.Evicting)
       return;
     if (Entry.State == unit_state::Resident && Entry.LateLoads.empty() &&
-        What.Adapter.empty())
+        What.Adapter.empty() && mayDisplace(Entry, Demand))
       Busy.push_back({What, &Entry});
   }
   if (Busy.empty())
@@ -101,32 +121,33 @@
       Entry.Evicting = true;
 }
 
-auto evictFor(const context &Ctx, std::uint64_t Shortfall, bool Impatient)
-    -> void {
+auto evictFor(const context &Ctx, const demand_for_room &Demand) -> void {
   auto &Ledger = Ctx.State.Ledger;
   std::uint64_t Freed = bytesBeingFreed(Ledger);
-  for (const auto &Victim : findVictims(Ctx, Impatient)) {
-    if (Freed >= Shortfall ||
+  for (const auto &Victim : findVictims(Ctx, Demand)) {
+    if (Freed >= Demand.Shortfall ||
         Ledger.Orders.size() >= Ctx.State.Options.Agent.MaxOrders)
       return;
     Freed += Victim.Entry->Bytes.Value;
     startUnload(Ctx, Victim.What);
   }
-  if (Freed < Shortfall && Impatient)
-    markForEviction(Ctx);
+  if (Freed < Demand.Shortfall && Demand.Impatient)
+    markForEviction(Ctx, Demand);
 }
 
 auto tryLoad(const context &Ctx, const loadable &What, byte_count Bytes,
-             bool Impatient) -> void {
+             demand_for_room Demand) -> void {
   auto &Ledger = Ctx.State.Ledger;
   const auto &Entry = Ledger.Entries[What];
   const auto Reserved = Ledger.reserved();
   const auto Others = Reserved - Entry.reserved();
   const auto Need = std::max(Bytes.Value, Entry.reserved());
-  if (Others + Need <= Ledger.Capacity.Value)
+  if (Others + Need <= Ledger.Capacity.Value) {
     startLoad(Ctx, What, Bytes);
-  else
-    evictFor(Ctx, Others + Need - Ledger.Capacity.Value, Impatient);
+    return;
+  }
+  Demand.Shortfall = Others + Need - Ledger.Capacity.Value;
+  evictFor(Ctx, Demand);
 }
 
 auto planLoad(const context &Ctx, const work_state &Work) -> void {
@@ -140,7 +161,9 @@
     const bool MayLoad =
         Entry.State == unit_state::Absent && Ctx.Now >= Entry.RetryAt;
     if (MayLoad)
-      tryLoad(Ctx, What, bytesOf(Work.Offer.Work, What), Impatient);
+      tryLoad(Ctx, What, bytesOf(Work.Offer.Work, What),
+              {0, What.Adapter.empty() ? Work.Offer.HomeRank : OnlyCopy,
+               Impatient});
     return;
   }
 }
@@ -172,6 +195,12 @@
     Entry.Evicting = false;
 }
 
+/// Whether the work asks for a copy of a unit that others hold already.
+auto isFurtherCopy(const ledger_state &Ledger, const work_offered &Offer)
+    -> bool {
+  return Offer.HomeRank != OnlyCopy && !isHeld(Ledger, {Offer.Work.Unit, {}});
+}
+
 auto unloadIdleEvictions(const context &Ctx) -> void {
   auto &Ledger = Ctx.State.Ledger;
   for (auto &[What, Entry] : Ledger.Entries) {
@@ -204,11 +233,14 @@
     return;
   constexpr int PatienceFactor = 3;
   std::vector<attempt_id> Hopeless;
-  for (const auto &[Id, Work] : Ctx.State.Admission.Works)
-    if (Work.Phase == work_phase::Queued &&
-        Ctx.Now - Work.QueuedAt > Patience * PatienceFactor &&
+  for (const auto &[Id, Work] : Ctx.State.Admission.Works) {
+    const duration Limit = isFurtherCopy(Ctx.State.Ledger, Work.Offer)
+                               ? duration(ExtraPatience)
+                               : Patience * PatienceFactor;
+    if (Work.Phase == work_phase::Queued && Ctx.Now - Work.QueuedAt > Limit &&
         !isComing(Ctx.State.Ledger, Work.Offer.Work))
       Hopeless.push_back(Id);
+  }
   for (const auto &Id : Hopeless)
     refuseWork(Ctx, Id, result_code::NoMemory,
                "no memory could be freed for the model in time");
--- a/libs/core/src/requests.cpp
+++ b/libs/core/src/requests.cpp
@@ -19,16 +19,12 @@
 
 namespace {
 
-constexpr std::uint8_t StandardRank = 5;
-constexpr std::int64_t StandardFirstTokenMs = 1300;
-constexpr std::int64_t StandardShortTokens = 2048;
-
 auto importanceOf(const catalogue &Catalogue, const std::string &Name)
     -> importance_declaration {
   const auto *Declared = Catalogue.find<importance_declaration>(Name);
   if (Declared != nullptr)
     return *Declared;
-  return {StandardRank, StandardFirstTokenMs, StandardShortTokens};
+  return {};
 }
 
 auto applyImportance(const catalogue &Catalogue, std::string Name,
@@ -38,9 +34,11 @@
     Name = Caller->Importance;
   const auto Importance = importanceOf(Catalogue, Name);
   Work.Rank = static_cast<std::uint8_t>(Importance.Rank);
-  Work.FirstTokenBy = Now + milliseconds(Importance.FirstTokenMs);
   Work.Short = std::int64_t{Work.PromptTokens} + Work.MaxTokens <=
                Importance.ShortTokens;
+  Work.FirstTokenBy =
+      Now + milliseconds(Work.Short ? Importance.FirstTokenMs
+                                    : Importance.LongFirstTokenMs);
 }
 
 auto resolveGenerate(const catalogue &Catalogue, const request_arrived &Event,
@@ -195,8 +193,12 @@
   Request.Source = Id.Attempt;
   Request.HedgeAt = NoDeadline;
   learnResident(Ctx.State, Request.Work.Unit, Attempt.Target);
-  learnFirstToken(Ctx, Attempt.Target, Ctx.Now - Attempt.StartedAt,
-                  Attempt.ExpectedWait, Request.Work);
+  const auto Took = Ctx.Now - Attempt.StartedAt;
+  if (Attempt.Cold)
+    learnLoad(Ctx, Took, Request.Work);
+  else
+    learnFirstToken(Ctx, Attempt.Target, Took, Attempt.ExpectedWait,
+                    Request.Work);
   cancelOthers(Ctx, Id.Request, Request, Id.Attempt);
 }
 
--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -11,11 +11,11 @@
 
 constexpr std::size_t HomeLimit = 8;      ///< Homes remembered of a unit.
 constexpr std::size_t ResidentLimit = 16; ///< Holders remembered of a unit.
-constexpr std::size_t ColdHomes = 2;   ///< Homes tried while nobody holds it.
-constexpr double SlownessShare = 0.2;  ///< Weight of a new observation.
-constexpr double EstimateShare = 0.02; ///< The same for fleet averages.
-constexpr double SlowFrom = 2.0;       ///< Noted as slow from here on.
-constexpr double SlowUntil = 1.5;      ///< And until it falls below this.
+constexpr int ExtraLoadCost = 1; ///< Further copies must win by so many loads.
+constexpr double SlownessShare = 0.2; ///< Weight of a new observation.
+constexpr double EstimateShare = 0.1; ///< The same for fleet averages.
+constexpr double SlowFrom = 2.0;      ///< Noted as slow from here on.
+constexpr double SlowUntil = 1.5;     ///< And until it falls below this.
 constexpr double MaxSlowness = 20.0;
 constexpr double PrefixSaving = 0.7; ///< Share of a prompt found cached.
 constexpr auto AvoidBase = milliseconds(500);
@@ -75,11 +75,52 @@
   return Homes;
 }
 
+/// Memory of targets that first homes have taken.
+using taken_memory = std::map<target_name, std::uint64_t>;
+
+/// Moves the first home that has room for the unit to the front, so that no
+/// target is first home of more than fits; the hash alone crowds some.
+auto placeUnit(const node_state &State, unit_view &View, std::uint64_t Bytes,
+               taken_memory &Taken) -> void {
+  for (auto Each = View.Homes.begin(); Each != View.Homes.end(); ++Each) {
+    const auto &Record = State.Routing.Targets.at(*Each).Record;
+    auto &Used = Taken[*Each];
+    if (Used + Bytes > Record.Memory.Value)
+      continue;
+    Used += Bytes;
+    std::rotate(View.Homes.begin(), Each, Each + 1);
+    return;
+  }
+}
+
+/// Ranks the homes of all declared units. Every entry with the same list and
+/// catalogue comes to the same result.
+auto placeAll(node_state &State) -> void {
+  taken_memory Taken;
+  const auto &Catalogue = *State.Configuration.Current;
+  for (const auto Kind : {declaration_kind::Model, declaration_kind::Version})
+    for (const auto &[Name, Body] : Catalogue.all(Kind)) {
+      auto &View = State.Routing.Units[model_name(Name)];
+      View.Homes = rankHomes(State, model_name(Name));
+      View.HomesEpoch = State.Membership.Epoch;
+      if (const auto Resolved = Catalogue.resolve(Name);
+          Resolved && Resolved->Unit.Text == Name)
+        placeUnit(State, View, Resolved->Memory.Value, Taken);
+    }
+}
+
 auto homesOf(node_state &State, const model_name &Unit) -> unit_view & {
+  if (State.Routing.PlacedAtEpoch != State.Membership.Epoch) {
+    State.Routing.PlacedAtEpoch = State.Membership.Epoch;
+    placeAll(State);
+  }
   auto &View = State.Routing.Units[Unit];
   if (View.HomesEpoch != State.Membership.Epoch) {
     View.Homes = rankHomes(State, Unit);
     View.HomesEpoch = State.Membership.Epoch;
+  }
+  if (View.CheckedAtEpoch != State.Membership.Epoch) {
+    View.CheckedAtEpoch = State.Membership.Epoch;
     std::erase_if(View.Resident, [&](const target_name &Name) {
       const auto Found = State.Routing.Targets.find(Name);
       return Found == State.Routing.Targets.end() ||
@@ -121,6 +162,12 @@
                           Estimate.TokenMs * Work.MaxTokens);
 }
 
+/// Time of a load, by the declaration and by what loads took lately.
+auto loadTime(const node_state &State, const work &Work) -> duration {
+  return fromMilliseconds(static_cast<double>(Work.LoadMs) *
+                          State.Routing.Estimate.LoadFactor);
+}
+
 /// The holder that prompts with this start are sent to, so that it finds
 /// their prefix in its cache.
 auto prefixHolder(const unit_view &Unit, const work &Work) -> target_name {
@@ -165,8 +212,8 @@
                     fromMilliseconds(asMilliseconds(Service) * View.Slowness);
     Expected -= std::min(Saving, Expected);
     if (!Resident)
-      Expected += milliseconds(Request.Work.LoadMs);
-    Candidates.push_back({&View, Expected, Rank, Resident});
+      Expected += loadTime(Ctx.State, Request.Work);
+    Candidates.push_back({&View, Expected, Rank, Resident, false});
   }
 };
 
@@ -181,20 +228,35 @@
                 Name == Preferred ? Saving : duration::zero());
 }
 
-/// Homes that do not hold the unit: the first few while nobody does, else one,
-/// which wins only when the holders' queues cost more than a load.
-auto addHomes(candidate_builder &Builder, const unit_view &Unit) -> void {
-  const std::size_t Wanted = Builder.Candidates.empty() ? ColdHomes : 1;
-  std::size_t Added = 0;
-  for (const auto &Name : Unit.Homes) {
-    if (Added == Wanted)
+/// One home that does not hold the unit: the one that loads it already, else
+/// the first. Among holders it wins only when their queues cost more than the
+/// load, which must pay for itself: hence the factor.
+auto addHome(candidate_builder &Builder, const unit_view &Unit) -> void {
+  const auto Now = Builder.Ctx.Now;
+  const bool Extra = !Builder.Candidates.empty();
+  if (!Unit.Coming.empty() && Now < Unit.ComingUntil) {
+    const auto Before = Builder.Candidates.size();
+    Builder.add(Unit.Coming, false, homeRank(Unit, Unit.Coming),
+                duration::zero());
+    if (Builder.Candidates.size() > Before) {
+      Builder.Candidates.back().Extra = Extra;
       return;
+    }
+  }
+  for (const auto &Name : Unit.Homes) {
     const bool Holds = std::find(Unit.Resident.begin(), Unit.Resident.end(),
                                  Name) != Unit.Resident.end();
     const auto Before = Builder.Candidates.size();
     if (!Holds)
       Builder.add(Name, false, homeRank(Unit, Name), duration::zero());
-    Added += Builder.Candidates.size() - Before;
+    if (Builder.Candidates.size() == Before)
+      continue;
+    auto &Added = Builder.Candidates.back();
+    Added.Extra = Extra;
+    if (Extra)
+      Added.Expected +=
+          loadTime(Builder.Ctx.State, Builder.Request.Work) * ExtraLoadCost;
+    return;
   }
 }
 
@@ -209,7 +271,8 @@
   }
   const auto &Unit = homesOf(Ctx.State, Work.Unit);
   addHolders(Builder, Unit);
-  addHomes(Builder, Unit);
+  if (Builder.Candidates.empty() || !Request.NoExtra)
+    addHome(Builder, Unit);
   return std::move(Builder.Candidates);
 }
 
@@ -265,6 +328,24 @@
   return Candidates[Index];
 }
 
+auto learnColdStart(const context &Ctx, const work &Work,
+                    const target_name &Target) -> void {
+  auto &Unit = Ctx.State.Routing.Units[Work.Unit];
+  if (Unit.Coming == Target && Ctx.Now < Unit.ComingUntil)
+    return;
+  Unit.Coming = Target;
+  Unit.ComingUntil = Ctx.Now + loadTime(Ctx.State, Work);
+}
+
+auto learnLoad(const context &Ctx, duration Took, const work &Work) -> void {
+  if (Work.LoadMs <= 0)
+    return;
+  auto &Factor = Ctx.State.Routing.Estimate.LoadFactor;
+  const double Ratio = std::clamp(
+      asMilliseconds(Took) / static_cast<double>(Work.LoadMs), 0.2, 20.0);
+  Factor += SlownessShare * (Ratio - Factor);
+}
+
 auto learnResident(node_state &State, const model_name &Unit,
                    const target_name &Target) -> void {
   auto &Resident = State.Routing.Units[Unit].Resident;
--- a/libs/platform/include/platform/platform_client.h
+++ b/libs/platform/include/platform/platform_client.h
@@ -19,7 +19,8 @@
   std::string Host;
   std::uint16_t Port = 0;
   duration Timeout = seconds(1);
-  std::size_t Threads = 2; ///< Requests at once, each on a connection of its own.
+  std::size_t Threads =
+      2; ///< Requests at once, each on a connection of its own.
   std::size_t QueueLimit = 4096; ///< Requests that may wait.
 };
 
--- a/testing/policy/baseline.cpp
+++ b/testing/policy/baseline.cpp
@@ -27,6 +27,7 @@
   std::map<std::size_t, time_point> Held; ///< Models and their last use.
   std::map<std::size_t, std::size_t> RunningOf;
   std::set<std::size_t> Loading;
+  std::set<std::size_t> Assigned; ///< Models that requests were sent for.
   std::size_t Running = 0;
   std::size_t Reported = 0;
 };
@@ -51,6 +52,7 @@
       Schedule.after(WarmUp + Trace[Index].At, [this, Index] {
         Arrived[Index] = Schedule.now();
         const auto Target = choose(Trace[Index].Model);
+        Targets[Target].Assigned.insert(Trace[Index].Model);
         Schedule.after(OneWay, [this, Index, Target] {
           Targets[Target].Queue.push_back(Index);
           pump(Target);
@@ -74,22 +76,25 @@
   auto choose(std::size_t Model) -> std::size_t {
     std::vector<std::size_t> Holders;
     for (std::size_t Index = 0; Index < Targets.size(); ++Index)
-      if (Targets[Index].Held.contains(Model) ||
-          Targets[Index].Loading.contains(Model))
+      if (Targets[Index].Assigned.contains(Model))
         Holders.push_back(Index);
     if (Holders.empty())
-      for (std::size_t Index = 0; Index < Targets.size(); ++Index)
-        Holders.push_back(Index);
+      Holders = leastAssigned();
     if (Kind == baseline_kind::Random)
       return Holders[Random.next() % Holders.size()];
-    // Spread beyond the holders when all of them report a full engine.
-    const auto Least = leastReported(Holders);
-    if (Targets[Least].Reported < EngineSlots)
-      return Least;
-    std::vector<std::size_t> All(Targets.size());
-    for (std::size_t Index = 0; Index < All.size(); ++Index)
-      All[Index] = Index;
-    return leastReported(All);
+    return leastReported(Holders);
+  }
+
+  /// Targets with the fewest models, for one that nobody holds.
+  auto leastAssigned() -> std::vector<std::size_t> {
+    std::size_t Fewest = Deployment.Models;
+    for (const auto &Target : Targets)
+      Fewest = std::min(Fewest, Target.Assigned.size());
+    std::vector<std::size_t> Chosen;
+    for (std::size_t Index = 0; Index < Targets.size(); ++Index)
+      if (Targets[Index].Assigned.size() == Fewest)
+        Chosen.push_back(Index);
+    return Chosen;
   }
 
   auto leastReported(const std::vector<std::size_t> &Among) -> std::size_t {
@@ -110,6 +115,7 @@
         Oldest = Each;
     if (Oldest == Target.Held.end())
       return false;
+    Target.Assigned.erase(Oldest->first);
     Target.Held.erase(Oldest);
     return true;
   }
@@ -146,19 +152,19 @@
     ++Target.Running;
     ++Target.RunningOf[Model];
     Target.Engine->start(
-        Trace[Request],
-        {[this, Request] {
-           Result.Fates[Request].FirstMs =
-               toMs(Schedule.now() + OneWay - Arrived[Request]);
-         },
-         [this, Index, Request, Model] {
-           auto &Fate = Result.Fates[Request];
-           Fate.Done = true;
-           Fate.TotalMs = toMs(Schedule.now() + OneWay - Arrived[Request]);
-           --Targets[Index].Running;
-           --Targets[Index].RunningOf[Model];
-           pump(Index);
-         }});
+        Trace[Request], {[this, Request] {
+                           Result.Fates[Request].FirstMs =
+                               toMs(Schedule.now() + OneWay - Arrived[Request]);
+                         },
+                         [this, Index, Request, Model] {
+                           auto &Fate = Result.Fates[Request];
+                           Fate.Done = true;
+                           Fate.TotalMs =
+                               toMs(Schedule.now() + OneWay - Arrived[Request]);
+                           --Targets[Index].Running;
+                           --Targets[Index].RunningOf[Model];
+                           pump(Index);
+                         }});
   }
 
   const deployment &Deployment;
--- a/testing/policy/measure_policy.cpp
+++ b/testing/policy/measure_policy.cpp
@@ -19,6 +19,7 @@
 struct figures {
   double Attained = 0;
   double AttainedAtCrest = 0;
+  double ShortAtCrest = 0; ///< Attainment of short work at the crest.
   double MovesAThousand = 0;
   double ShortWait99 = 0; ///< Over the service time.
   double Latency99 = 0;
@@ -44,11 +45,12 @@
   return Fate.Done && Fate.FirstMs >= 0 && Fate.FirstMs <= aimMs(Fate.Demand);
 }
 
-auto attainment(const policy_result &Result, bool CrestOnly) -> double {
+auto attainment(const policy_result &Result, bool CrestOnly,
+                bool ShortOnly = false) -> double {
   double Attained = 0;
   double All = 0;
   for (const auto &Fate : Result.Fates) {
-    if (CrestOnly && !inCrest(Fate))
+    if ((CrestOnly && !inCrest(Fate)) || (ShortOnly && !Fate.Demand.Short))
       continue;
     All += 1;
     Attained += isAttained(Fate) ? 1 : 0;
@@ -81,9 +83,9 @@
   return Values;
 }
 
-using policy = std::function<policy_result(
-    const deployment &, const std::vector<demand> &, const stragglers &,
-    std::uint64_t)>;
+using policy =
+    std::function<policy_result(const deployment &, const std::vector<demand> &,
+                                const stragglers &, std::uint64_t)>;
 
 auto measure(const deployment &Deployment, const policy &Policy, int Seeds)
     -> figures {
@@ -96,6 +98,7 @@
     const auto Count = static_cast<double>(Trace.size());
     Sum.Attained += attainment(Calm, false);
     Sum.AttainedAtCrest += attainment(Calm, true);
+    Sum.ShortAtCrest += attainment(Calm, true, true);
     Sum.MovesAThousand += 1000.0 * static_cast<double>(Calm.Loads) / Count;
     Sum.ShortWait99 += quantile(shortWaits(Calm), 0.99);
     Sum.Latency99 += quantile(calmLatencies(Calm), 0.99);
@@ -104,10 +107,9 @@
     Sum.Refusals += static_cast<double>(Calm.Refusals) / Count;
     Sum.Retries += static_cast<double>(Calm.Retries) / Count;
   }
-  for (double *Each :
-       {&Sum.Attained, &Sum.AttainedAtCrest, &Sum.MovesAThousand,
-        &Sum.ShortWait99, &Sum.Latency99, &Sum.Slow99, &Sum.Slow999,
-        &Sum.Refusals, &Sum.Retries})
+  for (double *Each : {&Sum.Attained, &Sum.AttainedAtCrest, &Sum.ShortAtCrest,
+                       &Sum.MovesAThousand, &Sum.ShortWait99, &Sum.Latency99,
+                       &Sum.Slow99, &Sum.Slow999, &Sum.Refusals, &Sum.Retries})
     *Each /= Seeds;
   return Sum;
 }
@@ -118,7 +120,8 @@
   double Sum = 0;
   for (int Seed = 1; Seed <= Seeds; ++Seed) {
     const auto Trace = makeTrace(Deployment, static_cast<std::uint64_t>(Seed));
-    const double Span = std::chrono::duration<double>(CrestTo - CrestFrom).count();
+    const double Span =
+        std::chrono::duration<double>(CrestTo - CrestFrom).count();
     double Room = static_cast<double>(Deployment.Targets * FullSpeedRuns) *
                   (Span + 5) * 1000;
     std::vector<double> Costs;
@@ -139,8 +142,9 @@
 }
 
 auto print(const std::string &Name, const figures &Row) -> void {
-  std::printf("%-14s %8.3f %8.3f %8.1f %9.2f %8.0f %8.0f %8.0f %6.2f %8.2f %8.2f\n",
-              Name.c_str(), Row.Attained, Row.AttainedAtCrest,
+  std::printf("%-14s %8.3f %8.3f %8.3f %8.1f %9.2f %8.0f %8.0f %8.0f %6.2f "
+              "%8.2f %8.2f\n",
+              Name.c_str(), Row.Attained, Row.AttainedAtCrest, Row.ShortAtCrest,
               Row.MovesAThousand, Row.ShortWait99, Row.Latency99, Row.Slow99,
               Row.Slow999, Row.Latency99 > 0 ? Row.Slow99 / Row.Latency99 : 0,
               Row.Refusals, Row.Retries);
@@ -151,9 +155,9 @@
               "attainment at the crest %.3f\n",
               Deployment.Name.c_str(), Deployment.Targets, Deployment.Models,
               Seeds, crestBound(Deployment, Seeds));
-  std::printf("%-14s %8s %8s %8s %9s %8s %8s %8s %6s %8s %8s\n", "policy",
-              "attained", "at crest", "moves/k", "short p99", "p99 ms",
-              "slow p99", "p99.9", "ratio", "refusals", "retries");
+  std::printf("%-14s %8s %8s %8s %8s %9s %8s %8s %8s %6s %8s %8s\n", "policy",
+              "attained", "at crest", "shorts", "moves/k", "short p99",
+              "p99 ms", "slow p99", "p99.9", "ratio", "refusals", "retries");
   const auto Baseline = [](baseline_kind Kind) {
     return [Kind](const deployment &Of, const std::vector<demand> &Trace,
                   const stragglers &Slow, std::uint64_t Seed) {
--- a/testing/policy/policy_world.cpp
+++ b/testing/policy/policy_world.cpp
@@ -51,9 +51,9 @@
   NextStart = Start + toDuration(1000.0 / Deployment.LoadsASecond);
   Schedule.after(Start - Schedule.now(), [this, Done] {
     ++UnderWay;
-    const double Crowd = std::max(
-        1.0, static_cast<double>(UnderWay) /
-                 static_cast<double>(Deployment.LoadsAtOnce));
+    const double Crowd =
+        std::max(1.0, static_cast<double>(UnderWay) /
+                          static_cast<double>(Deployment.LoadsAtOnce));
     Schedule.after(toDuration(Deployment.LoadMs * Crowd), [this, Done] {
       --UnderWay;
       Done();
@@ -167,7 +167,9 @@
   auto declareModels() -> void {
     change Change{change_id("c"), {1}, {}};
     Change.Operations = {
-        {operation_verb::Declare, declaration_kind::Importance, "dock",
+        {operation_verb::Declare,
+         declaration_kind::Importance,
+         "dock",
          {{"rank", "1"}, {"first_token_ms", "1300"}, {"short_tokens", "2048"}}},
         {operation_verb::Declare,
          declaration_kind::Caller,
@@ -175,7 +177,9 @@
          {{"token", "caller-token"}, {"models", "*"}}}};
     for (std::size_t Model = 0; Model < Deployment.Models; ++Model)
       Change.Operations.push_back(
-          {operation_verb::Declare, declaration_kind::Model, nameOf(Model),
+          {operation_verb::Declare,
+           declaration_kind::Model,
+           nameOf(Model),
            {{"memory_mb", "10000"},
             {"load_ms", std::to_string(static_cast<int>(Deployment.LoadMs))},
             {"importance", "dock"}}});
@@ -197,6 +201,7 @@
     Options.Self.Address = Name;
     Options.Self.Incarnation = {Nodes.size() + 1};
     Options.Agent.Memory = {ModelBytes * Deployment.ModelsATarget};
+    Options.Self.Memory = Options.Agent.Memory;
     Options.Agent.ChecksFence = true;
     Options.Agent.Slots = EngineSlots;
     Options.Agent.ShortSlots = EngineSlots / 2;
@@ -218,9 +223,8 @@
   }
 
   auto later(duration Span, std::size_t Index, event Event) -> void {
-    Schedule.after(Span, [this, Index, Event = std::move(Event)] {
-      feed(Index, Event);
-    });
+    Schedule.after(
+        Span, [this, Index, Event = std::move(Event)] { feed(Index, Event); });
   }
 
   auto arrive(std::size_t Index) -> void {
@@ -275,20 +279,19 @@
     const auto Id = Effect.Attempt;
     const auto Total = Effect.Work.MaxTokens;
     auto &Engine = *Engines[Index - Entries];
-    Engine.start(
-        Trace[Id.Request.Counter - 1],
-        {[this, Index, Id] {
-           feed(Index, target_progressed{Id, {0, {"x"}}});
-         },
-         [this, Index, Id, Total] {
-           frame Rest{1, std::vector<std::string>(Total - 1, "x")};
-           feed(Index, target_progressed{Id, std::move(Rest)});
-           target_ended Ended;
-           Ended.Attempt = Id;
-           Ended.End = target_end::Whole;
-           Ended.Total = Total;
-           feed(Index, Ended);
-         }});
+    Engine.start(Trace[Id.Request.Counter - 1],
+                 {[this, Index, Id] {
+                    feed(Index, target_progressed{Id, {0, {"x"}}});
+                  },
+                  [this, Index, Id, Total] {
+                    frame Rest{1, std::vector<std::string>(Total - 1, "x")};
+                    feed(Index, target_progressed{Id, std::move(Rest)});
+                    target_ended Ended;
+                    Ended.Attempt = Id;
+                    Ended.End = target_end::Whole;
+                    Ended.Total = Total;
+                    feed(Index, Ended);
+                  }});
   }
   auto perform(std::size_t Index, const send_order &Effect) -> void {
     auto &Memory = Memories[Index - Entries];
@@ -328,8 +331,7 @@
     later(StoreTime, Index,
           object_replied{Effect.Ticket, store_status::Applied, false, {}});
   }
-  template <typename other>
-  auto perform(std::size_t, const other &) -> void {}
+  template <typename other> auto perform(std::size_t, const other &) -> void {}
 
   const deployment &Deployment;
   const std::vector<demand> &Trace;
--- a/testing/policy/trace.cpp
+++ b/testing/policy/trace.cpp
@@ -19,17 +19,17 @@
 /// A model by popularity that falls with its number.
 auto pickModel(random_state &Random, std::size_t Models) -> std::size_t {
   const double Skewed = std::pow(uniform(Random), 2.0);
-  return std::min(Models - 1,
-                  static_cast<std::size_t>(Skewed * static_cast<double>(Models)));
+  return std::min(Models - 1, static_cast<std::size_t>(
+                                  Skewed * static_cast<double>(Models)));
 }
 
 auto makeDemand(random_state &Random, bool Short) -> demand {
   demand Demand;
   Demand.Short = Short;
   const auto Spread = Random.next();
-  Demand.PromptTokens =
-      Short ? 80 + static_cast<std::uint32_t>(Spread % 160)
-            : 3000 + static_cast<std::uint32_t>(Spread % 6000);
+  Demand.PromptTokens = Short
+                            ? 80 + static_cast<std::uint32_t>(Spread % 160)
+                            : 3000 + static_cast<std::uint32_t>(Spread % 6000);
   Demand.OutputTokens = Short ? 40 + static_cast<std::uint32_t>(Spread % 60)
                               : 120 + static_cast<std::uint32_t>(Spread % 160);
   return Demand;
@@ -79,9 +79,10 @@
   addArrivals(Trace, Random, Deployment.LongASecond, false, Any, Always);
   const double Extra = (Deployment.Crest - 1) * Deployment.LongASecond / 2;
   addArrivals(Trace, Random, Extra, false, Swinging, inCrest);
-  std::stable_sort(
-      Trace.begin(), Trace.end(),
-      [](const demand &Left, const demand &Right) { return Left.At < Right.At; });
+  std::stable_sort(Trace.begin(), Trace.end(),
+                   [](const demand &Left, const demand &Right) {
+                     return Left.At < Right.At;
+                   });
   return Trace;
 }
 
