--- a/apps/limpetctl/src/main.cpp
+++ b/apps/limpetctl/src/main.cpp
@@ -2,6 +2,7 @@
 /// `limpetctl`: the operator's tool.
 
 #include "base/settings.h"
+#include "core/transcript.h"
 #include "operator_session.h"
 
 #include <getopt.h>
@@ -123,6 +124,21 @@
   return Arguments.Words.empty() ? UsageStatus : 0;
 }
 
+auto runReplay(const arguments &Arguments) -> int {
+  for (const auto &File : Arguments.Words) {
+    auto Text = readFile(File);
+    if (!Text)
+      return report(Text.error());
+    auto Result = replaySession(Text.value());
+    if (!Result)
+      return report(
+          failure(Result.error().Code, File + ": " + Result.error().Detail));
+    std::cout << File << ": " << Result.value().Events << " events, "
+              << Result.value().Effects << " effects, no difference\n";
+  }
+  return Arguments.Words.empty() ? UsageStatus : 0;
+}
+
 auto commands() -> const std::vector<tool_command> & {
   static const std::vector<tool_command> All = {
       {"query", "query 'STATEMENT'",
@@ -134,6 +150,8 @@
        "declare what FILE says, in one atomic change", runApply},
       {"timeline", "timeline [--request ID] [--target NAME] [--change ID]",
        "the events of all processes in causal order", runTimeline},
+      {"replay", "replay FILE…",
+       "replay recorded sessions and report the first difference", runReplay},
       {"check", "check FILE…", "check settings files of nodes", runCheck},
   };
   return All;
--- a/benchmarks/path_benchmark.cpp
+++ b/benchmarks/path_benchmark.cpp
@@ -65,6 +65,8 @@
   const caller_client Client(Host, Entry, Token);
   std::vector<double> Direct;
   std::vector<double> Through;
+  Direct.reserve(static_cast<std::size_t>(Count));
+  Through.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number) {
     Direct.push_back(direct(Engine));
     const auto Answer = Client.chat("helper", "x", 1);
--- a/libs/platform/src/platform_client.cpp
+++ b/libs/platform/src/platform_client.cpp
@@ -117,7 +117,7 @@
   }
 
   /// Runs \p Exchange on the pool; a full queue counts as refused.
-  auto ask(ticket Ticket, std::function<exchange()> Exchange) -> void {
+  auto ask(ticket Ticket, const std::function<exchange()> &Exchange) -> void {
     const bool Queued = Pool.submit([this, Ticket, Exchange] {
       const auto Got = Exchange();
       Sink(table_replied{Ticket, Got.Status, decodeRows(Got.Body)});
@@ -126,7 +126,8 @@
       Sink(table_replied{Ticket, store_status::Refused, {}});
   }
 
-  auto askObject(ticket Ticket, std::function<exchange()> Exchange) -> void {
+  auto askObject(ticket Ticket, const std::function<exchange()> &Exchange)
+      -> void {
     const bool Queued = Pool.submit([this, Ticket, Exchange] {
       auto Got = Exchange();
       Sink(object_replied{Ticket, Got.Status, Got.HttpStatus == StatusOk,
--- a/testing/world/world.cpp
+++ b/testing/world/world.cpp
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include "core/store_keys.h"
+#include "core/transcript.h"
 
 #include <algorithm>
 
@@ -81,8 +82,8 @@
 
 } // namespace
 
-world::world(std::uint64_t Seed, mutation Mutation)
-    : Mutation(Mutation), Seed(Seed) {
+world::world(std::uint64_t Seed, mutation Mutation, bool Record)
+    : Mutation(Mutation), Record(Record), Seed(Seed) {
   const change First{change_id("first"),
                      {1},
                      parseDeclarations(Declarations, "world").value()};
@@ -122,7 +123,9 @@
   Options.Entry.BalancerWait = milliseconds(100);
   Options.Mutation = Mutation;
   const auto Index = Nodes.size();
-  Nodes.push_back({makeNode(Options, Seed + Index), true, false, {}});
+  Nodes.push_back({makeNode(Options, Seed + Index), true, false, {}, {}});
+  if (Record)
+    Nodes.back().Session = encodeStart(Options, Seed + Index) + "\n";
   if (Role == instance_role::Agent && Kind == target_kind::Engine)
     Engines.try_emplace(target_name(Name), EngineBytes, ChecksFence,
                         incarnation{1});
@@ -152,6 +155,11 @@
     return;
   }
   const auto Effects = reduce(Node.State, Event, Now);
+  if (Record) {
+    Node.Session += encodeEvent(Event, Now) + "\n";
+    for (const auto &Effect : Effects)
+      Node.Session += encodeEffect(Effect) + "\n";
+  }
   for (const auto &Effect : Effects) {
     watch(Index, Effect);
     std::visit([&](const auto &Each) { perform(Index, Each); }, Effect);
@@ -221,6 +229,45 @@
   Deliver();
 }
 
+auto world::deliverAll() -> void {
+  constexpr std::size_t Most = 20'000;
+  for (std::size_t Count = 0; !Queue.empty() && Count < Most; ++Count)
+    deliver(0);
+}
+
+auto world::indexOf(const std::string &Label) const -> std::size_t {
+  const auto Found =
+      std::find_if(Queue.begin(), Queue.end(), [&](const message &Each) {
+        return Each.Label.starts_with(Label);
+      });
+  return static_cast<std::size_t>(Found - Queue.begin());
+}
+
+auto world::loseFirst(const std::string &Label) -> bool {
+  const auto Index = indexOf(Label);
+  if (Index == Queue.size())
+    return false;
+  lose(Index);
+  return true;
+}
+
+auto world::timeOutFirst(const std::string &Label) -> bool {
+  const auto Index = indexOf(Label);
+  if (Index == Queue.size())
+    return false;
+  timeOut(Index);
+  return true;
+}
+
+auto world::sessionsOf(const std::string &Name) const
+    -> std::vector<std::string> {
+  std::vector<std::string> Sessions;
+  for (const auto &Node : Nodes)
+    if (Node.State.Options.Self.Name.Text == Name)
+      Sessions.push_back(Node.Session);
+  return Sessions;
+}
+
 auto world::advance(duration Span) -> void {
   Now += Span;
   for (node_index Index = 0; Index < Nodes.size(); ++Index)
@@ -694,9 +741,7 @@
 
 auto world::settleRound() -> void {
   constexpr auto Step = milliseconds(50);
-  constexpr std::size_t MostDeliveries = 20'000;
-  for (std::size_t Count = 0; !Queue.empty() && Count < MostDeliveries; ++Count)
-    deliver(0);
+  deliverAll();
   advance(Step);
 }
 
--- a/testing/world/world.h
+++ b/testing/world/world.h
@@ -37,6 +37,7 @@
   bool Alive = true;
   bool Paused = false;
   std::vector<event> Inbox; ///< What came while it was paused.
+  std::string Session;      ///< Its transcript, when recording.
 };
 
 /// The world.
@@ -44,7 +45,9 @@
 public:
   /// Two entries, an engine that checks tokens, one that does not, and two
   /// targets of one service; a small catalogue is in force.
-  explicit world(std::uint64_t Seed, mutation Mutation = mutation::None);
+  /// \param Record keeps the session of every node.
+  explicit world(std::uint64_t Seed, mutation Mutation = mutation::None,
+                 bool Record = false);
 
   // Steps. Each is harmless when it does not apply.
   auto deliver(std::size_t Index) -> void;
@@ -59,6 +62,12 @@
   auto replacePaused(std::size_t Agent) -> void;
   auto resumePaused() -> void;
   auto drain(std::size_t Node) -> void;
+  /// Delivers all that is under way, in order.
+  auto deliverAll() -> void;
+  /// Loses, or times out, the first message whose label starts so; false when
+  /// there is none.
+  auto loseFirst(const std::string &Label) -> bool;
+  auto timeOutFirst(const std::string &Label) -> bool;
   auto setStoreDown(bool Down) -> void { StoreDown = Down; }
   auto refreshList() -> void;
 
@@ -67,6 +76,9 @@
 
   [[nodiscard]] auto oracleOf() const -> const oracle & { return Oracle; }
   [[nodiscard]] auto queueLength() const -> std::size_t { return Queue.size(); }
+  /// Sessions of the lives of a node, oldest first; empty unless recording.
+  [[nodiscard]] auto sessionsOf(const std::string &Name) const
+      -> std::vector<std::string>;
   [[nodiscard]] auto now() const -> time_point { return Now; }
   [[nodiscard]] auto stateOf(node_index Index) const -> const node_state & {
     return Nodes[Index].State;
@@ -124,7 +136,10 @@
   auto runAtEngine(node_index Agent, const run_work &Effect) -> void;
   auto runAtService(node_index Agent, const run_work &Effect) -> void;
 
+  auto indexOf(const std::string &Label) const -> std::size_t;
+
   mutation Mutation;
+  bool Record;
   std::uint64_t Seed;
   time_point Now{seconds(1000)};
   oracle Oracle;
