--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -51,27 +51,44 @@
   rebuildServices(State);
 }
 
-auto rankHomes(const node_state &State, const model_name &Unit)
-    -> std::vector<target_name> {
-  /// A target and its weight for the unit.
-  struct weighted {
-    std::uint64_t Weight;
-    const target_name *Name;
-  };
-  std::vector<weighted> All;
-  All.reserve(State.Routing.Targets.size());
+/// A target that can hold models, with the hash of its name.
+struct hashed_target {
+  std::uint64_t Hash;
+  const target_name *Name;
+};
+
+/// Usable engines, gathered once for the ranking of many units.
+auto usableEngines(const node_state &State) -> std::vector<hashed_target> {
+  std::vector<hashed_target> Engines;
+  Engines.reserve(State.Routing.Targets.size());
   for (const auto &[Name, View] : State.Routing.Targets)
     if (View.Record.Kind == target_kind::Engine && isUsable(State, View))
-      All.push_back({rendezvousWeight(Unit.Text, Name.Text), &Name});
-  const auto Kept = std::min(HomeLimit, All.size());
-  std::partial_sort(All.begin(),
-                    All.begin() + static_cast<std::ptrdiff_t>(Kept), All.end(),
-                    [](const weighted &Left, const weighted &Right) {
-                      return Left.Weight > Right.Weight;
-                    });
+      Engines.push_back({stableHash(Name.Text), &Name});
+  return Engines;
+}
+
+auto mixHashes(std::uint64_t Left, std::uint64_t Right) -> std::uint64_t {
+  return random_state{Left ^ Right}.next();
+}
+
+/// The best targets for the unit by rendezvous hash.
+auto rankHomes(const std::vector<hashed_target> &Engines,
+               const model_name &Unit) -> std::vector<target_name> {
+  const auto Key = stableHash(Unit.Text);
+  std::vector<hashed_target> Ranked;
+  Ranked.reserve(Engines.size());
+  for (const auto &Engine : Engines)
+    Ranked.push_back({mixHashes(Key, Engine.Hash), Engine.Name});
+  const auto Kept = std::min(HomeLimit, Ranked.size());
+  std::partial_sort(
+      Ranked.begin(), Ranked.begin() + static_cast<std::ptrdiff_t>(Kept),
+      Ranked.end(), [](const hashed_target &Left, const hashed_target &Right) {
+        return Left.Hash > Right.Hash;
+      });
   std::vector<target_name> Homes;
+  Homes.reserve(Kept);
   for (std::size_t Index = 0; Index < Kept; ++Index)
-    Homes.push_back(*All[Index].Name);
+    Homes.push_back(*Ranked[Index].Name);
   return Homes;
 }
 
@@ -97,11 +114,12 @@
 /// catalogue comes to the same result.
 auto placeAll(node_state &State) -> void {
   taken_memory Taken;
+  const auto Engines = usableEngines(State);
   const auto &Catalogue = *State.Configuration.Current;
   for (const auto Kind : {declaration_kind::Model, declaration_kind::Version})
     for (const auto &[Name, Body] : Catalogue.all(Kind)) {
       auto &View = State.Routing.Units[model_name(Name)];
-      View.Homes = rankHomes(State, model_name(Name));
+      View.Homes = rankHomes(Engines, model_name(Name));
       View.HomesEpoch = State.Membership.Epoch;
       if (const auto Resolved = Catalogue.resolve(Name);
           Resolved && Resolved->Unit.Text == Name)
@@ -116,7 +134,7 @@
   }
   auto &View = State.Routing.Units[Unit];
   if (View.HomesEpoch != State.Membership.Epoch) {
-    View.Homes = rankHomes(State, Unit);
+    View.Homes = rankHomes(usableEngines(State), Unit);
     View.HomesEpoch = State.Membership.Epoch;
   }
   if (View.CheckedAtEpoch != State.Membership.Epoch) {
