--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -114,6 +114,31 @@
   Ctx.emit(Peers[State.Random.next() % Peers.size()]);
 }
 
+auto concernsTarget(const change &Change, const instance_name &Agent) -> bool {
+  if (isSnapshot(Change))
+    return true;
+  return std::any_of(Change.Operations.begin(), Change.Operations.end(),
+                     [&](const operation &Each) {
+                       return Each.Kind == declaration_kind::Target &&
+                              Each.Name == Agent.Text;
+                     });
+}
+
+/// Agents hear only of changes to their own target; of the revision they hear
+/// with every offer.
+auto pushChangedTargets(const context &Ctx, const std::vector<change> &Changes)
+    -> void {
+  for (const auto &[Name, Member] : Ctx.State.Membership.Members) {
+    const bool Concerned =
+        Member.Record.Role == instance_role::Agent &&
+        std::any_of(Changes.begin(), Changes.end(), [&](const change &Each) {
+          return concernsTarget(Each, Name);
+        });
+    if (Concerned)
+      pushTargetState(Ctx, Member.Record);
+  }
+}
+
 auto applyOne(const context &Ctx, const change &Change) -> bool {
   auto &Configuration = Ctx.State.Configuration;
   const auto Current = Configuration.Current->currentRevision();
@@ -211,9 +236,7 @@
   ++Ctx.State.Membership.Epoch;
   Ctx.note(note_kind::RevisionInForce, "", {}, std::to_string(Revision.Value),
            "");
-  for (const auto &[Name, Member] : Ctx.State.Membership.Members)
-    if (Member.Record.Role == instance_role::Agent)
-      pushTargetState(Ctx, Member.Record);
+  pushChangedTargets(Ctx, Changes);
   return true;
 }
 
