The fuzzing world in three files by job

Change: effects and the end of a run in files of their own; one way to make a request. Conclusion: no change of behaviour.

--- a/testing/world/world.h
+++ b/testing/world/world.h
@@ -40,6 +40,13 @@
   std::string Session;      ///< Its transcript, when recording.
 };
 
+/// How an attempt ends when its connection says so.
+[[nodiscard]] auto connectionEnded(const attempt_id &Id, run_outcome Outcome,
+                                   result_code Code) -> attempt_ended;
+
+inline constexpr std::size_t WorldModels = 6; ///< Models and adapters declared.
+inline constexpr auto CommandTime = seconds(20); ///< For an operator's command.
+
 /// The world.
 class world {
 public:
@@ -102,6 +109,8 @@
   auto breakStreams(node_index Agent) -> void;
   auto isEntryNode(node_index Index) const -> bool;
   auto pickEntry(std::size_t Index) -> node_index;
+  auto newRequest(node_index Entry) -> request_arrived;
+  auto ask(node_index Entry, const request_arrived &Event) -> request_id;
   auto applyStore(node_index From, ticket Ticket,
                   std::function<table_replied()> Execute) -> void;
   auto settleRound() -> void;
