--- a/benchmarks/path_benchmark.cpp
+++ b/benchmarks/path_benchmark.cpp
@@ -85,6 +85,7 @@
     -> std::uint64_t {
   std::atomic<std::uint64_t> Whole{0};
   std::vector<std::unique_ptr<thread>> Threads;
+  Threads.reserve(static_cast<std::size_t>(Streams));
   for (int Number = 0; Number < Streams; ++Number)
     Threads.push_back(std::make_unique<thread>(
         "stream", LoopStackBytes, [&Whole, Entry, Tokens] {
--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -129,13 +129,14 @@
 auto pushChangedTargets(const context &Ctx, const std::vector<change> &Changes)
     -> void {
   for (const auto &[Name, Member] : Ctx.State.Membership.Members) {
+    const auto &Record = Member.Record;
     const bool Concerned =
-        Member.Record.Role == instance_role::Agent &&
+        Record.Role == instance_role::Agent &&
         std::any_of(Changes.begin(), Changes.end(), [&](const change &Each) {
-          return concernsTarget(Each, Name);
+          return concernsTarget(Each, Record.Name);
         });
     if (Concerned)
-      pushTargetState(Ctx, Member.Record);
+      pushTargetState(Ctx, Record);
   }
 }
 
--- a/libs/wire/src/peer_server.cpp
+++ b/libs/wire/src/peer_server.cpp
@@ -60,11 +60,9 @@
   void OnWriteDone(bool Ok) override { // NOLINT: name given by gRPC
     const std::lock_guard Lock(Table.Mutex);
     Writing = false;
-    if (!Ok)
-      finish();
-    else if (!Waiting.empty())
+    if (Ok && !Waiting.empty())
       writeNext();
-    else if (Ended)
+    else if (!Ok || Ended)
       finish();
   }
 
--- a/testing/end_to_end/end_to_end_driver.cpp
+++ b/testing/end_to_end/end_to_end_driver.cpp
@@ -104,6 +104,7 @@
       static_cast<std::uint16_t>(std::atoi(Words[2]))};
   tally Tally;
   std::vector<std::unique_ptr<thread>> Threads;
+  Threads.reserve(Streams + Bookings);
   for (int Number = 0; Number < Streams; ++Number)
     Threads.push_back(std::make_unique<thread>(
         "stream", LoopStackBytes, [&Tally, &Ports, Number] {
--- a/testing/policy/policy_world.cpp
+++ b/testing/policy/policy_world.cpp
@@ -5,6 +5,7 @@
 #include "platform_stand_in.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 
 namespace limpetbridge {
@@ -45,7 +46,7 @@
                            const limpetbridge::deployment &Deployment)
     : Schedule(Schedule), Deployment(Deployment) {}
 
-auto weight_store::load(std::function<void()> Done) -> void {
+auto weight_store::load(const std::function<void()> &Done) -> void {
   ++Loads;
   const auto Start = std::max(Schedule.now(), NextStart);
   NextStart = Start + toDuration(1000.0 / Deployment.LoadsASecond);
@@ -122,8 +123,8 @@
 
 auto slownessOf(const stragglers &Slow, std::size_t Index, std::size_t Targets)
     -> double {
-  const auto Count =
-      static_cast<std::size_t>(Slow.Share * static_cast<double>(Targets) + 0.5);
+  const auto Count = static_cast<std::size_t>(
+      std::lround(Slow.Share * static_cast<double>(Targets)));
   return Index < Count ? Slow.Factor : 1.0;
 }
 
--- a/testing/policy/policy_world.h
+++ b/testing/policy/policy_world.h
@@ -45,7 +45,7 @@
 public:
   weight_store(schedule &Schedule, const deployment &Deployment);
   /// Calls \p Done when a load that starts now would end.
-  auto load(std::function<void()> Done) -> void;
+  auto load(const std::function<void()> &Done) -> void;
   [[nodiscard]] auto loads() const -> std::uint64_t { return Loads; }
 
 private:
--- a/testing/stand_ins/engine_stand_in.cpp
+++ b/testing/stand_ins/engine_stand_in.cpp
@@ -174,7 +174,7 @@
   }
   {
     const std::lock_guard Lock(Mutex);
-    const auto Begun = Engine.beginLoad(Order);
+    auto Begun = Engine.beginLoad(Order);
     if (Begun.Status != order_status::Done)
       return Begun;
   }
--- a/testing/world/world.h
+++ b/testing/world/world.h
@@ -112,7 +112,7 @@
   auto newRequest(node_index Entry) -> request_arrived;
   auto ask(node_index Entry, const request_arrived &Event) -> request_id;
   auto applyStore(node_index From, ticket Ticket,
-                  std::function<table_replied()> Execute) -> void;
+                  const std::function<table_replied()> &Execute) -> void;
   auto settleRound() -> void;
   auto checkReachable() -> void;
   auto checkStored() -> void;
--- a/testing/world/world_effects.cpp
+++ b/testing/world/world_effects.cpp
@@ -84,7 +84,7 @@
 }
 
 auto world::applyStore(node_index From, ticket Ticket,
-                       std::function<table_replied()> Execute) -> void {
+                       const std::function<table_replied()> &Execute) -> void {
   const auto Reply = [this, From, Ticket](table_replied Event) {
     Event.Ticket = Ticket;
     feed(From, Event);
