A server's error proves nothing; stops before the listener ran are kept

Cause: a generation answered with 5xx was reported as refused, so not run, without proof. The stand-ins' switch for lost answers lost none once a body was set. Change: only 4xx is a refusal; a lost answer drops its body; servers wait until their listener runs.

--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <stdexcept>
+#include <thread>
 
 namespace limpetbridge {
 
@@ -498,6 +499,9 @@
   Details->Listener =
       std::make_unique<thread>("caller-accept", LoopStackBytes,
                                [this] { Details->Server.listen_after_bind(); });
+  // A stop that comes before the listener runs would be lost.
+  while (!Details->Server.is_running())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
 caller_server::~caller_server() { stop(); }
--- a/libs/engine/src/target_client.cpp
+++ b/libs/engine/src/target_client.cpp
@@ -20,6 +20,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusConflict = 409;
 constexpr int FirstClientError = 400;
+constexpr int FirstServerError = 500;
 constexpr std::size_t OrderThreads = 6;
 constexpr std::size_t QueueLimit = 4096;
 constexpr auto ConnectTimeout = std::chrono::seconds(1);
@@ -97,7 +98,8 @@
     return order_status::Done;
   if (Result->status == StatusConflict)
     return order_status::Stale;
-  return Result->status < 500 ? order_status::Refused : order_status::NoAnswer;
+  return Result->status < FirstServerError ? order_status::Refused
+                                           : order_status::NoAnswer;
 }
 
 } // namespace
@@ -192,8 +194,8 @@
     Ended.Detail = Generation.Failure;
     if (!Result && Result.error() == httplib::Error::Connection)
       Ended.End = target_end::Unsent;
-    else if (Status >= FirstClientError)
-      Ended.End = target_end::Refused;
+    else if (Status >= FirstClientError && Status < FirstServerError)
+      Ended.End = target_end::Refused; // A server's error proves nothing.
     else
       Ended.End = Generation.Whole ? target_end::Whole : target_end::Broken;
     return Ended;
--- a/testing/stand_ins/stand_in_server.cpp
+++ b/testing/stand_ins/stand_in_server.cpp
@@ -45,6 +45,7 @@
 
 auto loseAnswer(httplib::Response &Response) -> void {
   constexpr std::size_t Promised = 10;
+  Response.body.clear(); // An answer that was made already is lost as well.
   Response.set_content_provider(
       Promised, "application/json",
       [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
@@ -130,6 +131,9 @@
 auto stand_in_server::start() -> void {
   Listener = std::make_unique<thread>("stand-in-main", LoopStackBytes,
                                       [this] { Server.listen_after_bind(); });
+  // A stop that comes before the listener runs would be lost.
+  while (!Server.is_running())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
 } // namespace limpetbridge
