--- a/libs/core/include/core/requests.h
+++ b/libs/core/include/core/requests.h
@@ -17,13 +17,10 @@
 /// One attempt that may still speak.
 struct attempt_state {
   target_name Target;
-  incarnation Agent;
   time_point StartedAt;
   time_point LastProgress;
-  std::uint32_t StartOffset = 0; ///< Pieces delivered before it.
-  bool Spoke = false;            ///< A piece of it arrived.
-  bool Cold = false;             ///< Its target had to load for it.
-  bool Extra = false;            ///< It would have been a further copy.
+  bool Cold = false;  ///< Its target had to load for it.
+  bool Extra = false; ///< It would have been a further copy.
   std::map<std::uint32_t, std::vector<std::string>> Early; ///< Beyond a gap.
   std::optional<std::uint32_t> Total; ///< Set once it ended whole.
   duration ExpectedWait{};            ///< Queue delay when it was sent.
--- a/libs/core/include/core/routing.h
+++ b/libs/core/include/core/routing.h
@@ -21,7 +21,6 @@
   time_point HintAt;               ///< When it told.
   std::uint32_t SentSinceHint = 0; ///< Own attempts since then.
   double Slowness = 1.0;           ///< Own observed time over expected time.
-  std::uint32_t Samples = 0;       ///< Observations behind Slowness.
   time_point AvoidUntil;           ///< Not chosen before, after failures.
   std::uint32_t Failures = 0;      ///< Consecutive failures.
 };
--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -24,7 +24,6 @@
 
 auto hedgeTime(const context &Ctx, const work &Work, duration Wait)
     -> time_point {
-  constexpr double PromptTokenMs = 0.1;
   if (Work.Kind != work_kind::Generate)
     return NoDeadline;
   const double Expected = Ctx.State.Routing.Estimate.FirstTokenMs +
@@ -364,10 +363,8 @@
   const auto Wait = View->QueueDelay + loadTime(*Chosen, Request.Work);
   auto &Attempt = Request.Live[Request.LastAttempt];
   Attempt.Target = Target;
-  Attempt.Agent = View->Record.Incarnation;
   Attempt.StartedAt = Ctx.Now;
   Attempt.LastProgress = Ctx.Now;
-  Attempt.StartOffset = Request.Delivered;
   Attempt.ExpectedWait = Wait;
   Attempt.Cold = !Chosen->Resident;
   Attempt.Extra = Chosen->Extra;
--- a/libs/core/src/commands.cpp
+++ b/libs/core/src/commands.cpp
@@ -102,8 +102,8 @@
   }
 }
 
-auto spread(const context &Ctx, std::uint64_t Command, pending_command &Pending,
-            revision Accepted) -> void {
+auto spread(const context &Ctx, pending_command &Pending, revision Accepted)
+    -> void {
   Pending.Phase = command_phase::Spreading;
   Pending.Accepted = Accepted;
   Pending.Waiting = false;
@@ -116,7 +116,6 @@
   Ctx.note(note_kind::ChangeAccepted, "", {}, Pending.Command.Id.Text,
            "revision " + std::to_string(Accepted.Value));
   tickCommands(Ctx);
-  (void)Command;
 }
 
 auto countDataCentres(const node_state &State, const pending_command &Pending)
@@ -197,7 +196,7 @@
   std::uint64_t HeadVersion = 0;
   for (const auto &Row : Event.Rows) {
     if (Row.Key != store_keys::Head) {
-      spread(Ctx, Command, Pending, store_keys::parseRevision(Row.Value));
+      spread(Ctx, Pending, store_keys::parseRevision(Row.Value));
       return;
     }
     Head = store_keys::parseRevision(Row.Value);
@@ -246,8 +245,8 @@
                       encodeChange(Current.snapshot())});
 }
 
-auto takeWrite(const context &Ctx, std::uint64_t Command,
-               pending_command &Pending, const table_replied &Event) -> void {
+auto takeWrite(const context &Ctx, pending_command &Pending,
+               const table_replied &Event) -> void {
   if (Event.Status == store_status::NoAnswer)
     Pending.MaybeWritten = true;
   if (Event.Status != store_status::Applied) {
@@ -259,7 +258,7 @@
   applyChanges(Ctx, {{Pending.Command.Id, Pending.Accepted,
                       Pending.Command.Operations}});
   maybeWriteSnapshot(Ctx);
-  spread(Ctx, Command, Pending, Pending.Accepted);
+  spread(Ctx, Pending, Pending.Accepted);
 }
 
 } // namespace
@@ -298,7 +297,7 @@
     return;
   auto &Pending = Found->second;
   if (Pending.Phase == command_phase::Writing) {
-    takeWrite(Ctx, Command, Pending, Event);
+    takeWrite(Ctx, Pending, Event);
     return;
   }
   if (Event.Status != store_status::Applied) {
--- a/libs/core/src/details/common.h
+++ b/libs/core/src/details/common.h
@@ -12,6 +12,9 @@
 
 namespace limpetbridge::details {
 
+/// Expected time of one prompt token before anything was observed, ms.
+inline constexpr double PromptTokenMs = 0.1;
+
 /// What every handler works with: state, time, and where effects go.
 struct context {
   node_state &State;
--- a/libs/core/src/requests.cpp
+++ b/libs/core/src/requests.cpp
@@ -273,7 +273,6 @@
   const auto Source = Live.Request->Source;
   if (Source != 0 && Source != Event.Attempt.Attempt)
     return;
-  Live.Attempt->Spoke = true;
   bindSource(Ctx, Event.Attempt, *Live.Request, *Live.Attempt);
   takeFrame(Ctx, Event.Attempt.Request, *Live.Request, *Live.Attempt,
             Event.Frame);
--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -172,7 +172,6 @@
 
 auto serviceTime(const node_state &State, const work &Work) -> duration {
   constexpr double UsualCallMs = 20;
-  constexpr double PromptTokenMs = 0.1;
   if (Work.Kind == work_kind::Call)
     return fromMilliseconds(UsualCallMs);
   const auto &Estimate = State.Routing.Estimate;
@@ -236,7 +235,6 @@
 };
 
 auto addHolders(candidate_builder &Builder, const unit_view &Unit) -> void {
-  constexpr double PromptTokenMs = 0.1;
   const auto &Work = Builder.Request.Work;
   const auto Preferred = prefixHolder(Unit, Work);
   const auto Saving =
@@ -396,14 +394,12 @@
   View->Failures = 0;
   View->AvoidUntil = {};
   auto &Estimate = Ctx.State.Routing.Estimate;
-  constexpr double PromptTokenMs = 0.1;
   const double Own = asMilliseconds(Took - std::min(Took, Wait));
   const double Expected =
       Estimate.FirstTokenMs + PromptTokenMs * Work.PromptTokens;
   const double Ratio = std::clamp(Own / Expected, 0.05, MaxSlowness);
   const double Before = View->Slowness;
   View->Slowness += SlownessShare * (Ratio - View->Slowness);
-  ++View->Samples;
   noteSlowness(Ctx, Target, Before, View->Slowness);
   const double Sample = std::max(1.0, Own - PromptTokenMs * Work.PromptTokens);
   Estimate.FirstTokenMs += EstimateShare * (Sample - Estimate.FirstTokenMs);
