--- a/apps/limpetbridge/src/main.cpp
+++ b/apps/limpetbridge/src/main.cpp
@@ -1,7 +1,10 @@
 /// \file
 /// `limpetbridge`: one node, entry or agent, as its settings say.
 
+#include "adapter/hooks.h"
 #include "base/log.h"
+#include "controller_node.h"
+#include "gateway_node.h"
 #include "node.h"
 #include "node_setup.h"
 
@@ -28,6 +31,9 @@
     "  -V, --version             print the version\n"
     "  -h, --help                print this text\n"
     "\n"
+    "Without options, the settings file that LIMPETBRIDGE_SETTINGS names is "
+    "run.\n"
+    "\n"
     "SIGTERM drains: readyz fails, new work is refused as not run, running\n"
     "work finishes, exit status 0. A second signal ends the process at once.\n";
 
@@ -64,6 +70,9 @@
     else
       return {};
   }
+  const char *Default = std::getenv("LIMPETBRIDGE_SETTINGS"); // NOLINT
+  if (Count == 1 && Default != nullptr)
+    Line = {command::Run, Default};
   if (Line.Command == command::Print && optind < Count)
     Line.File = Words[optind];
   return Line;
@@ -141,11 +150,29 @@
   }
 }
 
+/// Runs a gateway or a controller until it is told to stop.
+auto runServing(const node_settings &Settings) -> int {
+  signal(SIGPIPE, SIG_IGN); // NOLINT: before any thread starts
+  try {
+    if (Settings.Role == "gateway")
+      gateway_node(Settings, adapter::makeGatewayHooks(Settings)).run();
+    else
+      controller_node(Settings, adapter::makeControllerHooks(Settings)).run();
+    return 0;
+  } catch (const std::exception &Error) {
+    log(log_level::Error, "failed", {{"error", Error.what()}});
+    return reportError(failure(result_code::StartupFailed, Error.what()));
+  }
+}
+
 auto runNode(const std::string &File) -> int {
   auto Settings = loadChecked(File);
   if (!Settings)
     return reportError(Settings.error());
   startLog(Settings.value().Name, Settings.value().LogFile);
+  if (Settings.value().Role == "gateway" ||
+      Settings.value().Role == "controller")
+    return runServing(Settings.value());
   const auto Signals = blockSignals();
   std::atomic<int> Status{0};
   try {
--- /dev/null
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -0,0 +1,270 @@
+#include "controller_node.h"
+
+#include "base/log.h"
+#include "net/target_connection.h"
+#include "stop_signal.h"
+
+#include <algorithm>
+
+namespace limpetbridge {
+
+namespace {
+
+using namespace serving;
+using net::awaitable;
+
+/// Longest wait for a report; the target is on the same machine.
+constexpr duration ReportTimeout = milliseconds(500);
+/// Longest wait for the answer to an order.
+constexpr duration OrderTimeout = milliseconds(1000);
+/// Pauses between reports while an order is carried out: an adapter takes
+/// some milliseconds, a model some hundred or more.
+constexpr duration AdapterPause = milliseconds(6);
+constexpr duration ModelPause = milliseconds(40);
+/// Time after which a job is given up.
+constexpr duration AdapterJobTime = milliseconds(1400);
+constexpr duration ModelJobTime = seconds(7);
+/// Pause before another try for a permit of the weight store.
+constexpr duration PermitPause = milliseconds(250);
+constexpr std::uint16_t Okay = 200;
+constexpr std::uint16_t Unavailable = 503;
+
+auto sleep(duration Span) -> awaitable<void> {
+  net::asio::steady_timer Timer(co_await net::asio::this_coro::executor);
+  Timer.expires_after(Span);
+  co_await Timer.async_wait(net::asio::use_awaitable);
+}
+
+auto sameJob(const load_job &Left, const load_request &Right) -> bool {
+  return Left.Model == Right.Model && Left.Adapter == Right.Adapter;
+}
+
+} // namespace
+
+controller_node::controller_node(const node_settings &NodeSettings,
+                                 controller_hooks NodeHooks)
+    : Settings(NodeSettings), Hooks(std::move(NodeHooks)) {
+  const auto Executor = Context.get_executor();
+  Calls = std::make_unique<net::listener>(
+      Context, Settings.LinkAddress,
+      [this, Executor](std::shared_ptr<net::caller_connection> Accepted) {
+        net::spawn(Executor,
+                   net::serveCalls(std::move(Accepted),
+                                   [this](net::http_request Request) {
+                                     return answerCall(std::move(Request));
+                                   }));
+      });
+  Link = std::make_unique<net::datagram_socket>(
+      Context, Settings.LinkAddress,
+      [this](const std::string & /*From*/, std::string_view Bytes) {
+        takeDatagram(Bytes);
+      });
+}
+
+auto controller_node::run() -> void {
+  log(log_level::Info, "started",
+      {{"role", Settings.Role}, {"target", Settings.ControllerTarget}});
+  net::spawn(Context.get_executor(), start());
+  Hooks.WatchConfiguration(Context, [this](configuration Read) {
+    if (Read.Version <= Configuration.Version)
+      return;
+    Configuration = std::move(Read);
+    log(log_level::Info, "configuration_in_force",
+        {{"version", std::to_string(Configuration.Version)}});
+  });
+  onStopSignal(Context, [this] {
+    log(log_level::Info, "stopping",
+        {{"jobs", std::to_string(ModelJobs.size() + AdapterJobs.size())}});
+    Context.stop();
+  });
+  Context.run();
+  log(log_level::Info, "stopped", {});
+}
+
+auto controller_node::start() -> awaitable<void> {
+  instance_record Self;
+  Self.Name = instance_name(Settings.Name);
+  Self.Role = instance_role::Controller;
+  Self.Address = Settings.LinkAddress;
+  Self.TargetAddress = Settings.ControllerTarget;
+  FencingToken = co_await Hooks.Register(Self);
+  log(log_level::Info, "holder_confirmed",
+      {{"fencing_token", std::to_string(FencingToken)}});
+}
+
+auto controller_node::engine() const -> const engine_spec * {
+  const auto Found =
+      Configuration.Services.find(service_name(Settings.TargetService));
+  return Found == Configuration.Services.end() || !Found->second.HasEngine
+             ? nullptr
+             : &Found->second.Engine;
+}
+
+auto controller_node::takeDatagram(std::string_view Bytes) -> void {
+  auto Message = decodeLink(Bytes);
+  if (!Message)
+    log(log_level::Warning, "datagram_unreadable",
+        {{"error", toString(Message.error())}});
+}
+
+auto controller_node::findJob(const load_request &Request) -> job {
+  auto &Queue = Request.Adapter.empty() ? ModelJobs : AdapterJobs;
+  const auto Found =
+      std::find_if(Queue.begin(), Queue.end(), [&](const job &Each) {
+        return Each->Target == Request.Target && sameJob(Each->Job, Request);
+      });
+  if (Found != Queue.end())
+    return *Found;
+  auto New = std::make_shared<job_state>();
+  New->Job = {Request.Model, Request.Adapter, Request.Victims};
+  New->Target = Request.Target;
+  Queue.push_back(New);
+  auto &Running = Request.Adapter.empty() ? ModelsRunning : AdaptersRunning;
+  if (!std::exchange(Running, true))
+    net::spawn(Context.get_executor(), runJobs(Queue, Running));
+  return New;
+}
+
+auto controller_node::answerCall(net::http_request Request)
+    -> awaitable<net::http_answer> {
+  net::http_answer Answer;
+  Answer.Head.Status = Unavailable;
+  const auto Load = decodeLoad(Request.Body);
+  if (Request.Target != "/load" || !Load) {
+    log(log_level::Warning, "call_unreadable", {{"path", Request.Target}});
+    Answer.Head.Status = describe(result_code::MalformedRequest).HttpStatus;
+    co_return Answer;
+  }
+  if (FencingToken == 0 || engine() == nullptr) {
+    log(log_level::Warning, "load_refused",
+        {{"model", Load.value().Model.Text},
+         {"fencing_token", std::to_string(FencingToken)},
+         {"configuration", std::to_string(Configuration.Version)}});
+    co_return Answer;
+  }
+  const auto Job = findJob(Load.value());
+  if (!Job->Done) {
+    const auto Timer = std::make_shared<net::asio::steady_timer>(
+        Context, std::chrono::steady_clock::time_point::max());
+    Job->Waiters.push_back(Timer);
+    net::error_code Cancelled; // How the end of the job wakes this up.
+    co_await Timer->async_wait(net::into(Cancelled));
+  }
+  Answer.Head.Status = Job->Held ? Okay : Unavailable;
+  co_return Answer;
+}
+
+auto controller_node::runJobs(std::deque<job> &Queue, bool &Running)
+    -> awaitable<void> {
+  while (!Queue.empty()) {
+    const auto Job = Queue.front();
+    Job->Held = co_await runJob(Job);
+    Job->Done = true;
+    Queue.pop_front();
+    for (const auto &Waiter : Job->Waiters)
+      Waiter->cancel();
+  }
+  Running = false;
+}
+
+auto controller_node::readReport() -> awaitable<std::optional<engine_report>> {
+  const net::asio::any_io_executor Executor = Context.get_executor();
+  const auto Request = Hooks.WriteReportRequest();
+  const auto Answer =
+      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
+                          process_clock::now() + ReportTimeout);
+  if (!Answer || Answer->Head.Status != Okay)
+    co_return std::nullopt;
+  auto Report = Hooks.ReadReport(Answer->Body);
+  if (!Report) {
+    log(log_level::Warning, "report_unreadable",
+        {{"error", toString(Report.error())}});
+    co_return std::nullopt;
+  }
+  co_return Report.value();
+}
+
+auto controller_node::permitLoad() -> awaitable<bool> {
+  const double PerWindow = engine()->LoadsPerSecond *
+                           static_cast<double>(Settings.LoadWindowMs) / 1000;
+  co_return co_await Hooks.TakeLoadPermit(
+      Settings.LoadWindowMs,
+      static_cast<std::size_t>(std::max(1.0, PerWindow)));
+}
+
+auto controller_node::carryOut(const job_state &Job, const order_step &Step,
+                               std::uint64_t Sequence) -> awaitable<order_end> {
+  order_facts Facts;
+  Facts.Kind = Step.Kind;
+  Facts.Target = Job.Target;
+  Facts.Model = Step.Model;
+  Facts.Adapter = Step.Adapter;
+  Facts.Sequence = Sequence;
+  Facts.Holder = instance_name(Settings.Name);
+  Facts.FencingToken = FencingToken;
+  const net::asio::any_io_executor Executor = Context.get_executor();
+  const auto Request = Hooks.WriteOrder(Facts);
+  const auto Answer =
+      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
+                          process_clock::now() + OrderTimeout);
+  const auto End =
+      Answer ? Hooks.ReadOrderAnswer(Answer->Head.Status) : order_end::Unknown;
+  log(log_level::Info, "order_ended",
+      {{"order", std::string(nameOf(Step.Kind))},
+       {"target", Job.Target.Text},
+       {"model", Step.Model.Text},
+       {"adapter", Step.Adapter},
+       {"sequence", std::to_string(Sequence)},
+       {"status", std::to_string(Answer ? Answer->Head.Status : 0)}});
+  co_return End;
+}
+
+auto controller_node::runJob(job Job) -> awaitable<bool> {
+  const bool ForAdapter = !Job->Job.Adapter.empty();
+  const auto Deadline =
+      process_clock::now() + (ForAdapter ? AdapterJobTime : ModelJobTime);
+  const auto Pause = ForAdapter ? AdapterPause : ModelPause;
+  if (ForAdapter)
+    LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
+  while (process_clock::now() < Deadline) {
+    const auto Report = co_await readReport();
+    if (!Report || engine() == nullptr) {
+      co_await sleep(Pause);
+      continue;
+    }
+    if (Report->Holds.Models.contains(Reserved))
+      Reserved = model_name();
+    const auto Step =
+        nextStep(*engine(), *Report, Job->Job, Reserved, LastUsed);
+    if (Step.Kind == step_kind::Held)
+      co_return true;
+    if (Step.Kind == step_kind::Impossible) {
+      log(log_level::Warning, "load_impossible",
+          {{"model", Job->Job.Model.Text},
+           {"adapter", Job->Job.Adapter},
+           {"sequence", std::to_string(Report->Sequence)},
+           {"held", std::to_string(Report->Holds.Models.size())}});
+      co_return false;
+    }
+    if (Step.Kind == step_kind::Wait) {
+      co_await sleep(Pause);
+      continue;
+    }
+    bool Permitted = true;
+    if (Step.FromStore)
+      Permitted = co_await permitLoad();
+    if (!Permitted) {
+      co_await sleep(PermitPause);
+      continue;
+    }
+    if (Step.Kind == step_kind::Load)
+      Reserved = Step.Model;
+    const auto End = co_await carryOut(*Job, Step, Report->Sequence);
+    if (End == order_end::Refused && Step.Kind == step_kind::Load)
+      Reserved = model_name();
+    co_await sleep(Pause);
+  }
+  co_return false;
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -0,0 +1,69 @@
+/// \file
+/// A controller process: the one that gives orders to the target beside it.
+#ifndef LIMPETBRIDGE_NODE_SERVING_CONTROLLER_NODE_H
+#define LIMPETBRIDGE_NODE_SERVING_CONTROLLER_NODE_H
+
+#include "base/settings.h"
+#include "controller_hooks.h"
+#include "link_codec.h"
+#include "net/server.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace limpetbridge {
+
+/// One controller. Runs on the thread that calls run.
+class controller_node {
+public:
+  /// \throws std::exception if an address cannot be listened on.
+  controller_node(const node_settings &NodeSettings,
+                  controller_hooks NodeHooks);
+
+  /// Serves until SIGTERM.
+  auto run() -> void;
+
+private:
+  /// A load request in progress; requests for the same thing share it.
+  struct job_state {
+    serving::load_job Job;
+    target_name Target;
+    bool Done = false;
+    bool Held = false;
+    std::vector<std::shared_ptr<net::asio::steady_timer>> Waiters;
+  };
+  using job = std::shared_ptr<job_state>;
+
+  auto start() -> net::awaitable<void>;
+  auto answerCall(net::http_request Request)
+      -> net::awaitable<net::http_answer>;
+  auto findJob(const load_request &Request) -> job;
+  auto runJobs(std::deque<job> &Queue, bool &Running) -> net::awaitable<void>;
+  auto runJob(job Job) -> net::awaitable<bool>;
+  auto readReport() -> net::awaitable<std::optional<serving::engine_report>>;
+  auto carryOut(const job_state &Job, const serving::order_step &Step,
+                std::uint64_t Sequence) -> net::awaitable<order_end>;
+  auto permitLoad() -> net::awaitable<bool>;
+  auto takeDatagram(std::string_view Bytes) -> void;
+  [[nodiscard]] auto engine() const -> const serving::engine_spec *;
+
+  node_settings Settings;
+  controller_hooks Hooks;
+  net::asio::io_context Context;
+  serving::configuration Configuration;
+  std::uint64_t FencingToken = 0; ///< 0: not known yet, no orders.
+  std::deque<job> ModelJobs;
+  std::deque<job> AdapterJobs;
+  bool ModelsRunning = false;
+  bool AdaptersRunning = false;
+  model_name Reserved; ///< Ordered to load; its memory counts as taken.
+  std::map<serving::adapter_key, time_point> LastUsed;
+  std::unique_ptr<net::listener> Calls;
+  std::unique_ptr<net::datagram_socket> Link;
+};
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_NODE_SERVING_CONTROLLER_NODE_H
--- /dev/null
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -0,0 +1,271 @@
+#include "gateway_node.h"
+
+#include "link_codec.h"
+#include "net/target_connection.h"
+#include "stop_signal.h"
+
+namespace limpetbridge {
+
+namespace {
+
+using namespace serving;
+using net::awaitable;
+
+/// Time between ticks; loads and deadlines are looked at this often.
+constexpr duration TickInterval = milliseconds(100);
+/// Longest wait for a controller's answer to a load request: a load from the
+/// weight store, with those before it.
+constexpr duration LoadCallTimeout = seconds(8);
+/// Time after SIGTERM in which callers may still send requests: the balancer
+/// takes two failed looks, a second apart, to turn away from this instance.
+constexpr duration OpenAfterStop = milliseconds(2600);
+/// Left of the grace period for the end of the process.
+constexpr duration EndSlack = milliseconds(400);
+/// Time between looks at what is still in progress.
+constexpr duration DrainLook = milliseconds(50);
+constexpr std::uint16_t Okay = 200;
+constexpr std::uint16_t Unavailable = 503;
+
+auto toOptions(const node_settings &Settings) -> gateway_options {
+  gateway_options Options;
+  Options.Self = instance_name(Settings.Name);
+  Options.DataCentre = data_centre_name(Settings.DataCentre);
+  Options.Retries.Ratio = Settings.RetryRatio;
+  Options.Retries.Extra = static_cast<double>(Settings.RetryExtra);
+  Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
+  Options.LostGrace = milliseconds(Settings.LostGraceMs);
+  Options.Seed = stableHash(Settings.Name);
+  return Options;
+}
+
+auto sleep(duration Span) -> awaitable<void> {
+  net::asio::steady_timer Timer(co_await net::asio::this_coro::executor);
+  Timer.expires_after(Span);
+  co_await Timer.async_wait(net::asio::use_awaitable);
+}
+
+} // namespace
+
+gateway_node::gateway_node(const node_settings &NodeSettings,
+                           gateway_hooks NodeHooks)
+    : Settings(NodeSettings), Hooks(std::move(NodeHooks)),
+      State(makeGatewayState(toOptions(NodeSettings))) {
+  Environment.Hooks = &Hooks;
+  Environment.Dispatch = [this](gateway_event Event) {
+    dispatch(std::move(Event));
+  };
+  Environment.Closing = [this] { return Draining; };
+  const auto Executor = Context.get_executor();
+  Callers = std::make_unique<net::listener>(
+      Context, Settings.GatewayCallers, [this, Executor](connection Accepted) {
+        net::spawn(Executor, serveCaller(std::move(Accepted)));
+      });
+  Readiness = std::make_unique<net::listener>(
+      Context, Settings.GatewayReadiness,
+      [this, Executor](connection Accepted) {
+        net::spawn(Executor,
+                   net::serveCalls(std::move(Accepted),
+                                   [this](net::http_request Request) {
+                                     return answerReadiness(std::move(Request));
+                                   }));
+      });
+  Link = std::make_unique<net::datagram_socket>(
+      Context, Settings.LinkAddress,
+      [this](const std::string & /*From*/, std::string_view Bytes) {
+        takeDatagram(Bytes);
+      });
+}
+
+auto gateway_node::run() -> void {
+  log(log_level::Info, "started",
+      {{"role", Settings.Role}, {"callers", Settings.GatewayCallers}});
+  instance_record Self;
+  Self.Name = instance_name(Settings.Name);
+  Self.Address = Settings.LinkAddress;
+  Hooks.Watch(Context, Self, Environment.Dispatch);
+  const auto Executor = Context.get_executor();
+  net::spawn(Executor, keepTime());
+  onStopSignal(Context, [this, Executor] { net::spawn(Executor, stop()); });
+  Context.run();
+  log(log_level::Info, "stopped", {});
+}
+
+auto gateway_node::dispatch(gateway_event Event) -> void {
+  Events.push_back(std::move(Event));
+  if (std::exchange(Reducing, true))
+    return;
+  while (!Events.empty()) {
+    const auto Next = std::move(Events.front());
+    Events.pop_front();
+    for (const auto &Effect : reduce(State, Next, process_clock::now()))
+      std::visit([this](const auto &Each) { execute(Each); }, Effect);
+  }
+  Reducing = false;
+}
+
+auto gateway_node::command(request_number Number,
+                           gateway_request::command Command) -> void {
+  const auto Found = Requests.find(Number);
+  if (Found != Requests.end())
+    Found->second->take(std::move(Command));
+}
+
+auto gateway_node::execute(const set_deadline &Effect) -> void {
+  const auto Found = Requests.find(Effect.Number);
+  if (Found != Requests.end())
+    Found->second->setDeadline(Effect.Deadline);
+}
+
+auto gateway_node::execute(const send_attempt &Effect) -> void {
+  command(Effect.Number, Effect);
+}
+
+auto gateway_node::execute(const refuse_request &Effect) -> void {
+  command(Effect.Number, Effect);
+}
+
+auto gateway_node::execute(const relay_failure &Effect) -> void {
+  command(Effect.Number, Effect);
+}
+
+auto gateway_node::execute(const ask_load &Effect) -> void {
+  net::spawn(Context.get_executor(), askController(Effect));
+}
+
+auto gateway_node::execute(const send_digest &Effect) -> void {
+  const auto Bytes = encodeLink(Effect.Digest);
+  for (const auto &Address : Effect.Addresses)
+    Link->send(Address, Bytes);
+}
+
+auto gateway_node::execute(const greet_controllers &Effect) -> void {
+  const auto Bytes =
+      encodeLink(greeting{instance_name(Settings.Name), Settings.LinkAddress});
+  for (const auto &Address : Effect.Addresses)
+    Link->send(Address, Bytes);
+}
+
+auto gateway_node::execute(const write_note &Effect) -> void {
+  log(Effect.Level, Effect.Event, Effect.Fields);
+}
+
+auto gateway_node::askController(ask_load Effect) -> awaitable<void> {
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = "/load";
+  Request.Fields.push_back({"Host", Effect.ControllerAddress});
+  Request.Body =
+      encodeLoad({Effect.Model, Effect.Adapter, Effect.Victims, Effect.Target});
+  const net::asio::any_io_executor Executor = Context.get_executor();
+  const auto Answer =
+      co_await net::fetch(Executor, Effect.ControllerAddress, Request,
+                          process_clock::now() + LoadCallTimeout);
+  const bool Held = Answer && Answer->Head.Status == Okay;
+  dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held});
+}
+
+auto gateway_node::takeDatagram(std::string_view Bytes) -> void {
+  auto Message = decodeLink(Bytes);
+  if (!Message) {
+    log(log_level::Warning, "datagram_unreadable",
+        {{"error", toString(Message.error())}});
+    return;
+  }
+  if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
+    dispatch(std::move(*Digest));
+  else if (auto *Target = std::get_if<target_described>(&Message.value()))
+    dispatch(std::move(*Target));
+}
+
+auto gateway_node::keepTime() -> awaitable<void> {
+  for (;;) {
+    co_await sleep(TickInterval);
+    dispatch(tick{});
+  }
+}
+
+auto gateway_node::limits() const -> net::connection_limits {
+  const auto &From = State.Configuration.Limits;
+  return {From.HeaderBytes, From.BodyBytes, From.HeaderTimeoutMs,
+          From.IdleTimeoutMs};
+}
+
+auto gateway_node::serveCaller(connection Connection) -> awaitable<void> {
+  Connections.insert(Connection);
+  bool Open = true;
+  while (Open && !Closing) {
+    const auto Limits = limits();
+    auto Outcome = co_await Connection->readRequest(Limits);
+    if (Outcome.End == net::read_end::Closed)
+      break;
+    if (Outcome.End == net::read_end::Rejected) {
+      log(log_level::Warning, "request_rejected",
+          {{"status", std::to_string(Outcome.Status)},
+           {"why", std::string(Outcome.Why)}});
+      net::http_answer Answer;
+      Answer.Head.Status = Outcome.Status;
+      Answer.Body = std::string(Outcome.Why) + "\n";
+      auto Bytes = printAnswer(Answer, true);
+      co_await Connection->write(std::move(Bytes));
+      break;
+    }
+    Open = co_await serveRequest(Connection, std::move(Outcome));
+  }
+  if (Connection->isOpen())
+    co_await Connection->finish();
+  Connections.erase(Connection);
+}
+
+auto gateway_node::serveRequest(connection Connection,
+                                net::read_outcome Outcome) -> awaitable<bool> {
+  auto Call = Hooks.ReadCall(Outcome.Request, Outcome.FirstByte);
+  if (!Call) {
+    log(log_level::Warning, "request_rejected",
+        {{"error", toString(Call.error())}});
+    net::http_answer Answer;
+    Answer.Head.Status = describe(Call.error().Code).HttpStatus;
+    auto Bytes = printAnswer(Answer, false);
+    co_return co_await Connection->write(std::move(Bytes));
+  }
+  const auto Number = ++LastNumber;
+  const auto Request = std::make_shared<gateway_request>(
+      Number, Connection, std::move(Outcome.Request), std::move(Call.value()),
+      Environment, Context.get_executor());
+  Requests[Number] = Request;
+  const bool Open = co_await Request->run();
+  Requests.erase(Number);
+  co_return Open;
+}
+
+auto gateway_node::answerReadiness(net::http_request /*Request*/)
+    -> awaitable<net::http_answer> {
+  net::http_answer Answer;
+  const bool Ready = !Draining && State.Configuration.Version > 0;
+  Answer.Head.Status = Ready ? Okay : Unavailable;
+  co_return Answer;
+}
+
+auto gateway_node::stop() -> awaitable<void> {
+  if (std::exchange(Draining, true))
+    co_return;
+  const auto Began = process_clock::now();
+  log(log_level::Info, "stopping",
+      {{"requests", std::to_string(Requests.size())},
+       {"connections", std::to_string(Connections.size())}});
+  co_await sleep(OpenAfterStop);
+  Closing = true;
+  Callers->stop();
+  const auto Last = Began + milliseconds(Settings.StopGraceMs) - EndSlack;
+  while (process_clock::now() < Last) {
+    for (const auto &Connection : Connections)
+      Connection->closeIfIdle();
+    if (Requests.empty())
+      break;
+    co_await sleep(DrainLook);
+  }
+  // The last answers are read before the process ends.
+  co_await sleep(DrainLook);
+  Context.stop();
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -0,0 +1,74 @@
+/// \file
+/// A gateway process: callers' connections, the reducer, links to the others.
+#ifndef LIMPETBRIDGE_NODE_SERVING_GATEWAY_NODE_H
+#define LIMPETBRIDGE_NODE_SERVING_GATEWAY_NODE_H
+
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "gateway_hooks.h"
+#include "gateway_request.h"
+#include "net/server.h"
+#include "serving/gateway.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace limpetbridge {
+
+/// One gateway. Runs on the thread that calls run.
+class gateway_node {
+public:
+  /// \throws std::exception if an address cannot be listened on.
+  gateway_node(const node_settings &NodeSettings, gateway_hooks NodeHooks);
+
+  /// Serves until SIGTERM and the end of work in progress.
+  auto run() -> void;
+
+private:
+  using connection = std::shared_ptr<net::caller_connection>;
+
+  auto dispatch(serving::gateway_event Event) -> void;
+  auto execute(const serving::set_deadline &Effect) -> void;
+  auto execute(const serving::send_attempt &Effect) -> void;
+  auto execute(const serving::refuse_request &Effect) -> void;
+  auto execute(const serving::relay_failure &Effect) -> void;
+  auto execute(const serving::ask_load &Effect) -> void;
+  auto execute(const serving::send_digest &Effect) -> void;
+  auto execute(const serving::greet_controllers &Effect) -> void;
+  auto execute(const serving::write_note &Effect) -> void;
+  auto command(serving::request_number Number, gateway_request::command Command)
+      -> void;
+
+  auto serveCaller(connection Connection) -> net::awaitable<void>;
+  auto serveRequest(connection Connection, net::read_outcome Outcome)
+      -> net::awaitable<bool>;
+  auto answerReadiness(net::http_request Request)
+      -> net::awaitable<net::http_answer>;
+  auto askController(serving::ask_load Effect) -> net::awaitable<void>;
+  auto takeDatagram(std::string_view Bytes) -> void;
+  auto keepTime() -> net::awaitable<void>;
+  auto stop() -> net::awaitable<void>;
+  [[nodiscard]] auto limits() const -> net::connection_limits;
+
+  node_settings Settings;
+  gateway_hooks Hooks;
+  net::asio::io_context Context;
+  serving::gateway_state State;
+  std::deque<serving::gateway_event> Events;
+  bool Reducing = false;
+  bool Draining = false;
+  bool Closing = false;
+  serving::request_number LastNumber = 0;
+  std::map<serving::request_number, std::shared_ptr<gateway_request>> Requests;
+  std::set<connection> Connections;
+  request_environment Environment;
+  std::unique_ptr<net::listener> Callers;
+  std::unique_ptr<net::listener> Readiness;
+  std::unique_ptr<net::datagram_socket> Link;
+};
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_NODE_SERVING_GATEWAY_NODE_H
--- /dev/null
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -0,0 +1,161 @@
+#include "link_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limpetbridge {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace serving;
+
+constexpr const char *Kind = "k";
+
+auto toJson(const gateway_digest &Digest) -> json {
+  json Loads = json::array();
+  for (const auto &[Target, Load] : Digest.Loads)
+    Loads.push_back({Target.Text, Load.PendingTokens, Load.Active});
+  json Demand = json::array();
+  for (const auto &[Model, Rate] : Digest.Demand)
+    Demand.push_back({Model.Text, static_cast<float>(Rate)});
+  json Prefixes = json::array();
+  for (const auto &[Target, Key, Tokens] : Digest.Prefixes)
+    Prefixes.push_back({Target.Text, Key, Tokens});
+  json Loading = json::array();
+  for (const auto &[Target, Model] : Digest.Loading)
+    Loading.push_back({Target.Text, Model.Text});
+  return {{Kind, "digest"}, {"f", Digest.From.Text}, {"l", Loads},
+          {"d", Demand},    {"p", Prefixes},         {"m", Loading}};
+}
+
+auto toJson(const greeting &Greeting) -> json {
+  return {
+      {Kind, "greeting"}, {"f", Greeting.From.Text}, {"a", Greeting.Address}};
+}
+
+auto namesOf(const std::set<model_name> &Names) -> json {
+  json Array = json::array();
+  for (const auto &Name : Names)
+    Array.push_back(Name.Text);
+  return Array;
+}
+
+auto toJson(const target_described &Event) -> json {
+  const auto &Target = Event.Target;
+  json Models = json::array();
+  for (const auto &[Model, Held] : Target.Holds.Models)
+    Models.push_back({Model.Text, Held.Version, Held.Adapters});
+  return {{Kind, "target"},
+          {"n", Target.Name.Text},
+          {"b", Target.Born},
+          {"s", Target.Service.Text},
+          {"a", Target.Address},
+          {"z", Target.DataCentre.Text},
+          {"c", Target.Slots},
+          {"l", Target.Leaving},
+          {"q", Target.Sequence},
+          {"m", Models},
+          {"r", namesOf(Target.Holds.InMemory)},
+          {"o", namesOf(Target.Holds.OnDisk)}};
+}
+
+auto toDigest(const json &From) -> gateway_digest {
+  gateway_digest Digest;
+  Digest.From = instance_name(From.at("f").get<std::string>());
+  for (const auto &Each : From.at("l"))
+    Digest.Loads[target_name(Each.at(0).get<std::string>())] = {
+        Each.at(1).get<std::uint64_t>(), Each.at(2).get<std::uint32_t>()};
+  for (const auto &Each : From.at("d"))
+    Digest.Demand[model_name(Each.at(0).get<std::string>())] =
+        Each.at(1).get<double>();
+  for (const auto &Each : From.at("p"))
+    Digest.Prefixes.emplace_back(target_name(Each.at(0).get<std::string>()),
+                                 Each.at(1).get<prefix_key>(),
+                                 Each.at(2).get<std::uint32_t>());
+  for (const auto &Each : From.at("m"))
+    Digest.Loading[target_name(Each.at(0).get<std::string>())] =
+        model_name(Each.at(1).get<std::string>());
+  return Digest;
+}
+
+auto toNames(const json &From) -> std::set<model_name> {
+  std::set<model_name> Names;
+  for (const auto &Each : From)
+    Names.insert(model_name(Each.get<std::string>()));
+  return Names;
+}
+
+auto toTarget(const json &From) -> target {
+  target Target;
+  Target.Name = target_name(From.at("n").get<std::string>());
+  Target.Born = From.at("b").get<std::uint64_t>();
+  Target.Service = service_name(From.at("s").get<std::string>());
+  Target.Address = From.at("a").get<std::string>();
+  Target.DataCentre = data_centre_name(From.at("z").get<std::string>());
+  Target.Slots = From.at("c").get<std::uint32_t>();
+  Target.Leaving = From.at("l").get<bool>();
+  Target.Sequence = From.at("q").get<std::uint64_t>();
+  for (const auto &Each : From.at("m"))
+    Target.Holds.Models[model_name(Each.at(0).get<std::string>())] = {
+        Each.at(1).get<std::uint64_t>(),
+        Each.at(2).get<std::set<std::string>>()};
+  Target.Holds.InMemory = toNames(From.at("r"));
+  Target.Holds.OnDisk = toNames(From.at("o"));
+  return Target;
+}
+
+} // namespace
+
+auto encodeLink(const link_message &Message) -> std::string {
+  const auto Json =
+      std::visit([](const auto &Each) { return toJson(Each); }, Message);
+  std::string Bytes;
+  json::to_msgpack(Json, Bytes);
+  return Bytes;
+}
+
+auto decodeLink(std::string_view Bytes) -> result<link_message> {
+  try {
+    const auto From = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const auto Word = From.at(Kind).get<std::string>();
+    if (Word == "digest")
+      return link_message(toDigest(From));
+    if (Word == "greeting")
+      return link_message(
+          greeting{instance_name(From.at("f").get<std::string>()),
+                   From.at("a").get<std::string>()});
+    if (Word == "target")
+      return link_message(target_described{toTarget(From)});
+    return failure(result_code::MalformedRequest, "message kind " + Word);
+  } catch (const json::exception &Error) {
+    return failure(result_code::MalformedRequest, Error.what());
+  }
+}
+
+auto encodeLoad(const load_request &Request) -> std::string {
+  json Victims = json::array();
+  for (const auto &Victim : Request.Victims)
+    Victims.push_back(Victim.Text);
+  return json{{"target", Request.Target.Text},
+              {"model", Request.Model.Text},
+              {"adapter", Request.Adapter},
+              {"victims", Victims}}
+      .dump();
+}
+
+auto decodeLoad(std::string_view Bytes) -> result<load_request> {
+  try {
+    const auto From = json::parse(Bytes);
+    load_request Request;
+    Request.Target = target_name(From.at("target").get<std::string>());
+    Request.Model = model_name(From.at("model").get<std::string>());
+    Request.Adapter = From.at("adapter").get<std::string>();
+    for (const auto &Each : From.at("victims"))
+      Request.Victims.emplace_back(Each.get<std::string>());
+    return Request;
+  } catch (const json::exception &Error) {
+    return failure(result_code::MalformedRequest, Error.what());
+  }
+}
+
+} // namespace limpetbridge
--- /dev/null
+++ b/apps/limpetbridge/src/serving/stop_signal.h
@@ -0,0 +1,19 @@
+/// \file
+/// SIGTERM and SIGINT for a process that runs on one io_context.
+#ifndef LIMPETBRIDGE_NODE_SERVING_STOP_SIGNAL_H
+#define LIMPETBRIDGE_NODE_SERVING_STOP_SIGNAL_H
+
+#include "net/asio.h"
+
+#include <functional>
+
+namespace limpetbridge {
+
+/// Calls \p Stop on the first signal; a second one ends the process at once.
+/// SIGHUP is logged: settings are read at the start only.
+auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
+    -> void;
+
+} // namespace limpetbridge
+
+#endif // LIMPETBRIDGE_NODE_SERVING_STOP_SIGNAL_H
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -7,6 +7,8 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace limpetbridge {
 
@@ -20,13 +22,19 @@
 };
 
 /// Sets up logging once per process.
-/// \param Instance shown on each line. \param File empty for standard error.
+/// \param Instance shown on each line. \param File empty for standard error,
+/// `-` for standard output.
 auto startLog(const std::string &Instance, const std::string &File) -> void;
 
 /// Writes one line. \p Event is a stable snake-case word.
 auto log(log_level Level, std::string_view Event,
          std::initializer_list<log_field> Fields) -> void;
 
+/// The same, with fields that were made elsewhere.
+auto log(log_level Level, std::string_view Event,
+         const std::vector<std::pair<std::string, std::string>> &Fields)
+    -> void;
+
 } // namespace limpetbridge
 
 #endif // LIMPETBRIDGE_BASE_LOG_H
--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -47,6 +47,7 @@
   AnswerCutShort = 3002,
   ClaimInProgress = 3003,
   ServiceFailed = 3004,
+  DeadlineExceeded = 3005,
 
   SyntaxError = 4001,
   RevisionConflict = 4002,
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -60,6 +60,22 @@
   std::int64_t DrainDeadlineMs = 0;
   std::int64_t BalancerWaitMs = 0;
 
+  std::string GatewayCallers;
+  std::string GatewayReadiness;
+  std::string LinkAddress;
+  std::string MetricsAddress;
+  std::string StoreAddress;
+  std::int64_t StoreWaitMs = 0;
+  std::int64_t StoreTimeoutMs = 0;
+  std::string ControllerTarget;
+  double RetryRatio = 0;
+  std::int64_t RetryExtra = 0;
+  std::int64_t RetryWindowMs = 0;
+  std::int64_t LoadWindowMs = 0;
+  double LoadOverrun = 0;
+  std::int64_t StopGraceMs = 0;
+  std::int64_t LostGraceMs = 0;
+
   std::string LogFile;
   std::int64_t TimelineNotes = 0;
 };
@@ -67,7 +83,7 @@
 /// Where a setting is kept in node_settings.
 using setting_slot =
     std::variant<std::string node_settings::*, std::int64_t node_settings::*,
-                 bool node_settings::*>;
+                 bool node_settings::*, double node_settings::*>;
 
 /// One row of the table of settings.
 struct setting_row {
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -39,25 +39,52 @@
   el::Configurations Settings;
   Settings.setToDefault();
   Settings.setGlobally(el::ConfigurationType::Format, "%msg");
-  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-  Settings.setGlobally(el::ConfigurationType::ToFile, "true");
-  Settings.setGlobally(el::ConfigurationType::Filename,
-                       File.empty() ? "/dev/stderr" : File);
+  const bool ToOutput = File == "-";
+  Settings.setGlobally(el::ConfigurationType::ToStandardOutput,
+                       ToOutput ? "true" : "false");
+  Settings.setGlobally(el::ConfigurationType::ToFile,
+                       ToOutput ? "false" : "true");
+  if (!ToOutput)
+    Settings.setGlobally(el::ConfigurationType::Filename,
+                         File.empty() ? "/dev/stderr" : File);
   el::Loggers::reconfigureLogger("default", Settings);
 }
 
-auto log(log_level Level, std::string_view Event,
-         std::initializer_list<log_field> Fields) -> void {
+namespace {
+
+auto beginLine(log_level Level, std::string_view Event)
+    -> nlohmann::ordered_json {
   nlohmann::ordered_json Line;
   Line["time_ms"] = wallMilliseconds();
   Line["level"] = nameOf(Level);
   Line["instance"] = InstanceName;
   Line["event"] = Event;
-  for (const auto &Field : Fields)
-    Line[std::string(Field.Name)] = Field.Value;
+  return Line;
+}
+
+auto writeLine(const nlohmann::ordered_json &Line) -> void {
   const auto Text =
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   LOG(INFO) << Text;
 }
 
+} // namespace
+
+auto log(log_level Level, std::string_view Event,
+         std::initializer_list<log_field> Fields) -> void {
+  auto Line = beginLine(Level, Event);
+  for (const auto &Field : Fields)
+    Line[std::string(Field.Name)] = Field.Value;
+  writeLine(Line);
+}
+
+auto log(log_level Level, std::string_view Event,
+         const std::vector<std::pair<std::string, std::string>> &Fields)
+    -> void {
+  auto Line = beginLine(Level, Event);
+  for (const auto &[Name, Value] : Fields)
+    Line[Name] = Value;
+  writeLine(Line);
+}
+
 } // namespace limpetbridge
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -124,6 +124,19 @@
     return std::nullopt;
   }
 
+  auto operator()(double node_settings::*Slot) const
+      -> std::optional<std::string> {
+    double Value = 0;
+    const auto *End = Text.data() + Text.size();
+    const auto Parsed = std::from_chars(Text.data(), End, Value);
+    if (Parsed.ec != std::errc() || Parsed.ptr != End ||
+        !(Value >= static_cast<double>(Row.Min) &&
+          Value <= static_cast<double>(Row.Max)))
+      return "a number from " + rangeText(Row);
+    Settings.*Slot = Value;
+    return std::nullopt;
+  }
+
   auto operator()(bool node_settings::*Slot) const
       -> std::optional<std::string> {
     if (Text != "true" && Text != "false")
@@ -142,6 +155,11 @@
   auto operator()(std::int64_t node_settings::*Slot) const -> std::string {
     return std::to_string(Settings.*Slot);
   }
+  auto operator()(double node_settings::*Slot) const -> std::string {
+    std::ostringstream Out;
+    Out << Settings.*Slot;
+    return Out.str();
+  }
   auto operator()(bool node_settings::*Slot) const -> std::string {
     return Settings.*Slot ? "true" : "false";
   }
@@ -249,7 +267,8 @@
       Out << (Section.empty() ? "" : "\n") << '[' << Row.Section << "]\n";
     Section = Row.Section;
     Out << "; " << Row.Help;
-    if (std::holds_alternative<std::int64_t node_settings::*>(Row.Slot))
+    if (std::holds_alternative<std::int64_t node_settings::*>(Row.Slot) ||
+        std::holds_alternative<double node_settings::*>(Row.Slot))
       Out << " (" << rangeText(Row) << ')';
     if (!Row.Choices.empty())
       Out << " (" << Row.Choices << ')';
--- /dev/null
+++ b/libs/net/include/net/asio.h
@@ -0,0 +1,76 @@
+/// \file
+/// The parts of Asio that this library uses, and its token for coroutines.
+#ifndef LIMPETBRIDGE_NET_ASIO_H
+#define LIMPETBRIDGE_NET_ASIO_H
+
+#include <utility> // Asio's awaitable header needs std::exchange.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "base/time.h"
+
+#include <optional>
+#include <string>
+
+namespace limpetbridge::net {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using error_code = boost::system::error_code;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+
+/// Completion token that stores the error instead of throwing it.
+inline auto into(error_code &Error) {
+  return asio::redirect_error(asio::use_awaitable, Error);
+}
+
+/// Runs \p Task on its own. An exception ends the process: no task is meant to
+/// throw, and its state is unknown then.
+template <typename executor>
+auto spawn(const executor &Executor, awaitable<void> Task) -> void {
+  asio::co_spawn(Executor, std::move(Task), [](std::exception_ptr Thrown) {
+    if (Thrown)
+      std::rethrow_exception(Thrown);
+  });
+}
+
+/// `ip:port` as an endpoint; none if it is not an IP number and a port.
+template <typename protocol>
+[[nodiscard]] auto parseEndpoint(const std::string &Address)
+    -> std::optional<typename protocol::endpoint> {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  error_code Error;
+  const auto Ip = asio::ip::make_address(Address.substr(0, Colon), Error);
+  if (Error)
+    return std::nullopt;
+  constexpr unsigned long MaxPort = 65535;
+  char *End = nullptr;
+  const auto Port = std::strtoul(Address.c_str() + Colon + 1, &End, 10);
+  if (End == nullptr || *End != '\0' || Port > MaxPort)
+    return std::nullopt;
+  return typename protocol::endpoint(Ip, static_cast<unsigned short>(Port));
+}
+
+/// Points of the process clock on Asio's timers.
+[[nodiscard]] inline auto toSteady(time_point Moment)
+    -> std::chrono::steady_clock::time_point {
+  return std::chrono::steady_clock::time_point(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+          Moment.time_since_epoch()));
+}
+
+} // namespace limpetbridge::net
+
+#endif // LIMPETBRIDGE_NET_ASIO_H
--- /dev/null
+++ b/libs/net/src/http_message.cpp
@@ -0,0 +1,178 @@
+#include "net/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <set>
+
+namespace limpetbridge::net {
+
+namespace {
+
+auto toLower(std::string_view Text) -> std::string {
+  std::string Lower(Text);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(), [](char Each) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(Each)));
+  });
+  return Lower;
+}
+
+auto countFields(const header_fields &Fields, std::string_view Name)
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Fields.begin(), Fields.end(), [&](const auto &Each) {
+        return sameWord(Each.Name, Name);
+      }));
+}
+
+auto trim(std::string_view Text) -> std::string_view {
+  while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
+    Text.remove_prefix(1);
+  while (!Text.empty() && (Text.back() == ' ' || Text.back() == '\t'))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+auto isNumber(std::string_view Text) -> bool {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char Each) {
+    return Each >= '0' && Each <= '9';
+  });
+}
+
+} // namespace
+
+auto sameWord(std::string_view Left, std::string_view Right) -> bool {
+  return Left.size() == Right.size() &&
+         std::equal(Left.begin(), Left.end(), Right.begin(),
+                    [](char A, char B) {
+                      return std::tolower(static_cast<unsigned char>(A)) ==
+                             std::tolower(static_cast<unsigned char>(B));
+                    });
+}
+
+auto findField(const header_fields &Fields, std::string_view Name)
+    -> std::string_view {
+  const auto Found =
+      std::find_if(Fields.begin(), Fields.end(),
+                   [&](const auto &Each) { return sameWord(Each.Name, Name); });
+  return Found == Fields.end() ? std::string_view() : Found->Value;
+}
+
+auto hasField(const header_fields &Fields, std::string_view Name) -> bool {
+  return countFields(Fields, Name) > 0;
+}
+
+auto endToEndFields(const header_fields &Fields) -> header_fields {
+  static const std::array<std::string_view, 10> OfConnection = {
+      "connection", "keep-alive",          "proxy-authenticate",
+      "te",         "proxy-authorization", "trailer",
+      "upgrade",    "transfer-encoding",   "content-length",
+      "expect"};
+  std::set<std::string, std::less<>> Dropped(OfConnection.begin(),
+                                             OfConnection.end());
+  for (const auto &Field : Fields) {
+    if (!sameWord(Field.Name, "connection"))
+      continue;
+    std::string_view Rest = Field.Value;
+    while (!Rest.empty()) {
+      const auto Comma = Rest.find(',');
+      Dropped.insert(toLower(trim(Rest.substr(0, Comma))));
+      Rest = Comma == std::string_view::npos ? std::string_view()
+                                             : Rest.substr(Comma + 1);
+    }
+  }
+  header_fields Kept;
+  for (const auto &Field : Fields)
+    if (!Dropped.contains(toLower(Field.Name)))
+      Kept.push_back(Field);
+  return Kept;
+}
+
+auto ambiguity(const http_request &Request) -> std::string_view {
+  const auto &Fields = Request.Fields;
+  const auto Lengths = countFields(Fields, "content-length");
+  const auto Encodings = countFields(Fields, "transfer-encoding");
+  if (Lengths + Encodings > 1)
+    return "more than one framing";
+  if (Lengths == 1 && !isNumber(findField(Fields, "content-length")))
+    return "length is not a number";
+  if (Encodings == 1 &&
+      !sameWord(findField(Fields, "transfer-encoding"), "chunked"))
+    return "transfer encoding is not chunked";
+  if (countFields(Fields, "host") != 1)
+    return "not exactly one host";
+  if (!Request.Target.starts_with('/'))
+    return "target is not a path";
+  return {};
+}
+
+auto printHead(const answer_head &Head) -> std::string {
+  std::string Text =
+      "HTTP/1.1 " + std::to_string(Head.Status) + " " +
+      (Head.Reason.empty() ? std::string(reasonOf(Head.Status)) : Head.Reason) +
+      "\r\n";
+  for (const auto &Field : Head.Fields)
+    Text += Field.Name + ": " + Field.Value + "\r\n";
+  return Text;
+}
+
+auto printAnswer(const http_answer &Answer, bool Close) -> std::string {
+  std::string Text = printHead(Answer.Head);
+  constexpr std::uint16_t NoContent = 204;
+  if (Answer.Head.Status != NoContent)
+    Text += "Content-Length: " + std::to_string(Answer.Body.size()) + "\r\n";
+  if (Close)
+    Text += "Connection: close\r\n";
+  return Text + "\r\n" + Answer.Body;
+}
+
+auto printRequest(const http_request &Request) -> std::string {
+  std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  for (const auto &Field : Request.Fields)
+    Text += Field.Name + ": " + Field.Value + "\r\n";
+  if (Request.HasBody || !Request.Body.empty())
+    Text += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  return Text + "\r\n" + Request.Body;
+}
+
+auto printChunk(std::string_view Bytes) -> std::string {
+  constexpr int Hexadecimal = 16;
+  std::array<char, 2 * sizeof(std::size_t)> Length{};
+  const auto End = std::to_chars(Length.data(), Length.data() + Length.size(),
+                                 Bytes.size(), Hexadecimal);
+  std::string Text(Length.data(), End.ptr);
+  Text += "\r\n";
+  Text += Bytes;
+  Text += "\r\n";
+  return Text;
+}
+
+auto reasonOf(std::uint16_t Status) -> std::string_view {
+  struct row {
+    std::uint16_t Status;
+    std::string_view Reason;
+  };
+  static constexpr std::array Table = {
+      row{200, "OK"},
+      row{202, "Accepted"},
+      row{204, "No Content"},
+      row{400, "Bad Request"},
+      row{404, "Not Found"},
+      row{408, "Request Timeout"},
+      row{409, "Conflict"},
+      row{413, "Content Too Large"},
+      row{429, "Too Many Requests"},
+      row{431, "Request Header Fields Too Large"},
+      row{500, "Internal Server Error"},
+      row{502, "Bad Gateway"},
+      row{503, "Service Unavailable"},
+      row{504, "Gateway Timeout"},
+      row{505, "HTTP Version Not Supported"}};
+  const auto *Found =
+      std::find_if(Table.begin(), Table.end(),
+                   [Status](const row &Each) { return Each.Status == Status; });
+  return Found == Table.end() ? "Unknown" : Found->Reason;
+}
+
+} // namespace limpetbridge::net
--- /dev/null
+++ b/libs/net/src/server.cpp
@@ -0,0 +1,121 @@
+#include "net/server.h"
+
+#include <stdexcept>
+
+namespace limpetbridge::net {
+
+namespace {
+
+/// Pause after a failed accept, for instance without free descriptors.
+constexpr auto AcceptPause = std::chrono::milliseconds(20);
+/// Connections that may wait for an accept.
+constexpr int Backlog = 512;
+
+template <typename protocol>
+auto endpointOf(const std::string &Address) -> typename protocol::endpoint {
+  const auto Endpoint = parseEndpoint<protocol>(Address);
+  if (!Endpoint)
+    throw std::invalid_argument(Address + " is not an address");
+  return *Endpoint;
+}
+
+} // namespace
+
+listener::listener(asio::io_context &Context, const std::string &Address,
+                   accepted OnConnection)
+    : Acceptor(Context), Pause(Context), OnAccepted(std::move(OnConnection)) {
+  const auto Endpoint = endpointOf<tcp>(Address);
+  Acceptor.open(Endpoint.protocol());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.bind(Endpoint);
+  Acceptor.listen(Backlog);
+  acceptNext();
+}
+
+auto listener::acceptNext() -> void {
+  Acceptor.async_accept([this](error_code Error, tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    if (Error) {
+      Pause.expires_after(AcceptPause);
+      Pause.async_wait([this](error_code Cancelled) {
+        if (!Cancelled)
+          acceptNext();
+      });
+      return;
+    }
+    OnAccepted(std::make_shared<caller_connection>(std::move(Socket)));
+    acceptNext();
+  });
+}
+
+auto listener::stop() -> void {
+  error_code Ignored; // Already closed is as good.
+  Acceptor.close(Ignored);
+  Pause.cancel();
+}
+
+auto listener::port() const -> std::uint16_t {
+  return Acceptor.local_endpoint().port();
+}
+
+auto serveCalls(std::shared_ptr<caller_connection> Connection,
+                call_handler Handler) -> awaitable<void> {
+  const connection_limits Limits;
+  for (;;) {
+    auto Outcome = co_await Connection->readRequest(Limits);
+    if (Outcome.End == read_end::Closed)
+      break;
+    http_answer Answer;
+    const bool Rejected = Outcome.End == read_end::Rejected;
+    if (Rejected)
+      Answer.Head.Status = Outcome.Status;
+    else
+      Answer = co_await Handler(std::move(Outcome.Request));
+    auto Bytes = printAnswer(Answer, Rejected);
+    const bool Written = co_await Connection->write(std::move(Bytes));
+    if (!Written || Rejected)
+      break;
+  }
+  co_await Connection->finish();
+}
+
+datagram_socket::datagram_socket(asio::io_context &Context,
+                                 const std::string &Address,
+                                 received OnDatagram)
+    : Socket(Context, endpointOf<udp>(Address)),
+      OnReceived(std::move(OnDatagram)) {
+  Socket.non_blocking(true);
+  receiveNext();
+}
+
+auto datagram_socket::send(const std::string &Address, std::string_view Bytes)
+    -> void {
+  const auto Endpoint = parseEndpoint<udp>(Address);
+  if (!Endpoint)
+    return;
+  error_code Ignored; // A datagram may be lost anywhere on its way.
+  Socket.send_to(asio::buffer(Bytes.data(), Bytes.size()), *Endpoint, 0,
+                 Ignored);
+}
+
+auto datagram_socket::receiveNext() -> void {
+  Socket.async_receive_from(
+      asio::buffer(Buffer), Sender,
+      [this](error_code Error, std::size_t Count) {
+        if (Error == asio::error::operation_aborted || !Socket.is_open())
+          return;
+        if (!Error)
+          OnReceived(Sender.address().to_string() + ":" +
+                         std::to_string(Sender.port()),
+                     std::string_view(Buffer.data(), Count));
+        receiveNext();
+      });
+}
+
+auto datagram_socket::stop() -> void {
+  error_code Ignored; // Already closed is as good.
+  Socket.close(Ignored);
+}
+
+} // namespace limpetbridge::net
--- /dev/null
+++ b/libs/serving/include/serving/configuration.h
@@ -0,0 +1,104 @@
+/// \file
+/// What operators declare for a deployment: routes, services and limits, as of
+/// one version.
+#ifndef LIMPETBRIDGE_SERVING_CONFIGURATION_H
+#define LIMPETBRIDGE_SERVING_CONFIGURATION_H
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetbridge::serving {
+
+/// How often a request may run and what its answer looks like.
+enum class request_kind : std::uint8_t { Idempotent, NonIdempotent, Stream };
+
+/// One service that a route may choose, with its share of the requests.
+struct service_share {
+  service_name Service;
+  std::uint32_t Weight = 0; ///< Relative to the other shares of the route.
+};
+
+/// Requests of one host and path prefix.
+struct route {
+  std::string Name;
+  std::string Host;   ///< Lower case, without a port.
+  std::string Prefix; ///< Begins and ends with a slash.
+  request_kind Kind = request_kind::NonIdempotent;
+  bool Resumable = false;           ///< A broken stream may go on elsewhere.
+  bool HasPrompt = false;           ///< Requests name a model and its prompt.
+  std::uint32_t Attempts = 1;       ///< Targets that may see one request.
+  std::uint32_t Priority = 0;       ///< 0 is the most urgent.
+  std::int64_t TimeoutMs = 0;       ///< Longest time to the last byte.
+  std::int64_t TargetLatencyMs = 0; ///< Objective for the first byte.
+  std::vector<service_share> Shares;
+};
+
+/// Size and load times of one model.
+struct model_spec {
+  model_name Name;
+  double WeightsMb = 0;
+  double LoadMs = 0;       ///< From the weight store.
+  double DiskLoadMs = 0;   ///< From the target's own disk.
+  double MemoryLoadMs = 0; ///< From the target's host memory.
+  std::uint32_t Adapters = 0;
+  double AdapterMb = 0;
+};
+
+/// What the engines of a service can hold; all zero for a plain service.
+struct engine_spec {
+  std::uint32_t Slots = 0;
+  std::uint64_t CacheTokens = 0;
+  double WeightsMb = 0; ///< Accelerator memory for weights and adapters.
+  std::uint32_t AdapterSlots = 0;
+  double LoadsPerSecond = 0; ///< Weight store, over all targets.
+  std::map<model_name, model_spec> Models;
+};
+
+/// One service.
+struct service_spec {
+  service_name Name;
+  std::string HealthPath;
+  std::uint32_t ConnectionLimit = 0;
+  bool HasEngine = false;
+  engine_spec Engine;
+};
+
+/// Limits of what callers may send.
+struct caller_limits {
+  std::uint32_t HeaderBytes = 16384;
+  std::uint64_t BodyBytes = 4U << 20U;
+  std::int64_t HeaderTimeoutMs = 3000;
+  std::int64_t IdleTimeoutMs = 15000;
+};
+
+/// One version of all of it.
+struct configuration {
+  std::uint64_t Version = 0; ///< 0: none is known yet.
+  std::vector<route> Routes;
+  std::map<service_name, service_spec> Services;
+  caller_limits Limits;
+};
+
+/// Finds routes by host and longest prefix.
+class route_table {
+public:
+  route_table() = default;
+  explicit route_table(const configuration &Configuration);
+
+  /// \param Host lower case, without a port. \param Path with its query.
+  /// \returns null when no route matches.
+  [[nodiscard]] auto find(std::string_view Host, std::string_view Path) const
+      -> const route *;
+
+private:
+  std::map<std::string, std::vector<route>, std::less<>> ByHost;
+};
+
+} // namespace limpetbridge::serving
+
+#endif // LIMPETBRIDGE_SERVING_CONFIGURATION_H
--- /dev/null
+++ b/libs/serving/include/serving/gateway.h
@@ -0,0 +1,81 @@
+/// \file
+/// The gateway's reducer: routing, waiting for models, refusing, retrying.
+#ifndef LIMPETBRIDGE_SERVING_GATEWAY_H
+#define LIMPETBRIDGE_SERVING_GATEWAY_H
+
+#include "serving/gateway_effects.h"
+#include "serving/gateway_events.h"
+#include "serving/placement.h"
+#include "serving/retry_budget.h"
+#include "serving/target_book.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace limpetbridge::serving {
+
+/// What a gateway is told at its start.
+struct gateway_options {
+  instance_name Self;
+  data_centre_name DataCentre;
+  retry_limits Retries;
+  /// Time in which a lost row may come back before its target counts as gone.
+  duration LostGrace = seconds(0);
+  duration DigestInterval = milliseconds(250);
+  std::uint64_t Seed = 1;
+};
+
+/// A request in progress.
+struct request_state {
+  call Call;
+  route Route;
+  service_name Service;
+  std::vector<prefix_key> Keys;
+  time_point Deadline;
+  std::uint32_t Attempts = 0;      ///< Sends that a target may have seen.
+  std::set<target_name> Tried;     ///< Not tried again.
+  target_name Current;             ///< Running there; empty while waiting.
+  std::uint32_t PendingTokens = 0; ///< Still counted at Current.
+  bool MayHaveRun = false; ///< An earlier attempt did not end for certain.
+  time_point SentAt;
+  std::optional<std::pair<target_name, std::string>> WaitsFor; ///< Load.
+  std::uint32_t LoadsAsked = 0;
+};
+
+/// All that a gateway knows.
+struct gateway_state {
+  gateway_options Options;
+  configuration Configuration;
+  route_table Routes;
+  target_book Book;
+  demand Demand;
+  std::map<service_name, retry_budget> Budgets;
+  std::map<request_number, request_state> Requests;
+  std::map<instance_name, instance_record> Instances;
+  /// Loads that this gateway has asked for; the time is when it gives up.
+  struct pending_load {
+    model_name Model;
+    std::string Adapter;
+    time_point Deadline;
+  };
+  std::map<target_name, std::vector<pending_load>> Loads;
+  std::map<instance_name, std::map<target_name, model_name>> PeerLoads;
+  std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> NewPrefixes;
+  time_point NextDigest;
+  time_point NextGreeting;
+  std::minstd_rand Random;
+};
+
+[[nodiscard]] auto makeGatewayState(const gateway_options &Options)
+    -> gateway_state;
+
+/// Takes one event into \p State.
+/// \returns what is to be done, in order.
+[[nodiscard]] auto reduce(gateway_state &State, const gateway_event &Event,
+                          time_point Now) -> gateway_effects;
+
+} // namespace limpetbridge::serving
+
+#endif // LIMPETBRIDGE_SERVING_GATEWAY_H
--- /dev/null
+++ b/libs/serving/src/details/gateway_parts.h
@@ -0,0 +1,62 @@
+/// \file
+/// Handlers of the gateway's events, a module each.
+#ifndef LIMPETBRIDGE_SERVING_DETAILS_GATEWAY_PARTS_H
+#define LIMPETBRIDGE_SERVING_DETAILS_GATEWAY_PARTS_H
+
+#include "serving/gateway.h"
+
+namespace limpetbridge::serving {
+
+/// What a handler works on.
+struct gateway_step {
+  gateway_state &State;
+  time_point Now;
+  gateway_effects &Effects;
+};
+
+// gateway_requests.cpp
+auto handle(const gateway_step &Step, const request_arrived &Event) -> void;
+auto handle(const gateway_step &Step, const first_output &Event) -> void;
+auto handle(const gateway_step &Step, const attempt_ended &Event) -> void;
+auto handle(const gateway_step &Step, const caller_left &Event) -> void;
+auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
+
+/// Places again the requests that wait for \p Model.
+auto placeWaiting(const gateway_step &Step, const model_name &Model) -> void;
+
+// gateway_loads.cpp
+/// Makes the request wait for an adapter at \p Chosen.
+auto waitForAdapter(const gateway_step &Step, request_state &Request,
+                    const target_name &Chosen) -> void;
+/// Makes the request wait for its model, with a load asked for if none is
+/// under way.
+/// \returns NotReady when it waits; else why it cannot, with the time after
+/// which a repeat may succeed in \p RetryAfterMs.
+auto waitForModel(const gateway_step &Step, request_state &Request,
+                  std::int64_t &RetryAfterMs) -> result_code;
+/// Asks for one more copy where queueing costs more than the load.
+auto considerCopy(const gateway_step &Step, const request_state &Request,
+                  double ExpectedMs) -> void;
+auto handle(const gateway_step &Step, const load_answered &Event) -> void;
+/// Forgets loads whose answer is overdue.
+auto expireLoads(const gateway_step &Step) -> void;
+
+// gateway_knowledge.cpp
+auto handle(const gateway_step &Step, const configuration_read &Event) -> void;
+auto handle(const gateway_step &Step, const target_described &Event) -> void;
+auto handle(const gateway_step &Step, const target_lost &Event) -> void;
+auto handle(const gateway_step &Step, const targets_listed &Event) -> void;
+auto handle(const gateway_step &Step, const instances_listed &Event) -> void;
+auto handle(const gateway_step &Step, const gateway_digest &Event) -> void;
+auto handle(const gateway_step &Step, const tick &Event) -> void;
+
+/// Number of gateways, this one included.
+auto gatewayCount(const gateway_state &State) -> std::size_t;
+
+/// Adds a line of the log to the effects.
+auto note(const gateway_step &Step, log_level Level, std::string Event,
+          std::vector<std::pair<std::string, std::string>> Fields) -> void;
+
+} // namespace limpetbridge::serving
+
+#endif // LIMPETBRIDGE_SERVING_DETAILS_GATEWAY_PARTS_H
--- /dev/null
+++ b/libs/serving/src/event_stream.cpp
@@ -0,0 +1,75 @@
+#include "serving/event_stream.h"
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Length of the first event in \p Text with its empty line; 0 if unfinished.
+auto eventLength(std::string_view Text) -> std::size_t {
+  const auto Plain = Text.find("\n\n");
+  const auto Crlf = Text.find("\r\n\r\n");
+  if (Plain == std::string_view::npos && Crlf == std::string_view::npos)
+    return 0;
+  constexpr std::size_t PlainEnd = 2;
+  constexpr std::size_t CrlfEnd = 4;
+  return Plain < Crlf ? Plain + PlainEnd : Crlf + CrlfEnd;
+}
+
+auto idOf(std::string_view Event) -> std::string_view {
+  while (!Event.empty()) {
+    const auto End = Event.find('\n');
+    auto Line = Event.substr(0, End);
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
+    if (Line.starts_with("id:")) {
+      Line.remove_prefix(3);
+      return Line.starts_with(' ') ? Line.substr(1) : Line;
+    }
+    if (End == std::string_view::npos)
+      break;
+    Event.remove_prefix(End + 1);
+  }
+  return {};
+}
+
+auto toNumber(std::string_view Text) -> std::optional<std::uint64_t> {
+  std::uint64_t Value = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Text.empty() || Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace
+
+auto event_stream::feed(std::string_view Bytes) -> std::string {
+  Pending += Bytes;
+  std::string Whole;
+  std::size_t Start = 0;
+  for (;;) {
+    const auto Rest = std::string_view(Pending).substr(Start);
+    const auto Length = eventLength(Rest);
+    if (Length == 0)
+      break;
+    const auto Event = Rest.substr(0, Length);
+    const auto Id = idOf(Event);
+    const auto Number = toNumber(Id);
+    const auto Last = toNumber(LastId);
+    const bool Repeated = Number && Last && *Number <= *Last;
+    if (!Repeated) {
+      Whole += Event;
+      if (!Id.empty())
+        LastId = std::string(Id);
+    }
+    Start += Length;
+  }
+  Pending.erase(0, Start);
+  return Whole;
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/gateway.cpp
@@ -0,0 +1,57 @@
+#include "serving/gateway.h"
+
+#include "details/gateway_parts.h"
+
+#include <algorithm>
+
+namespace limpetbridge::serving {
+
+auto nameOf(attempt_end End) -> std::string_view {
+  switch (End) {
+  case attempt_end::NotSent:
+    return "not_sent";
+  case attempt_end::NotRun:
+    return "not_run";
+  case attempt_end::Answered:
+    return "answered";
+  case attempt_end::Failed:
+    return "failed";
+  case attempt_end::Unknown:
+    return "unknown";
+  case attempt_end::CutShort:
+    return "cut_short";
+  }
+  return "unknown";
+}
+
+auto makeGatewayState(const gateway_options &Options) -> gateway_state {
+  gateway_state State;
+  State.Options = Options;
+  State.Random.seed(static_cast<std::uint32_t>(Options.Seed));
+  return State;
+}
+
+auto gatewayCount(const gateway_state &State) -> std::size_t {
+  const auto Others = std::count_if(
+      State.Instances.begin(), State.Instances.end(), [&](const auto &Each) {
+        return Each.second.Role == instance_role::Gateway &&
+               Each.first != State.Options.Self;
+      });
+  return static_cast<std::size_t>(Others) + 1;
+}
+
+auto note(const gateway_step &Step, log_level Level, std::string Event,
+          std::vector<std::pair<std::string, std::string>> Fields) -> void {
+  Step.Effects.push_back(
+      write_note{Level, std::move(Event), std::move(Fields)});
+}
+
+auto reduce(gateway_state &State, const gateway_event &Event, time_point Now)
+    -> gateway_effects {
+  gateway_effects Effects;
+  const gateway_step Step{State, Now, Effects};
+  std::visit([&](const auto &Each) { handle(Step, Each); }, Event);
+  return Effects;
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -0,0 +1,178 @@
+#include "details/gateway_parts.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Time between two greetings of controllers.
+constexpr duration GreetingInterval = seconds(2);
+
+auto cacheTokens(const gateway_state &State, const service_name &Service)
+    -> std::uint64_t {
+  const auto Found = State.Configuration.Services.find(Service);
+  return Found == State.Configuration.Services.end()
+             ? 0
+             : Found->second.Engine.CacheTokens;
+}
+
+auto takeIn(const gateway_step &Step, const target &Target) -> void {
+  auto &State = Step.State;
+  const auto *Known = State.Book.find(Target.Name);
+  const auto Before = Known == nullptr ? holdings() : Known->Target.Holds;
+  const bool WasLeaving = Known != nullptr && Known->Target.Leaving;
+  const bool WasKnown = Known != nullptr;
+  if (!State.Book.update(Target, cacheTokens(State, Target.Service)))
+    return;
+  auto &Entry = *State.Book.find(Target.Name);
+  if (Entry.ControllerAddress.empty())
+    for (const auto &[Name, Instance] : State.Instances)
+      if (Instance.TargetAddress == Entry.Target.Address)
+        Entry.ControllerAddress = Instance.Address;
+  if (!WasKnown || WasLeaving != Entry.Target.Leaving)
+    note(Step, log_level::Info, "target_changed",
+         {{"target", Target.Name.Text},
+          {"address", Target.Address},
+          {"service", Target.Service.Text},
+          {"born", std::to_string(Target.Born)},
+          {"leaving", Entry.Target.Leaving ? "true" : "false"},
+          {"models", std::to_string(Target.Holds.Models.size())}});
+  for (const auto &[Model, Held] : Entry.Target.Holds.Models) {
+    const auto Old = Before.Models.find(Model);
+    if (Old == Before.Models.end() || !(Old->second == Held))
+      placeWaiting(Step, Model);
+  }
+}
+
+auto lose(const gateway_step &Step, const target_name &Name) -> void {
+  auto *Entry = Step.State.Book.find(Name);
+  if (Entry == nullptr)
+    return;
+  note(Step, log_level::Warning, "target_gone",
+       {{"target", Name.Text}, {"address", Entry->Target.Address}});
+  Step.State.Book.remove(Name);
+  std::vector<load_answered> Lost;
+  if (const auto Found = Step.State.Loads.find(Name);
+      Found != Step.State.Loads.end())
+    for (const auto &Load : Found->second)
+      Lost.push_back({Name, Load.Model, Load.Adapter, false});
+  for (const auto &Each : Lost)
+    handle(Step, Each);
+}
+
+} // namespace
+
+auto handle(const gateway_step &Step, const configuration_read &Event) -> void {
+  auto &State = Step.State;
+  if (Event.Configuration.Version <= State.Configuration.Version)
+    return;
+  State.Configuration = Event.Configuration;
+  State.Routes = route_table(State.Configuration);
+  for (auto &[Name, Entry] : State.Book.all())
+    Entry.Cache.setCapacity(cacheTokens(State, Entry.Target.Service));
+  note(Step, log_level::Info, "configuration_in_force",
+       {{"version", std::to_string(State.Configuration.Version)},
+        {"routes", std::to_string(State.Configuration.Routes.size())},
+        {"services", std::to_string(State.Configuration.Services.size())}});
+}
+
+auto handle(const gateway_step &Step, const target_described &Event) -> void {
+  takeIn(Step, Event.Target);
+}
+
+auto handle(const gateway_step &Step, const target_lost &Event) -> void {
+  lose(Step, Event.Name);
+}
+
+auto handle(const gateway_step &Step, const targets_listed &Event) -> void {
+  for (const auto &Target : Event.Targets)
+    takeIn(Step, Target);
+  for (auto &[Name, Entry] : Step.State.Book.all()) {
+    const bool Listed = std::any_of(Event.Targets.begin(), Event.Targets.end(),
+                                    [&, &Sought = Name](const target &Each) {
+                                      return Each.Name == Sought;
+                                    });
+    if (!Listed && Entry.LostSince == NoDeadline)
+      Entry.LostSince = Step.Now;
+  }
+}
+
+auto handle(const gateway_step &Step, const instances_listed &Event) -> void {
+  auto &State = Step.State;
+  for (const auto &Instance : Event.Instances) {
+    auto &Known = State.Instances[Instance.Name];
+    if (Known.Address != Instance.Address)
+      note(Step, log_level::Info, "instance_changed",
+           {{"peer", Instance.Name.Text}, {"address", Instance.Address}});
+    Known = Instance;
+  }
+  for (auto &[Name, Entry] : State.Book.all())
+    for (const auto &[Other, Instance] : State.Instances)
+      if (Instance.TargetAddress == Entry.Target.Address)
+        Entry.ControllerAddress = Instance.Address;
+}
+
+auto handle(const gateway_step &Step, const gateway_digest &Event) -> void {
+  auto &State = Step.State;
+  if (Event.From == State.Options.Self)
+    return;
+  for (auto &[Name, Entry] : State.Book.all()) {
+    const auto Found = Event.Loads.find(Name);
+    if (Found == Event.Loads.end())
+      Entry.Peer.erase(Event.From);
+    else
+      Entry.Peer[Event.From] = Found->second;
+  }
+  State.Demand.setPeer(Event.From, Event.Demand);
+  State.PeerLoads[Event.From] = Event.Loading;
+  for (const auto &[Name, Key, Tokens] : Event.Prefixes)
+    if (auto *Entry = State.Book.find(Name))
+      Entry->Cache.add(Key, Tokens);
+}
+
+auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
+  auto &State = Step.State;
+  expireLoads(Step);
+  std::vector<target_name> Gone;
+  for (const auto &[Name, Entry] : State.Book.all())
+    if (Entry.LostSince != NoDeadline &&
+        Step.Now - Entry.LostSince >= State.Options.LostGrace)
+      Gone.push_back(Name);
+  for (const auto &Name : Gone)
+    lose(Step, Name);
+  if (Step.Now < State.NextDigest)
+    return;
+  State.NextDigest = Step.Now + State.Options.DigestInterval;
+  send_digest Effect;
+  greet_controllers Greeting;
+  for (const auto &[Name, Instance] : State.Instances) {
+    if (Name == State.Options.Self)
+      continue;
+    if (Instance.Role == instance_role::Gateway)
+      Effect.Addresses.push_back(Instance.Address);
+    else if (Step.Now >= State.NextGreeting)
+      Greeting.Addresses.push_back(Instance.Address);
+  }
+  if (Step.Now >= State.NextGreeting) {
+    State.NextGreeting = Step.Now + GreetingInterval;
+    if (!Greeting.Addresses.empty())
+      Step.Effects.push_back(std::move(Greeting));
+  }
+  auto &Digest = Effect.Digest;
+  Digest.From = State.Options.Self;
+  for (const auto &[Name, Entry] : State.Book.all())
+    if (Entry.Own.Active > 0)
+      Digest.Loads[Name] = Entry.Own;
+  Digest.Demand = State.Demand.ownRates(Step.Now);
+  Digest.Prefixes = std::exchange(State.NewPrefixes, {});
+  for (const auto &[Target, Loads] : State.Loads)
+    for (const auto &Load : Loads)
+      if (Load.Adapter.empty())
+        Digest.Loading[Target] = Load.Model;
+  if (!Effect.Addresses.empty())
+    Step.Effects.push_back(std::move(Effect));
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/gateway_requests.cpp
@@ -0,0 +1,345 @@
+#include "details/gateway_parts.h"
+
+#include "serving/picker.h"
+
+#include <algorithm>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Refusal of a request that no target may get any more, ms until a repeat.
+constexpr std::int64_t NoTargetRetryMs = 500;
+/// A target was full or changing its models; another one may have room, ms.
+constexpr std::int64_t RefusedRetryMs = 100;
+/// No configuration yet: the first read takes about this long, ms.
+constexpr std::int64_t NotReadyRetryMs = 500;
+/// Targets that could not be reached are avoided this long.
+constexpr duration UnreachableAvoid = seconds(1);
+/// Targets that do not hold what they were believed to hold: until the store
+/// tells of the change, which takes about a heartbeat.
+constexpr duration WrongTargetAvoid = milliseconds(1500);
+/// Full targets: a request ends every few milliseconds.
+constexpr duration FullAvoid = milliseconds(150);
+/// A send with less time than this cannot succeed.
+constexpr duration LeastTime = milliseconds(5);
+/// Unreachable targets that one request tries.
+constexpr std::size_t MaxTried = 4;
+/// Weight of one observation in the moving average of reading times.
+constexpr double ReadingWeight = 0.2;
+/// Prompts below this say little about the reading time, tokens.
+constexpr std::uint32_t LeastReadTokens = 500;
+
+auto chooseService(gateway_state &State, const route &Route) -> service_name {
+  std::uint32_t Sum = 0;
+  for (const auto &Share : Route.Shares)
+    Sum += Share.Weight;
+  if (Sum == 0)
+    return Route.Shares.empty() ? service_name() : Route.Shares.front().Service;
+  auto Ball =
+      std::uniform_int_distribution<std::uint32_t>(0, Sum - 1)(State.Random);
+  for (const auto &Share : Route.Shares) {
+    if (Ball < Share.Weight)
+      return Share.Service;
+    Ball -= Share.Weight;
+  }
+  return Route.Shares.back().Service;
+}
+
+auto refuse(const gateway_step &Step, request_number Number, result_code Code,
+            std::int64_t RetryAfterMs, std::string Reason) -> void {
+  const auto Found = Step.State.Requests.find(Number);
+  // After an attempt that may have run, no refusal may say "not run".
+  if (Found != Step.State.Requests.end() && Found->second.MayHaveRun &&
+      describe(Code).Outcome == run_outcome::NotRun) {
+    Code = result_code::OutcomeUnknown;
+    RetryAfterMs = 0;
+  }
+  Step.Effects.push_back(refuse_request{Number, Code, RetryAfterMs});
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"code", std::string(describe(Code).Name)},
+      {"reason", std::move(Reason)},
+      {"retry_after_ms", std::to_string(RetryAfterMs)}};
+  if (Found != Step.State.Requests.end()) {
+    const auto &Request = Found->second;
+    Fields.insert(Fields.begin(), {"request", Request.Call.Id});
+    Fields.emplace_back("route", Request.Route.Name);
+    Fields.emplace_back("model", Request.Call.Prompt.Model.Text);
+    Fields.emplace_back("adapter", Request.Call.Prompt.Adapter);
+    Fields.emplace_back("attempts", std::to_string(Request.Attempts));
+    Fields.emplace_back(
+        "left_ms", std::to_string(toMilliseconds(Request.Deadline - Step.Now)));
+    Fields.emplace_back("configuration",
+                        std::to_string(Step.State.Configuration.Version));
+    Step.State.Requests.erase(Found);
+  }
+  note(Step, log_level::Warning, "request_refused", std::move(Fields));
+}
+
+/// Takes the request off its target's account.
+auto settle(const gateway_step &Step, request_state &Request, bool Failed)
+    -> void {
+  if (Request.Current.empty())
+    return;
+  Step.State.Book.noteEnded(Request.Current, Request.PendingTokens, Failed);
+  Request.PendingTokens = 0;
+  Request.Current = target_name();
+}
+
+auto rememberPrefix(const gateway_step &Step, const request_state &Request,
+                    target_entry &Entry) -> void {
+  for (std::size_t I = 0; I < Request.Keys.size(); ++I) {
+    const auto Tokens = Request.Call.Prompt.Parts[I].Tokens;
+    Entry.Cache.add(Request.Keys[I], Tokens);
+    // The last part belongs to this request alone.
+    if (I + 1 < Request.Keys.size())
+      Step.State.NewPrefixes.emplace_back(Entry.Target.Name, Request.Keys[I],
+                                          Tokens);
+  }
+}
+
+auto send(const gateway_step &Step, request_number Number,
+          request_state &Request, const pick &Pick) -> void {
+  auto *Entry = Step.State.Book.find(Pick.Target);
+  ++Request.Attempts;
+  Request.Tried.insert(Pick.Target);
+  Request.Current = Pick.Target;
+  Request.PendingTokens = Pick.NewTokens;
+  Request.WaitsFor.reset();
+  Request.SentAt = Step.Now;
+  Step.State.Book.noteSent(Pick.Target, Pick.NewTokens);
+  if (Request.Call.HasPrompt)
+    rememberPrefix(Step, Request, *Entry);
+  Step.Effects.push_back(
+      send_attempt{Number, Request.Attempts, Pick.Target, Entry->Target.Address,
+                   Request.Deadline, Request.Route.Kind,
+                   Request.Route.Resumable, Request.Route.Priority});
+  note(Step, log_level::Info, "attempt_sent",
+       {{"request", Request.Call.Id},
+        {"attempt", std::to_string(Request.Attempts)},
+        {"target", Pick.Target.Text},
+        {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
+        {"new_tokens", std::to_string(Pick.NewTokens)},
+        {"target_sequence", std::to_string(Entry->Target.Sequence)},
+        {"waited_ms",
+         std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
+}
+
+/// Sends the request, makes it wait for a load, or refuses it.
+auto place(const gateway_step &Step, request_number Number) -> void {
+  auto &Request = Step.State.Requests.at(Number);
+  if (Request.Deadline - Step.Now < LeastTime)
+    return refuse(Step, Number, result_code::DeadlineUnreachable, 0,
+                  "no time is left");
+  const auto &Call = Request.Call;
+  const auto Pick = pickTarget(Step.State.Book,
+                               {Request.Service, Step.State.Options.DataCentre,
+                                Call.HasPrompt ? &Call.Prompt : nullptr,
+                                &Request.Keys, &Request.Tried, Step.Now});
+  if (Pick && !Pick->NeedsAdapter) {
+    if (Call.HasPrompt)
+      considerCopy(Step, Request, Pick->ExpectedMs);
+    return send(Step, Number, Request, *Pick);
+  }
+  if (Pick)
+    return waitForAdapter(Step, Request, Pick->Target);
+  std::int64_t RetryAfterMs = NoTargetRetryMs;
+  if (Call.HasPrompt) {
+    const auto Code = waitForModel(Step, Request, RetryAfterMs);
+    if (Code == result_code::NotReady)
+      return;
+    return refuse(Step, Number, Code, RetryAfterMs,
+                  "no target holds the model");
+  }
+  refuse(Step, Number, result_code::NoTarget, RetryAfterMs,
+         "no target takes work");
+}
+
+/// True if the request may go to one more target.
+auto mayRepeat(const gateway_step &Step, request_state &Request, bool Spends)
+    -> bool {
+  if (Request.Attempts >= Request.Route.Attempts ||
+      Request.Tried.size() >= MaxTried)
+    return false;
+  if (!Spends)
+    return true;
+  return Step.State.Budgets[Request.Service].take(
+      Step.State.Options.Retries, gatewayCount(Step.State), Step.Now);
+}
+
+auto learnFrom(const gateway_step &Step, const request_state &Request,
+               const attempt_ended &Event) -> void {
+  auto *Entry = Step.State.Book.find(Request.Current);
+  if (Entry == nullptr)
+    return;
+  if (Event.End == attempt_end::NotSent)
+    Entry->AvoidUntil = Step.Now + UnreachableAvoid;
+  else if (Event.End == attempt_end::NotRun)
+    Entry->AvoidUntil =
+        Step.Now + (Event.WrongTarget ? WrongTargetAvoid : FullAvoid);
+  if (Event.WrongTarget && Request.Call.HasPrompt) {
+    auto &Models = Entry->Target.Holds.Models;
+    const auto Held = Models.find(Request.Call.Prompt.Model);
+    if (Held == Models.end())
+      return;
+    if (Request.Call.Prompt.Adapter.empty())
+      Models.erase(Held);
+    else
+      Held->second.Adapters.erase(Request.Call.Prompt.Adapter);
+  }
+}
+
+auto isFailure(attempt_end End) -> bool {
+  return End == attempt_end::NotSent || End == attempt_end::Failed ||
+         End == attempt_end::Unknown || End == attempt_end::CutShort;
+}
+
+} // namespace
+
+auto handle(const gateway_step &Step, const request_arrived &Event) -> void {
+  auto &State = Step.State;
+  if (State.Configuration.Version == 0)
+    return refuse(Step, Event.Number, result_code::NotReady, NotReadyRetryMs,
+                  "no configuration is known");
+  const auto *Route = State.Routes.find(Event.Call.Host, Event.Call.Path);
+  if (Route == nullptr)
+    return refuse(Step, Event.Number, result_code::NotFound, 0,
+                  "no route of configuration " +
+                      std::to_string(State.Configuration.Version));
+  request_state Request;
+  Request.Call = Event.Call;
+  Request.Route = *Route;
+  Request.Service = chooseService(State, *Route);
+  Request.Deadline =
+      std::min(Event.Call.CallerDeadline,
+               Event.Call.Arrived + milliseconds(Route->TimeoutMs));
+  if (Event.Call.HasPrompt) {
+    Request.Keys = prefixKeys(Event.Call.Prompt);
+    State.Demand.note(Event.Call.Prompt.Model, Step.Now);
+  }
+  State.Budgets[Request.Service].noteRequest(Step.Now);
+  Step.Effects.push_back(set_deadline{Event.Number, Request.Deadline});
+  State.Requests[Event.Number] = std::move(Request);
+  place(Step, Event.Number);
+}
+
+auto handle(const gateway_step &Step, const first_output &Event) -> void {
+  const auto Found = Step.State.Requests.find(Event.Number);
+  if (Found == Step.State.Requests.end())
+    return;
+  auto &Request = Found->second;
+  auto *Entry = Step.State.Book.find(Request.Current);
+  if (Entry != nullptr && Request.PendingTokens >= LeastReadTokens) {
+    // The queue before this request is part of what was waited for.
+    const auto Queue = static_cast<double>(Entry->load().PendingTokens);
+    const double Took =
+        std::chrono::duration<double, std::milli>(Step.Now - Request.SentAt)
+            .count();
+    const double PerToken =
+        Took / std::max(Queue, static_cast<double>(Request.PendingTokens));
+    Entry->MsPerToken =
+        Entry->MsPerToken == 0
+            ? PerToken
+            : Entry->MsPerToken +
+                  ReadingWeight * (PerToken - Entry->MsPerToken);
+  }
+  Step.State.Book.noteFirstOutput(Request.Current, Request.PendingTokens);
+  Request.PendingTokens = 0;
+}
+
+auto handle(const gateway_step &Step, const attempt_ended &Event) -> void {
+  const auto Found = Step.State.Requests.find(Event.Number);
+  if (Found == Step.State.Requests.end())
+    return;
+  auto &Request = Found->second;
+  learnFrom(Step, Request, Event);
+  const auto Target = Request.Current;
+  settle(Step, Request, isFailure(Event.End));
+  note(
+      Step,
+      Event.End == attempt_end::Answered ? log_level::Info : log_level::Warning,
+      "attempt_ended",
+      {{"request", Request.Call.Id},
+       {"attempt", std::to_string(Request.Attempts)},
+       {"target", Target.Text},
+       {"end", std::string(nameOf(Event.End))},
+       {"status", std::to_string(Event.Status)},
+       {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))}});
+  Request.MayHaveRun |= Event.End == attempt_end::Failed ||
+                        Event.End == attempt_end::Unknown ||
+                        Event.End == attempt_end::CutShort;
+  const bool Repeatable =
+      Request.Route.Kind == request_kind::Idempotent || Request.Route.Resumable;
+  switch (Event.End) {
+  case attempt_end::Answered:
+    Step.State.Requests.erase(Found);
+    return;
+  case attempt_end::NotSent:
+    // No target has seen it, so the limit of attempts is not touched.
+    --Request.Attempts;
+    if (mayRepeat(Step, Request, Request.Attempts > 0))
+      return place(Step, Event.Number);
+    return refuse(Step, Event.Number, result_code::TargetUnreachable,
+                  RefusedRetryMs, "no connection to the target");
+  case attempt_end::NotRun:
+    if (mayRepeat(Step, Request, true))
+      return place(Step, Event.Number);
+    return refuse(Step, Event.Number, result_code::TargetRefused,
+                  RefusedRetryMs, "the target did not run it");
+  case attempt_end::Failed:
+    if (Repeatable && mayRepeat(Step, Request, true))
+      return place(Step, Event.Number);
+    Step.Effects.push_back(relay_failure{Event.Number});
+    Step.State.Requests.erase(Found);
+    return;
+  case attempt_end::Unknown:
+  case attempt_end::CutShort:
+    if (Repeatable &&
+        (Event.End == attempt_end::Unknown || Request.Route.Resumable) &&
+        mayRepeat(Step, Request, true))
+      return place(Step, Event.Number);
+    return refuse(Step, Event.Number, result_code::OutcomeUnknown, 0,
+                  "the target broke off");
+  }
+}
+
+auto handle(const gateway_step &Step, const caller_left &Event) -> void {
+  const auto Found = Step.State.Requests.find(Event.Number);
+  if (Found == Step.State.Requests.end())
+    return;
+  auto &Request = Found->second;
+  note(Step, log_level::Info, "caller_left",
+       {{"request", Request.Call.Id},
+        {"target", Request.Current.Text},
+        {"after_ms",
+         std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
+  settle(Step, Request, false);
+  Step.State.Requests.erase(Found);
+}
+
+auto handle(const gateway_step &Step, const deadline_passed &Event) -> void {
+  const auto Found = Step.State.Requests.find(Event.Number);
+  if (Found == Step.State.Requests.end())
+    return;
+  auto &Request = Found->second;
+  const bool MayHaveRun = Request.MayHaveRun || !Request.Current.empty();
+  settle(Step, Request, MayHaveRun);
+  refuse(Step, Event.Number,
+         MayHaveRun ? result_code::DeadlineExceeded
+                    : result_code::DeadlineUnreachable,
+         0,
+         MayHaveRun ? "the target is still at work" : "it was still waiting");
+}
+
+auto placeWaiting(const gateway_step &Step, const model_name &Model) -> void {
+  std::vector<request_number> Numbers;
+  for (const auto &[Number, Request] : Step.State.Requests)
+    if (Request.WaitsFor && Request.Call.Prompt.Model == Model)
+      Numbers.push_back(Number);
+  for (const auto Number : Numbers) {
+    Step.State.Requests.at(Number).WaitsFor.reset();
+    place(Step, Number);
+  }
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/order_plan.cpp
@@ -0,0 +1,140 @@
+#include "serving/order_plan.h"
+
+#include <algorithm>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Adapters that an engine takes from the store at once.
+constexpr std::size_t MaxPendingAdapters = 4;
+
+auto weightsMb(const engine_spec &Engine, const model_name &Model) -> double {
+  const auto Found = Engine.Models.find(Model);
+  return Found == Engine.Models.end() ? 0 : Found->second.WeightsMb;
+}
+
+auto adapterMb(const engine_spec &Engine, const model_name &Model) -> double {
+  const auto Found = Engine.Models.find(Model);
+  return Found == Engine.Models.end() ? 0 : Found->second.AdapterMb;
+}
+
+/// Accelerator memory that is not taken, MB.
+auto freeMb(const engine_spec &Engine, const engine_report &Report,
+            const model_name &Reserved) -> double {
+  double Free = Engine.WeightsMb;
+  for (const auto &[Model, Held] : Report.Holds.Models)
+    Free -=
+        weightsMb(Engine, Model) +
+        adapterMb(Engine, Model) * static_cast<double>(Held.Adapters.size());
+  for (const auto &[Model, Adapter] : Report.PendingAdapters)
+    Free -= adapterMb(Engine, Model);
+  if (!Reserved.empty() && !Report.Holds.Models.contains(Reserved))
+    Free -= weightsMb(Engine, Reserved);
+  return Free;
+}
+
+auto adapterCount(const engine_report &Report) -> std::size_t {
+  std::size_t Count = Report.PendingAdapters.size();
+  for (const auto &[Model, Held] : Report.Holds.Models)
+    Count += Held.Adapters.size();
+  return Count;
+}
+
+/// The held adapter that was asked for the longest time ago.
+auto oldestAdapter(const engine_report &Report,
+                   const std::map<adapter_key, time_point> &LastUsed)
+    -> adapter_key {
+  adapter_key Oldest;
+  time_point OldestUse = NoDeadline;
+  for (const auto &[Model, Held] : Report.Holds.Models)
+    for (const auto &Adapter : Held.Adapters) {
+      const auto Found = LastUsed.find({Model, Adapter});
+      const auto Use = Found == LastUsed.end() ? time_point() : Found->second;
+      if (Use < OldestUse) {
+        Oldest = {Model, Adapter};
+        OldestUse = Use;
+      }
+    }
+  return Oldest;
+}
+
+auto planAdapter(const engine_spec &Engine, const engine_report &Report,
+                 const load_job &Job, const model_name &Reserved,
+                 const std::map<adapter_key, time_point> &LastUsed)
+    -> order_step {
+  const auto Held = Report.Holds.Models.find(Job.Model);
+  if (Held == Report.Holds.Models.end())
+    return {step_kind::Impossible, Job.Model, Job.Adapter};
+  if (Held->second.Adapters.contains(Job.Adapter))
+    return {step_kind::Held, Job.Model, Job.Adapter};
+  if (Report.PendingAdapters.contains({Job.Model, Job.Adapter}) ||
+      Report.PendingAdapters.size() >= MaxPendingAdapters)
+    return {step_kind::Wait, Job.Model, Job.Adapter};
+  if (adapterCount(Report) < Engine.AdapterSlots &&
+      freeMb(Engine, Report, Reserved) >= adapterMb(Engine, Job.Model))
+    return {step_kind::LoadAdapter, Job.Model, Job.Adapter};
+  const auto [Model, Adapter] = oldestAdapter(Report, LastUsed);
+  if (Adapter.empty())
+    return {step_kind::Impossible, Job.Model, Job.Adapter};
+  return {step_kind::UnloadAdapter, Model, Adapter};
+}
+
+auto planModel(const engine_spec &Engine, const engine_report &Report,
+               const load_job &Job) -> order_step {
+  if (Report.Holds.Models.contains(Job.Model))
+    return {step_kind::Held, Job.Model};
+  if (Report.Busy)
+    return {step_kind::Wait, Job.Model};
+  const auto Spec = Engine.Models.find(Job.Model);
+  if (Spec == Engine.Models.end())
+    return {step_kind::Impossible, Job.Model};
+  if (freeMb(Engine, Report, {}) >= Spec->second.WeightsMb) {
+    const bool FromStore = !Report.Holds.InMemory.contains(Job.Model) &&
+                           !Report.Holds.OnDisk.contains(Job.Model);
+    return {step_kind::Load, Job.Model, {}, FromStore};
+  }
+  const auto Victim = std::find_if(Job.Victims.begin(), Job.Victims.end(),
+                                   [&](const model_name &Each) {
+                                     return Report.Holds.Models.contains(Each);
+                                   });
+  if (Victim == Job.Victims.end())
+    return {step_kind::Impossible, Job.Model};
+  return {step_kind::Unload, *Victim};
+}
+
+} // namespace
+
+auto nameOf(step_kind Kind) -> std::string_view {
+  switch (Kind) {
+  case step_kind::Held:
+    return "held";
+  case step_kind::Impossible:
+    return "impossible";
+  case step_kind::Wait:
+    return "wait";
+  case step_kind::Load:
+    return "load";
+  case step_kind::Unload:
+    return "unload";
+  case step_kind::LoadAdapter:
+    return "load_adapter";
+  case step_kind::UnloadAdapter:
+    return "unload_adapter";
+  }
+  return "wait";
+}
+
+auto nextStep(const engine_spec &Engine, const engine_report &Report,
+              const load_job &Job, const model_name &Reserved,
+              const std::map<adapter_key, time_point> &LastUsed) -> order_step {
+  // A load whose model is not known here may be under way: its memory counts,
+  // so nothing is added until it shows.
+  if (Report.Busy && Reserved.empty() && !Job.Adapter.empty())
+    return {step_kind::Wait, Job.Model, Job.Adapter};
+  return Job.Adapter.empty()
+             ? planModel(Engine, Report, Job)
+             : planAdapter(Engine, Report, Job, Reserved, LastUsed);
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/prefix_memory.cpp
@@ -0,0 +1,53 @@
+#include "serving/prefix_memory.h"
+
+#include <string>
+
+namespace limpetbridge::serving {
+
+auto prefixKeys(const prompt &Prompt) -> std::vector<prefix_key> {
+  std::vector<prefix_key> Keys;
+  Keys.reserve(Prompt.Parts.size());
+  auto Key = stableHash(Prompt.Model.Text + "/" + Prompt.Adapter);
+  for (const auto &Part : Prompt.Parts) {
+    Key = stableHash(std::to_string(Part.Id), Key);
+    Keys.push_back(Key);
+  }
+  return Keys;
+}
+
+auto prefix_memory::cachedTokens(const prompt &Prompt,
+                                 const std::vector<prefix_key> &Keys) const
+    -> std::uint32_t {
+  std::uint32_t Cached = 0;
+  for (std::size_t I = 0; I < Keys.size(); ++I) {
+    if (!Entries.contains(Keys[I]))
+      break;
+    Cached += Prompt.Parts[I].Tokens;
+  }
+  return Cached;
+}
+
+auto prefix_memory::add(prefix_key Key, std::uint32_t Tokens) -> void {
+  const auto Found = Entries.find(Key);
+  if (Found != Entries.end()) {
+    Recent.splice(Recent.begin(), Recent, Found->second.Place);
+    return;
+  }
+  Recent.push_front(Key);
+  Entries[Key] = {Tokens, Recent.begin()};
+  Used += Tokens;
+  while (Used > Capacity && !Recent.empty()) {
+    const auto Oldest = Entries.find(Recent.back());
+    Used -= Oldest->second.Tokens;
+    Entries.erase(Oldest);
+    Recent.pop_back();
+  }
+}
+
+auto prefix_memory::clear() -> void {
+  Recent.clear();
+  Entries.clear();
+  Used = 0;
+}
+
+} // namespace limpetbridge::serving
--- /dev/null
+++ b/libs/serving/src/target.cpp
@@ -0,0 +1,13 @@
+#include "serving/target.h"
+
+namespace limpetbridge::serving {
+
+auto holdsAll(const target &Target, const model_name &Model,
+              const std::string &Adapter) -> bool {
+  const auto Found = Target.Holds.Models.find(Model);
+  if (Found == Target.Holds.Models.end())
+    return false;
+  return Adapter.empty() || Found->second.Adapters.contains(Adapter);
+}
+
+} // namespace limpetbridge::serving
