--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -232,10 +232,7 @@
       co_await sleep(Pause);
       continue;
     }
-    if (Report->Holds.Models.contains(Reserved))
-      Reserved = model_name();
-    const auto Step =
-        nextStep(*engine(), *Report, Job->Job, Reserved, LastUsed);
+    const auto Step = nextStep(*engine(), *Report, Job->Job, LastUsed);
     if (Step.Kind == step_kind::Held)
       co_return true;
     if (Step.Kind == step_kind::Impossible) {
@@ -257,11 +254,7 @@
       co_await sleep(PermitPause);
       continue;
     }
-    if (Step.Kind == step_kind::Load)
-      Reserved = Step.Model;
-    const auto End = co_await carryOut(*Job, Step, Report->Sequence);
-    if (End == order_end::Refused && Step.Kind == step_kind::Load)
-      Reserved = model_name();
+    co_await carryOut(*Job, Step, Report->Sequence);
     co_await sleep(Pause);
   }
   co_return false;
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -58,7 +58,6 @@
   std::deque<job> AdapterJobs;
   bool ModelsRunning = false;
   bool AdaptersRunning = false;
-  model_name Reserved; ///< Ordered to load; its memory counts as taken.
   std::map<serving::adapter_key, time_point> LastUsed;
   std::unique_ptr<net::listener> Calls;
   std::unique_ptr<net::datagram_socket> Link;
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -101,8 +101,10 @@
                 "", "ip:port of the metrics; empty serves none."},
     setting_row{"store", "address", &s::StoreAddress, "", "", 0, MaxName, "",
                 "ip:port of the store (gateways and controllers)."},
-    setting_row{"store", "wait_ms", &s::StoreWaitMs, "10000", "ms", 100, 30000,
-                "", "Longest wait of a call that reports changes."},
+    setting_row{"store", "wait_ms", &s::StoreWaitMs, "1500", "ms", 100, 30000,
+                "",
+                "Longest wait of a call that reports changes; a connection "
+                "that fell silent is noticed after it."},
     setting_row{"store", "timeout_ms", &s::StoreTimeoutMs, "1500", "ms", 10,
                 60000, "", "Longest wait for any other answer of the store."},
     setting_row{"store", "lost_grace_ms", &s::LostGraceMs, "2000", "ms", 0,
--- a/libs/serving/include/serving/order_plan.h
+++ b/libs/serving/include/serving/order_plan.h
@@ -58,12 +58,9 @@
 
 [[nodiscard]] auto nameOf(step_kind Kind) -> std::string_view;
 
-/// \param Reserved model whose load has been ordered and does not show yet;
-/// its memory counts as taken. Empty for none.
 /// \param LastUsed when adapters were last asked for; the oldest makes way.
 [[nodiscard]] auto nextStep(const engine_spec &Engine,
                             const engine_report &Report, const load_job &Job,
-                            const model_name &Reserved,
                             const std::map<adapter_key, time_point> &LastUsed)
     -> order_step;
 
--- a/libs/serving/src/order_plan.cpp
+++ b/libs/serving/src/order_plan.cpp
@@ -20,8 +20,7 @@
 }
 
 /// Accelerator memory that is not taken, MB.
-auto freeMb(const engine_spec &Engine, const engine_report &Report,
-            const model_name &Reserved) -> double {
+auto freeMb(const engine_spec &Engine, const engine_report &Report) -> double {
   double Free = Engine.WeightsMb;
   for (const auto &[Model, Held] : Report.Holds.Models)
     Free -=
@@ -29,8 +28,6 @@
         adapterMb(Engine, Model) * static_cast<double>(Held.Adapters.size());
   for (const auto &[Model, Adapter] : Report.PendingAdapters)
     Free -= adapterMb(Engine, Model);
-  if (!Reserved.empty() && !Report.Holds.Models.contains(Reserved))
-    Free -= weightsMb(Engine, Reserved);
   return Free;
 }
 
@@ -60,7 +57,7 @@
 }
 
 auto planAdapter(const engine_spec &Engine, const engine_report &Report,
-                 const load_job &Job, const model_name &Reserved,
+                 const load_job &Job,
                  const std::map<adapter_key, time_point> &LastUsed)
     -> order_step {
   const auto Held = Report.Holds.Models.find(Job.Model);
@@ -68,11 +65,13 @@
     return {step_kind::Impossible, Job.Model, Job.Adapter};
   if (Held->second.Adapters.contains(Job.Adapter))
     return {step_kind::Held, Job.Model, Job.Adapter};
-  if (Report.PendingAdapters.contains({Job.Model, Job.Adapter}) ||
+  // Engines take no order while another one is carried out.
+  if (Report.Busy ||
+      Report.PendingAdapters.contains({Job.Model, Job.Adapter}) ||
       Report.PendingAdapters.size() >= MaxPendingAdapters)
     return {step_kind::Wait, Job.Model, Job.Adapter};
   if (adapterCount(Report) < Engine.AdapterSlots &&
-      freeMb(Engine, Report, Reserved) >= adapterMb(Engine, Job.Model))
+      freeMb(Engine, Report) >= adapterMb(Engine, Job.Model))
     return {step_kind::LoadAdapter, Job.Model, Job.Adapter};
   const auto [Model, Adapter] = oldestAdapter(Report, LastUsed);
   if (Adapter.empty())
@@ -89,7 +88,7 @@
   const auto Spec = Engine.Models.find(Job.Model);
   if (Spec == Engine.Models.end())
     return {step_kind::Impossible, Job.Model};
-  if (freeMb(Engine, Report, {}) >= Spec->second.WeightsMb) {
+  if (freeMb(Engine, Report) >= Spec->second.WeightsMb) {
     const bool FromStore = !Report.Holds.InMemory.contains(Job.Model) &&
                            !Report.Holds.OnDisk.contains(Job.Model);
     return {step_kind::Load, Job.Model, {}, FromStore};
@@ -126,15 +125,10 @@
 }
 
 auto nextStep(const engine_spec &Engine, const engine_report &Report,
-              const load_job &Job, const model_name &Reserved,
+              const load_job &Job,
               const std::map<adapter_key, time_point> &LastUsed) -> order_step {
-  // A load whose model is not known here may be under way: its memory counts,
-  // so nothing is added until it shows.
-  if (Report.Busy && Reserved.empty() && !Job.Adapter.empty())
-    return {step_kind::Wait, Job.Model, Job.Adapter};
-  return Job.Adapter.empty()
-             ? planModel(Engine, Report, Job)
-             : planAdapter(Engine, Report, Job, Reserved, LastUsed);
+  return Job.Adapter.empty() ? planModel(Engine, Report, Job)
+                             : planAdapter(Engine, Report, Job, LastUsed);
 }
 
 } // namespace limpetbridge::serving
