--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -30,9 +30,10 @@
 
 /// How an order ended.
 enum class order_end : std::uint8_t {
-  Accepted, ///< It is being carried out, or it holds already.
-  Refused,  ///< It was not accepted and never will be.
-  Unknown   ///< It may have been accepted, or may still be.
+  Accepted,    ///< It is being carried out, or it holds already.
+  Refused,     ///< It was not accepted and never will be.
+  WrongTarget, ///< Another target has the address.
+  Unknown      ///< It may have been accepted, or may still be.
 };
 
 /// Hooks of the adapter.
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -26,6 +26,9 @@
 constexpr duration ModelJobTime = seconds(7);
 /// Pause before another try for a permit of the weight store.
 constexpr duration PermitPause = milliseconds(250);
+/// Time after a greeting in which a gateway is told of changes: it greets every
+/// two seconds, and a datagram may be lost.
+constexpr duration TellTime = seconds(7);
 constexpr std::uint16_t Okay = 200;
 constexpr std::uint16_t Unavailable = 503;
 
@@ -43,7 +46,11 @@
 
 controller_node::controller_node(const node_settings &NodeSettings,
                                  controller_hooks NodeHooks)
-    : Settings(NodeSettings), Hooks(std::move(NodeHooks)) {
+    : Settings(NodeSettings), Hooks(std::move(NodeHooks)),
+      Models(net::kept_client(Context.get_executor(),
+                              NodeSettings.ControllerTarget)),
+      Adapters(net::kept_client(Context.get_executor(),
+                                NodeSettings.ControllerTarget)) {
   const auto Executor = Context.get_executor();
   Calls = std::make_unique<net::listener>(
       Context, Settings.LinkAddress,
@@ -74,7 +81,8 @@
   });
   onStopSignal(Context, [this] {
     log(log_level::Info, "stopping",
-        {{"jobs", std::to_string(ModelJobs.size() + AdapterJobs.size())}});
+        {{"jobs",
+          std::to_string(Models.Queue.size() + Adapters.Queue.size())}});
     Context.stop();
   });
   Context.run();
@@ -105,10 +113,13 @@
   if (!Message)
     log(log_level::Warning, "datagram_unreadable",
         {{"error", toString(Message.error())}});
+  else if (const auto *Greeting = std::get_if<greeting>(&Message.value()))
+    Gateways[Greeting->Address] = process_clock::now() + TellTime;
 }
 
 auto controller_node::findJob(const load_request &Request) -> job {
-  auto &Queue = Request.Adapter.empty() ? ModelJobs : AdapterJobs;
+  auto &Line = Request.Adapter.empty() ? Models : Adapters;
+  auto &Queue = Line.Queue;
   const auto Found =
       std::find_if(Queue.begin(), Queue.end(), [&](const job &Each) {
         return Each->Target == Request.Target && sameJob(Each->Job, Request);
@@ -119,9 +130,8 @@
   New->Job = {Request.Model, Request.Adapter, Request.Victims};
   New->Target = Request.Target;
   Queue.push_back(New);
-  auto &Running = Request.Adapter.empty() ? ModelsRunning : AdaptersRunning;
-  if (!std::exchange(Running, true))
-    net::spawn(Context.get_executor(), runJobs(Queue, Running));
+  if (!std::exchange(Line.Running, true))
+    net::spawn(Context.get_executor(), runJobs(Line));
   return New;
 }
 
@@ -151,28 +161,28 @@
     co_await Timer->async_wait(net::into(Cancelled));
   }
   Answer.Head.Status = Job->Held ? Okay : Unavailable;
+  if (Told.Sequence > 0)
+    Answer.Body = encodeLink(Told);
   co_return Answer;
 }
 
-auto controller_node::runJobs(std::deque<job> &Queue, bool &Running)
-    -> awaitable<void> {
-  while (!Queue.empty()) {
-    const auto Job = Queue.front();
-    Job->Held = co_await runJob(Job);
+auto controller_node::runJobs(job_line &Line) -> awaitable<void> {
+  while (!Line.Queue.empty()) {
+    const auto Job = Line.Queue.front();
+    Job->Held = co_await runJob(Line, Job);
     Job->Done = true;
-    Queue.pop_front();
+    Line.Queue.pop_front();
     for (const auto &Waiter : Job->Waiters)
       Waiter->cancel();
   }
-  Running = false;
+  Line.Running = false;
 }
 
-auto controller_node::readReport() -> awaitable<std::optional<engine_report>> {
-  const net::asio::any_io_executor Executor = Context.get_executor();
+auto controller_node::readReport(job_line &Line)
+    -> awaitable<std::optional<engine_report>> {
   const auto Request = Hooks.WriteReportRequest();
   const auto Answer =
-      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
-                          process_clock::now() + ReportTimeout);
+      co_await Line.Client.fetch(Request, process_clock::now() + ReportTimeout);
   if (!Answer || Answer->Head.Status != Okay)
     co_return std::nullopt;
   auto Report = Hooks.ReadReport(Answer->Body);
@@ -181,9 +191,28 @@
         {{"error", toString(Report.error())}});
     co_return std::nullopt;
   }
+  tell(Report.value());
   co_return Report.value();
 }
 
+auto controller_node::tell(const engine_report &Report) -> void {
+  holdings_told Now{Settings.ControllerTarget, Report.Born, Report.Sequence,
+                    Report.Holds};
+  std::erase_if(Leaving, [&](const model_name &Model) {
+    return Now.Born != Told.Born || !Now.Holds.Models.contains(Model);
+  });
+  for (const auto &Model : Leaving)
+    Now.Holds.Models.erase(Model);
+  if (Now.Born == Told.Born && Now.Sequence == Told.Sequence &&
+      Now.Holds == Told.Holds)
+    return;
+  Told = std::move(Now);
+  const auto Bytes = encodeLink(Told);
+  for (const auto &[Address, Until] : Gateways)
+    if (process_clock::now() < Until)
+      Link->send(Address, Bytes);
+}
+
 auto controller_node::permitLoad() -> awaitable<bool> {
   const double PerWindow = engine()->LoadsPerSecond *
                            static_cast<double>(Settings.LoadWindowMs) / 1000;
@@ -192,8 +221,9 @@
       static_cast<std::size_t>(std::max(1.0, PerWindow)));
 }
 
-auto controller_node::carryOut(const job_state &Job, const order_step &Step,
-                               std::uint64_t Sequence) -> awaitable<order_end> {
+auto controller_node::carryOut(job_line &Line, const job_state &Job,
+                               const order_step &Step, std::uint64_t Sequence)
+    -> awaitable<order_end> {
   order_facts Facts;
   Facts.Kind = Step.Kind;
   Facts.Target = Job.Target;
@@ -202,11 +232,9 @@
   Facts.Sequence = Sequence;
   Facts.Holder = instance_name(Settings.Name);
   Facts.FencingToken = FencingToken;
-  const net::asio::any_io_executor Executor = Context.get_executor();
   const auto Request = Hooks.WriteOrder(Facts);
   const auto Answer =
-      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
-                          process_clock::now() + OrderTimeout);
+      co_await Line.Client.fetch(Request, process_clock::now() + OrderTimeout);
   const auto End =
       Answer ? Hooks.ReadOrderAnswer(Answer->Head.Status) : order_end::Unknown;
   log(log_level::Info, "order_ended",
@@ -219,7 +247,7 @@
   co_return End;
 }
 
-auto controller_node::runJob(job Job) -> awaitable<bool> {
+auto controller_node::runJob(job_line &Line, job Job) -> awaitable<bool> {
   const bool ForAdapter = !Job->Job.Adapter.empty();
   const auto Deadline =
       process_clock::now() + (ForAdapter ? AdapterJobTime : ModelJobTime);
@@ -227,7 +255,7 @@
   if (ForAdapter)
     LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
   while (process_clock::now() < Deadline) {
-    const auto Report = co_await readReport();
+    const auto Report = co_await readReport(Line);
     if (!Report || engine() == nullptr) {
       co_await sleep(Pause);
       continue;
@@ -254,7 +282,14 @@
       co_await sleep(PermitPause);
       continue;
     }
-    co_await carryOut(*Job, Step, Report->Sequence);
+    const auto End = co_await carryOut(Line, *Job, Step, Report->Sequence);
+    if (End == order_end::WrongTarget)
+      co_return false;
+    if (End == order_end::Accepted && Step.Kind == step_kind::Unload) {
+      // No more requests may come for what is being unloaded.
+      Leaving.insert(Step.Model);
+      tell(*Report);
+    }
     co_await sleep(Pause);
   }
   co_return false;
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -7,6 +7,7 @@
 #include "controller_hooks.h"
 #include "link_codec.h"
 #include "net/server.h"
+#include "net/target_connection.h"
 
 #include <deque>
 #include <map>
@@ -40,11 +41,24 @@
   auto answerCall(net::http_request Request)
       -> net::awaitable<net::http_answer>;
   auto findJob(const load_request &Request) -> job;
-  auto runJobs(std::deque<job> &Queue, bool &Running) -> net::awaitable<void>;
-  auto runJob(job Job) -> net::awaitable<bool>;
-  auto readReport() -> net::awaitable<std::optional<serving::engine_report>>;
-  auto carryOut(const job_state &Job, const serving::order_step &Step,
-                std::uint64_t Sequence) -> net::awaitable<order_end>;
+  /// Jobs of one kind, and the connection that serves them.
+  struct job_line {
+    explicit job_line(net::kept_client LineClient)
+        : Client(std::move(LineClient)) {}
+    std::deque<job> Queue;
+    bool Running = false;
+    net::kept_client Client;
+  };
+
+  auto runJobs(job_line &Line) -> net::awaitable<void>;
+  auto runJob(job_line &Line, job Job) -> net::awaitable<bool>;
+  auto readReport(job_line &Line)
+      -> net::awaitable<std::optional<serving::engine_report>>;
+  auto carryOut(job_line &Line, const job_state &Job,
+                const serving::order_step &Step, std::uint64_t Sequence)
+      -> net::awaitable<order_end>;
+  /// Tells the gateways if anything has changed.
+  auto tell(const serving::engine_report &Report) -> void;
   auto permitLoad() -> net::awaitable<bool>;
   auto takeDatagram(std::string_view Bytes) -> void;
   [[nodiscard]] auto engine() const -> const serving::engine_spec *;
@@ -54,10 +68,11 @@
   net::asio::io_context Context;
   serving::configuration Configuration;
   std::uint64_t FencingToken = 0; ///< 0: not known yet, no orders.
-  std::deque<job> ModelJobs;
-  std::deque<job> AdapterJobs;
-  bool ModelsRunning = false;
-  bool AdaptersRunning = false;
+  job_line Models;
+  job_line Adapters;
+  serving::holdings_told Told;
+  std::set<model_name> Leaving; ///< Being unloaded; takes no requests.
+  std::map<std::string, time_point> Gateways; ///< Until when they are told.
   std::map<serving::adapter_key, time_point> LastUsed;
   std::unique_ptr<net::listener> Calls;
   std::unique_ptr<net::datagram_socket> Link;
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -72,7 +72,7 @@
   Link = std::make_unique<net::datagram_socket>(
       Context, Settings.LinkAddress,
       [this](const std::string & /*From*/, std::string_view Bytes) {
-        takeDatagram(Bytes);
+        takeMessage(Bytes);
       });
 }
 
@@ -161,10 +161,13 @@
       co_await net::fetch(Executor, Effect.ControllerAddress, Request,
                           process_clock::now() + LoadCallTimeout);
   const bool Held = Answer && Answer->Head.Status == Okay;
+  // The answer tells what the target holds, also when the load failed.
+  if (Answer && !Answer->Body.empty())
+    takeMessage(Answer->Body);
   dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held});
 }
 
-auto gateway_node::takeDatagram(std::string_view Bytes) -> void {
+auto gateway_node::takeMessage(std::string_view Bytes) -> void {
   auto Message = decodeLink(Bytes);
   if (!Message) {
     log(log_level::Warning, "datagram_unreadable",
@@ -173,8 +176,8 @@
   }
   if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
     dispatch(std::move(*Digest));
-  else if (auto *Target = std::get_if<target_described>(&Message.value()))
-    dispatch(std::move(*Target));
+  else if (auto *Told = std::get_if<holdings_told>(&Message.value()))
+    dispatch(std::move(*Told));
 }
 
 auto gateway_node::keepTime() -> awaitable<void> {
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -47,7 +47,7 @@
   auto answerReadiness(net::http_request Request)
       -> net::awaitable<net::http_answer>;
   auto askController(serving::ask_load Effect) -> net::awaitable<void>;
-  auto takeDatagram(std::string_view Bytes) -> void;
+  auto takeMessage(std::string_view Bytes) -> void;
   auto keepTime() -> net::awaitable<void>;
   auto stop() -> net::awaitable<void>;
   [[nodiscard]] auto limits() const -> net::connection_limits;
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -14,10 +14,11 @@
 auto toJson(const gateway_digest &Digest) -> json {
   json Loads = json::array();
   for (const auto &[Target, Load] : Digest.Loads)
-    Loads.push_back({Target.Text, Load.PendingTokens, Load.Active});
+    Loads.push_back({Target.Text, Load.PendingMs, Load.Active});
   json Demand = json::array();
   for (const auto &[Model, Rate] : Digest.Demand)
-    Demand.push_back({Model.Text, static_cast<float>(Rate)});
+    Demand.push_back({Model.Text, static_cast<float>(Rate.PerSecond),
+                      static_cast<float>(Rate.WorkMsPerSecond)});
   json Prefixes = json::array();
   for (const auto &[Target, Key, Tokens] : Digest.Prefixes)
     Prefixes.push_back({Target.Text, Key, Tokens});
@@ -40,23 +41,17 @@
   return Array;
 }
 
-auto toJson(const target_described &Event) -> json {
-  const auto &Target = Event.Target;
+auto toJson(const holdings_told &Event) -> json {
   json Models = json::array();
-  for (const auto &[Model, Held] : Target.Holds.Models)
+  for (const auto &[Model, Held] : Event.Holds.Models)
     Models.push_back({Model.Text, Held.Version, Held.Adapters});
-  return {{Kind, "target"},
-          {"n", Target.Name.Text},
-          {"b", Target.Born},
-          {"s", Target.Service.Text},
-          {"a", Target.Address},
-          {"z", Target.DataCentre.Text},
-          {"c", Target.Slots},
-          {"l", Target.Leaving},
-          {"q", Target.Sequence},
+  return {{Kind, "holds"},
+          {"a", Event.Address},
+          {"b", Event.Born},
+          {"q", Event.Sequence},
           {"m", Models},
-          {"r", namesOf(Target.Holds.InMemory)},
-          {"o", namesOf(Target.Holds.OnDisk)}};
+          {"r", namesOf(Event.Holds.InMemory)},
+          {"o", namesOf(Event.Holds.OnDisk)}};
 }
 
 auto toDigest(const json &From) -> gateway_digest {
@@ -64,10 +59,11 @@
   Digest.From = instance_name(From.at("f").get<std::string>());
   for (const auto &Each : From.at("l"))
     Digest.Loads[target_name(Each.at(0).get<std::string>())] = {
-        Each.at(1).get<std::uint64_t>(), Each.at(2).get<std::uint32_t>()};
+        Each.at(1).get<std::array<double, Ranks>>(),
+        Each.at(2).get<std::uint32_t>()};
   for (const auto &Each : From.at("d"))
-    Digest.Demand[model_name(Each.at(0).get<std::string>())] =
-        Each.at(1).get<double>();
+    Digest.Demand[model_name(Each.at(0).get<std::string>())] = {
+        Each.at(1).get<double>(), Each.at(2).get<double>()};
   for (const auto &Each : From.at("p"))
     Digest.Prefixes.emplace_back(target_name(Each.at(0).get<std::string>()),
                                  Each.at(1).get<prefix_key>(),
@@ -85,23 +81,18 @@
   return Names;
 }
 
-auto toTarget(const json &From) -> target {
-  target Target;
-  Target.Name = target_name(From.at("n").get<std::string>());
-  Target.Born = From.at("b").get<std::uint64_t>();
-  Target.Service = service_name(From.at("s").get<std::string>());
-  Target.Address = From.at("a").get<std::string>();
-  Target.DataCentre = data_centre_name(From.at("z").get<std::string>());
-  Target.Slots = From.at("c").get<std::uint32_t>();
-  Target.Leaving = From.at("l").get<bool>();
-  Target.Sequence = From.at("q").get<std::uint64_t>();
+auto toHoldings(const json &From) -> holdings_told {
+  holdings_told Event;
+  Event.Address = From.at("a").get<std::string>();
+  Event.Born = From.at("b").get<std::uint64_t>();
+  Event.Sequence = From.at("q").get<std::uint64_t>();
   for (const auto &Each : From.at("m"))
-    Target.Holds.Models[model_name(Each.at(0).get<std::string>())] = {
+    Event.Holds.Models[model_name(Each.at(0).get<std::string>())] = {
         Each.at(1).get<std::uint64_t>(),
         Each.at(2).get<std::set<std::string>>()};
-  Target.Holds.InMemory = toNames(From.at("r"));
-  Target.Holds.OnDisk = toNames(From.at("o"));
-  return Target;
+  Event.Holds.InMemory = toNames(From.at("r"));
+  Event.Holds.OnDisk = toNames(From.at("o"));
+  return Event;
 }
 
 } // namespace
@@ -124,8 +115,8 @@
       return link_message(
           greeting{instance_name(From.at("f").get<std::string>()),
                    From.at("a").get<std::string>()});
-    if (Word == "target")
-      return link_message(target_described{toTarget(From)});
+    if (Word == "holds")
+      return link_message(toHoldings(From));
     return failure(result_code::MalformedRequest, "message kind " + Word);
   } catch (const json::exception &Error) {
     return failure(result_code::MalformedRequest, Error.what());
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -26,7 +26,8 @@
   Broken ///< The connection ended or broke the protocol before that.
 };
 
-/// One exchange. All calls from its io_context's thread.
+/// One exchange, or several one after the other with a peer that is trusted to
+/// answer in order. All calls from its io_context's thread.
 class target_connection
     : public std::enable_shared_from_this<target_connection> {
 public:
@@ -51,6 +52,10 @@
   /// connection's end.
   [[nodiscard]] auto endsWithConnection() const -> bool;
 
+  /// True if the last answer was read to its end and another request may
+  /// follow.
+  [[nodiscard]] auto isReusable() const -> bool;
+
   /// Ends the exchange; pending calls return as broken.
   auto close() -> void;
 
@@ -66,8 +71,26 @@
   std::vector<char> Chunk;
 };
 
-/// Sends \p Request to \p Address and reads the whole answer.
-/// \returns none when there was no complete answer before \p Deadline.
+/// Calls to one peer, one at a time, over a connection that is kept.
+class kept_client {
+public:
+  kept_client(asio::any_io_executor CallExecutor, std::string PeerAddress)
+      : Executor(std::move(CallExecutor)), Address(std::move(PeerAddress)) {}
+
+  /// Sends \p Request and reads the whole answer. A kept connection that the
+  /// peer has closed meanwhile gives no answer; the next call opens a new one.
+  /// \returns none when there was no complete answer before \p Deadline.
+  auto fetch(const http_request &Request, time_point Deadline)
+      -> awaitable<std::optional<http_answer>>;
+
+private:
+  asio::any_io_executor Executor;
+  std::string Address;
+  std::shared_ptr<target_connection> Connection;
+};
+
+/// Sends \p Request to \p Address on a new connection and reads the whole
+/// answer. \returns none when there was no complete answer before \p Deadline.
 auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
            const http_request &Request, time_point Deadline)
     -> awaitable<std::optional<http_answer>>;
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -111,12 +111,18 @@
   Socket.close(Ignored);
 }
 
-auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
-           const http_request &Request, time_point Deadline)
+auto target_connection::isReusable() const -> bool {
+  return Socket.is_open() && Parser && Parser->is_done() &&
+         Parser->keep_alive() && !Parser->need_eof() && Buffer.size() == 0;
+}
+
+namespace {
+
+/// One exchange on a connected \p Connection.
+auto exchange(std::shared_ptr<target_connection> Connection,
+              const asio::any_io_executor &Executor,
+              const http_request &Request, time_point Deadline)
     -> awaitable<std::optional<http_answer>> {
-  const auto Connection = std::make_shared<target_connection>(Executor);
-  if (!co_await Connection->connect(Address, Deadline))
-    co_return std::nullopt;
   asio::steady_timer Timer(Executor, toSteady(Deadline));
   Timer.async_wait([Weak = std::weak_ptr(Connection)](error_code Error) {
     if (const auto This = Weak.lock(); This && !Error)
@@ -124,18 +130,49 @@
   });
   Connection->startSend(printRequest(Request));
   const auto Head = co_await Connection->readHead();
-  if (!Head) {
-    Connection->close();
+  if (!Head)
     co_return std::nullopt;
-  }
   http_answer Answer{*Head, {}};
   auto Read = body_read::Data;
   while (Read == body_read::Data && Answer.Body.size() < MaxFetchBytes)
     Read = co_await Connection->readBody(Answer.Body);
-  Connection->close();
   if (Read != body_read::End)
     co_return std::nullopt;
   co_return Answer;
 }
 
+} // namespace
+
+auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
+           const http_request &Request, time_point Deadline)
+    -> awaitable<std::optional<http_answer>> {
+  const auto Connection = std::make_shared<target_connection>(Executor);
+  const bool Connected = co_await Connection->connect(Address, Deadline);
+  if (!Connected)
+    co_return std::nullopt;
+  auto Answer = co_await exchange(Connection, Executor, Request, Deadline);
+  Connection->close();
+  co_return Answer;
+}
+
+auto kept_client::fetch(const http_request &Request, time_point Deadline)
+    -> awaitable<std::optional<http_answer>> {
+  if (!Connection || !Connection->isReusable()) {
+    if (Connection)
+      Connection->close();
+    Connection = std::make_shared<target_connection>(Executor);
+    const bool Connected = co_await Connection->connect(Address, Deadline);
+    if (!Connected) {
+      Connection.reset();
+      co_return std::nullopt;
+    }
+  }
+  auto Answer = co_await exchange(Connection, Executor, Request, Deadline);
+  if (!Answer) {
+    Connection->close();
+    Connection.reset();
+  }
+  co_return Answer;
+}
+
 } // namespace limpetbridge::net
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -23,7 +23,7 @@
   retry_limits Retries;
   /// Time in which a lost row may come back before its target counts as gone.
   duration LostGrace = seconds(0);
-  duration DigestInterval = milliseconds(250);
+  duration DigestInterval = milliseconds(100);
   std::uint64_t Seed = 1;
 };
 
@@ -34,11 +34,13 @@
   service_name Service;
   std::vector<prefix_key> Keys;
   time_point Deadline;
-  std::uint32_t Attempts = 0;      ///< Sends that a target may have seen.
-  std::set<target_name> Tried;     ///< Not tried again.
-  target_name Current;             ///< Running there; empty while waiting.
-  std::uint32_t PendingTokens = 0; ///< Still counted at Current.
-  bool MayHaveRun = false; ///< An earlier attempt did not end for certain.
+  time_point FirstBy; ///< The caller leaves without a first byte by then.
+  std::uint32_t Attempts = 0;  ///< Sends that a target may have seen.
+  std::set<target_name> Tried; ///< Not tried again.
+  target_name Current;         ///< Running there; empty while waiting.
+  double ReadMs = 0;           ///< Still counted at Current.
+  double ExpectedMs = 0;       ///< To the first output, when it was sent.
+  bool MayHaveRun = false;     ///< An earlier attempt did not end for certain.
   time_point SentAt;
   std::optional<std::pair<target_name, std::string>> WaitsFor; ///< Load.
   std::uint32_t LoadsAsked = 0;
@@ -51,6 +53,8 @@
   route_table Routes;
   target_book Book;
   demand Demand;
+  /// Observed time to read a prompt token, by model, ms.
+  std::map<model_name, double> ReadingMs;
   std::map<service_name, retry_budget> Budgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
@@ -58,10 +62,12 @@
   struct pending_load {
     model_name Model;
     std::string Adapter;
-    time_point Deadline;
+    time_point Ready;    ///< When it should be done.
+    time_point Deadline; ///< When it is given up.
   };
   std::map<target_name, std::vector<pending_load>> Loads;
   std::map<instance_name, std::map<target_name, model_name>> PeerLoads;
+  std::map<instance_name, time_point> PeerHeard; ///< Last digest of each.
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> NewPrefixes;
   time_point NextDigest;
   time_point NextGreeting;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -106,11 +106,26 @@
   bool Held = false; ///< True when the target holds it now.
 };
 
+/// Demand for one model.
+struct model_rate {
+  double PerSecond = 0;       ///< Requests a second.
+  double WorkMsPerSecond = 0; ///< Time that reading their prompts takes.
+};
+using model_rates = std::map<model_name, model_rate>;
+
+/// A controller told what its target holds.
+struct holdings_told {
+  std::string Address; ///< Of the target, ip:port.
+  std::uint64_t Born = 0;
+  std::uint64_t Sequence = 0;
+  holdings Holds;
+};
+
 /// A gateway's view of its own load, told to the others.
 struct gateway_digest {
   instance_name From;
   std::map<target_name, target_load> Loads;
-  std::map<model_name, double> Demand; ///< Requests a second.
+  model_rates Demand;
   /// Prompt parts sent to targets since the last digest.
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> Prefixes;
   /// Loads that this gateway has asked for.
@@ -124,7 +139,7 @@
     std::variant<request_arrived, first_output, attempt_ended, caller_left,
                  deadline_passed, configuration_read, target_described,
                  target_lost, targets_listed, instances_listed, load_answered,
-                 gateway_digest, tick>;
+                 holdings_told, gateway_digest, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -17,6 +17,8 @@
   service_name Service;
   data_centre_name DataCentre;    ///< Of the gateway.
   const prompt *Prompt = nullptr; ///< Null for a plain request.
+  double MsPerToken = 0;          ///< Reading time of the prompt's model.
+  std::size_t Rank = 0;
   const std::vector<prefix_key> *Keys = nullptr;
   const std::set<target_name> *Tried = nullptr;
   time_point Now;
@@ -25,15 +27,15 @@
 /// A chosen target.
 struct pick {
   target_name Target;
-  bool NeedsAdapter = false;   ///< The adapter must be loaded first.
-  std::uint32_t NewTokens = 0; ///< Prompt tokens that it has to read.
-  double ExpectedMs = 0;       ///< Until the first output.
+  bool NeedsAdapter = false; ///< The adapter must be loaded first.
+  double ReadMs = 0;         ///< Reading what is not in its cache.
+  double ExpectedMs = 0;     ///< Until the first output.
 };
 
 /// Expected time to the first output at \p Entry, ms.
 [[nodiscard]] auto expectedMs(const target_entry &Entry,
-                              const pick_request &Request,
-                              std::uint32_t NewTokens) -> double;
+                              const pick_request &Request, double ReadMs)
+    -> double;
 
 /// Picks among the targets that take work and, for a prompt, hold the model.
 /// \returns none when no target qualifies.
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -3,40 +3,48 @@
 #ifndef LIMPETBRIDGE_SERVING_PLACEMENT_H
 #define LIMPETBRIDGE_SERVING_PLACEMENT_H
 
+#include "serving/gateway_events.h"
 #include "serving/target_book.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace limpetbridge::serving {
 
-/// Demand for models, requests a second, as a moving average.
+/// Demand for models, as a moving average.
 class demand {
 public:
-  auto note(const model_name &Model, time_point Now) -> void;
+  /// A request came whose prompt takes \p WorkMs to read.
+  auto note(const model_name &Model, double WorkMs, time_point Now) -> void;
   /// Demand of another gateway, as it told at its last digest.
-  auto setPeer(const instance_name &Peer,
-               const std::map<model_name, double> &Rates) -> void;
+  auto setPeer(const instance_name &Peer, const model_rates &Rates) -> void;
   auto removePeer(const instance_name &Peer) -> void;
-  /// Requests a second at this gateway.
-  [[nodiscard]] auto ownRate(const model_name &Model, time_point Now) const
-      -> double;
-  /// Requests a second at all gateways.
+  /// Demand at all gateways.
   [[nodiscard]] auto rate(const model_name &Model, time_point Now) const
-      -> double;
-  [[nodiscard]] auto ownRates(time_point Now) const
-      -> std::map<model_name, double>;
+      -> model_rate;
+  /// Demand at this gateway.
+  [[nodiscard]] auto ownRates(time_point Now) const -> model_rates;
+  /// Models that any gateway was asked for of late.
+  [[nodiscard]] auto models() const -> std::set<model_name>;
 
 private:
   struct counter {
-    double Count = 0; ///< Decayed count of requests.
+    double Requests = 0; ///< Decayed count.
+    double WorkMs = 0;   ///< Decayed sum.
     time_point Since;
   };
+  [[nodiscard]] static auto rateOf(const counter &Counter, time_point Now)
+      -> model_rate;
+
   std::map<model_name, counter> Own;
-  std::map<instance_name, std::map<model_name, double>> Peers;
+  std::map<instance_name, model_rates> Peers;
 };
 
+/// Copies of a model that its demand calls for.
+[[nodiscard]] auto wantedCopies(const model_rate &Rate) -> std::size_t;
+
 /// A load that was chosen.
 struct load_plan {
   target_name Target;
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -9,15 +9,26 @@
 #include "serving/prefix_memory.h"
 #include "serving/target.h"
 
+#include <array>
 #include <map>
 #include <string>
 
 namespace limpetbridge::serving {
 
+/// Classes of urgency that queueing distinguishes; rank 0 goes first.
+inline constexpr std::size_t Ranks = 3;
+
+/// Rank of a route's priority.
+[[nodiscard]] auto rankOf(std::uint32_t Priority) -> std::size_t;
+
 /// Work under way at one target.
 struct target_load {
-  std::uint64_t PendingTokens = 0; ///< Prompt tokens not yet read.
-  std::uint32_t Active = 0;        ///< Requests sent and not ended.
+  /// Expected time to read the prompts that are not read yet, by rank, ms.
+  std::array<double, Ranks> PendingMs{};
+  std::uint32_t Active = 0; ///< Requests sent and not ended.
+
+  /// What a request of \p Rank waits for, ms.
+  [[nodiscard]] auto pendingMs(std::size_t Rank) const -> double;
 };
 
 /// One target and the beliefs about it.
@@ -28,8 +39,10 @@
   prefix_memory Cache;
   std::string ControllerAddress; ///< ip:port; empty if none is known.
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
-  double MsPerToken = 0;         ///< Observed reading time; 0: not yet known.
-  time_point AvoidUntil;         ///< Refused or unreachable a moment ago.
+  double Slowness = 1;           ///< Observed against expected time.
+  std::map<model_name, time_point> LoadedAt; ///< When models appeared.
+  time_point AvoidUntil; ///< Refused or unreachable a moment ago.
+  time_point ToldAt;     ///< When its controller last told of its contents.
   time_point LostSince = NoDeadline; ///< Row missing; kept for a grace period.
 
   /// Load of this gateway and of the others together.
@@ -43,7 +56,13 @@
 public:
   /// Takes in a newer description; a new life clears the beliefs.
   /// \returns true when anything but the order count changed.
-  auto update(const target &Target, std::uint64_t CacheTokens) -> bool;
+  auto update(const target &Target, std::uint64_t CacheTokens, time_point Now)
+      -> bool;
+  /// Takes in what a target's controller told of its contents; newer than what
+  /// the store tells for a while.
+  /// \returns true when anything changed.
+  auto updateHoldings(target_entry &Entry, std::uint64_t Sequence,
+                      const holdings &Holds, time_point Now) -> bool;
   auto remove(const target_name &Name) -> void;
 
   [[nodiscard]] auto find(const target_name &Name) -> target_entry *;
@@ -61,12 +80,14 @@
   /// Number of targets that hold \p Model and take work.
   [[nodiscard]] auto holders(const model_name &Model) const -> std::size_t;
 
-  /// An attempt left for \p Name, with \p Tokens of its prompt to be read.
-  auto noteSent(const target_name &Name, std::uint32_t Tokens) -> void;
+  /// An attempt left for \p Name; reading its prompt takes \p ReadMs.
+  auto noteSent(const target_name &Name, std::size_t Rank, double ReadMs)
+      -> void;
   /// Its first byte of output came.
-  auto noteFirstOutput(const target_name &Name, std::uint32_t Tokens) -> void;
-  /// It ended. \param PendingTokens those not yet taken off.
-  auto noteEnded(const target_name &Name, std::uint32_t PendingTokens,
+  auto noteFirstOutput(const target_name &Name, std::size_t Rank, double ReadMs)
+      -> void;
+  /// It ended. \param ReadMs what was not yet taken off.
+  auto noteEnded(const target_name &Name, std::size_t Rank, double ReadMs,
                  bool Failed) -> void;
 
 private:
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -34,9 +34,9 @@
 /// which a repeat may succeed in \p RetryAfterMs.
 auto waitForModel(const gateway_step &Step, request_state &Request,
                   std::int64_t &RetryAfterMs) -> result_code;
-/// Asks for one more copy where queueing costs more than the load.
-auto considerCopy(const gateway_step &Step, const request_state &Request,
-                  double ExpectedMs) -> void;
+/// Asks for further copies of the models that this gateway answers for, where
+/// the demand calls for more than there are.
+auto planCopies(const gateway_step &Step) -> void;
 auto handle(const gateway_step &Step, const load_answered &Event) -> void;
 /// Forgets loads whose answer is overdue.
 auto expireLoads(const gateway_step &Step) -> void;
@@ -47,9 +47,13 @@
 auto handle(const gateway_step &Step, const target_lost &Event) -> void;
 auto handle(const gateway_step &Step, const targets_listed &Event) -> void;
 auto handle(const gateway_step &Step, const instances_listed &Event) -> void;
+auto handle(const gateway_step &Step, const holdings_told &Event) -> void;
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void;
 auto handle(const gateway_step &Step, const tick &Event) -> void;
 
+/// Expected time to read a prompt token of \p Model, ms.
+auto readingMs(const gateway_state &State, const model_name &Model) -> double;
+
 /// Number of gateways, this one included.
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -18,13 +18,26 @@
              : Found->second.Engine.CacheTokens;
 }
 
+/// Places again the requests that wait for what has been added.
+auto placeWaitingForNew(const gateway_step &Step, const holdings &Before,
+                        const holdings &After) -> void {
+  std::vector<model_name> Added;
+  for (const auto &[Model, Held] : After.Models) {
+    const auto Old = Before.Models.find(Model);
+    if (Old == Before.Models.end() || !(Old->second == Held))
+      Added.push_back(Model);
+  }
+  for (const auto &Model : Added)
+    placeWaiting(Step, Model);
+}
+
 auto takeIn(const gateway_step &Step, const target &Target) -> void {
   auto &State = Step.State;
   const auto *Known = State.Book.find(Target.Name);
   const auto Before = Known == nullptr ? holdings() : Known->Target.Holds;
   const bool WasLeaving = Known != nullptr && Known->Target.Leaving;
   const bool WasKnown = Known != nullptr;
-  if (!State.Book.update(Target, cacheTokens(State, Target.Service)))
+  if (!State.Book.update(Target, cacheTokens(State, Target.Service), Step.Now))
     return;
   auto &Entry = *State.Book.find(Target.Name);
   if (Entry.ControllerAddress.empty())
@@ -39,11 +52,7 @@
           {"born", std::to_string(Target.Born)},
           {"leaving", Entry.Target.Leaving ? "true" : "false"},
           {"models", std::to_string(Target.Holds.Models.size())}});
-  for (const auto &[Model, Held] : Entry.Target.Holds.Models) {
-    const auto Old = Before.Models.find(Model);
-    if (Old == Before.Models.end() || !(Old->second == Held))
-      placeWaiting(Step, Model);
-  }
+  placeWaitingForNew(Step, Before, Entry.Target.Holds);
 }
 
 auto lose(const gateway_step &Step, const target_name &Name) -> void {
@@ -114,6 +123,16 @@
         Entry.ControllerAddress = Instance.Address;
 }
 
+auto handle(const gateway_step &Step, const holdings_told &Event) -> void {
+  auto *Entry = Step.State.Book.findAddress(Event.Address);
+  if (Entry == nullptr || Entry->Target.Born != Event.Born)
+    return;
+  const auto Before = Entry->Target.Holds;
+  if (Step.State.Book.updateHoldings(*Entry, Event.Sequence, Event.Holds,
+                                     Step.Now))
+    placeWaitingForNew(Step, Before, Event.Holds);
+}
+
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void {
   auto &State = Step.State;
   if (Event.From == State.Options.Self)
@@ -127,6 +146,7 @@
   }
   State.Demand.setPeer(Event.From, Event.Demand);
   State.PeerLoads[Event.From] = Event.Loading;
+  State.PeerHeard[Event.From] = Step.Now;
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
@@ -135,6 +155,7 @@
 auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
   auto &State = Step.State;
   expireLoads(Step);
+  planCopies(Step);
   std::vector<target_name> Gone;
   for (const auto &[Name, Entry] : State.Book.all())
     if (Entry.LostSince != NoDeadline &&
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -15,12 +15,18 @@
 constexpr duration LoadSlack = milliseconds(4000);
 /// Loads that one request asks for, one after the other.
 constexpr std::uint32_t MaxLoadsAsked = 3;
-/// Loads of one model that a gateway has under way.
-constexpr std::size_t MaxCopiesLoading = 1;
-/// Part of the objective that queueing may take before a copy is considered.
-constexpr double QueueShare = 0.5;
+/// Loads of one model that are under way at once.
+constexpr std::size_t MaxCopiesLoading = 3;
 /// Seconds over which a further copy has to pay.
-constexpr double CopyHorizonSeconds = 4;
+constexpr double CopyHorizonSeconds = 8;
+/// A gateway that was not heard for this long plans nothing.
+constexpr duration PeerSilence = milliseconds(1500);
+/// Expected end of a load that another gateway has asked for.
+constexpr duration PeerLoadTime = milliseconds(1500);
+/// Least time until a repeat of a request whose model is being loaded, ms.
+constexpr std::int64_t LeastLoadRetryMs = 200;
+/// Expected end of an adapter's load.
+constexpr duration AdapterTime = milliseconds(20);
 
 using pending_load = gateway_state::pending_load;
 
@@ -51,9 +57,10 @@
 
 auto ask(const gateway_step &Step, const target_entry &Entry,
          const model_name &Model, const std::string &Adapter,
-         std::vector<model_name> Victims, time_point Deadline,
+         std::vector<model_name> Victims, time_point Ready, time_point Deadline,
          const std::string &RequestId) -> void {
-  Step.State.Loads[Entry.Target.Name].push_back({Model, Adapter, Deadline});
+  Step.State.Loads[Entry.Target.Name].push_back(
+      {Model, Adapter, Ready, Deadline});
   std::string Making;
   for (const auto &Victim : Victims)
     Making += (Making.empty() ? "" : ",") + Victim.Text;
@@ -64,7 +71,9 @@
         {"model", Model.Text},
         {"adapter", Adapter},
         {"victims", Making},
-        {"rate", std::to_string(Step.State.Demand.rate(Model, Step.Now))}});
+        {"work_ms_per_s",
+         std::to_string(static_cast<int>(
+             Step.State.Demand.rate(Model, Step.Now).WorkMsPerSecond))}});
   Step.Effects.push_back(ask_load{Entry.Target.Name, Entry.ControllerAddress,
                                   Model, Adapter, std::move(Victims)});
 }
@@ -94,11 +103,21 @@
 
 auto askPlan(const gateway_step &Step, const load_plan &Plan,
              const model_name &Model, const std::string &RequestId) -> void {
-  const auto Deadline = Step.Now +
-                        milliseconds(static_cast<std::int64_t>(Plan.LoadMs)) +
-                        LoadSlack;
-  ask(Step, *Step.State.Book.find(Plan.Target), Model, "", Plan.Victims,
-      Deadline, RequestId);
+  const auto Ready =
+      Step.Now + milliseconds(static_cast<std::int64_t>(Plan.LoadMs));
+  ask(Step, *Step.State.Book.find(Plan.Target), Model, "", Plan.Victims, Ready,
+      Ready + LoadSlack, RequestId);
+}
+
+/// When \p Model should be loaded by the loads under way.
+auto readyTime(const gateway_step &Step, const model_name &Model)
+    -> time_point {
+  auto Ready = NoDeadline;
+  for (const auto &[Target, Loads] : Step.State.Loads)
+    for (const auto &Load : Loads)
+      if (Load.Model == Model && Load.Adapter.empty())
+        Ready = std::min(Ready, Load.Ready);
+  return Ready == NoDeadline ? Step.Now + PeerLoadTime : Ready;
 }
 
 } // namespace
@@ -110,49 +129,76 @@
   if (isLoading(Step.State, Chosen, Prompt.Model, Prompt.Adapter))
     return;
   ask(Step, *Step.State.Book.find(Chosen), Prompt.Model, Prompt.Adapter, {},
-      Step.Now + AdapterTimeout, Request.Call.Id);
+      Step.Now + AdapterTime, Step.Now + AdapterTimeout, Request.Call.Id);
 }
 
 auto waitForModel(const gateway_step &Step, request_state &Request,
                   std::int64_t &RetryAfterMs) -> result_code {
   const auto &Model = Request.Call.Prompt.Model;
-  const auto Loading = loadingTargets(Step.State, Model);
-  if (!Loading.empty()) {
-    Request.WaitsFor = {Loading.front(), ""};
-    return result_code::NotReady;
+  auto Loading = loadingTargets(Step.State, Model);
+  if (Loading.empty()) {
+    const auto Plan = planFor(Step, Request.Service, Model);
+    if (!Plan)
+      return result_code::NoTarget;
+    if (Request.LoadsAsked >= MaxLoadsAsked)
+      return result_code::NoMemory;
+    ++Request.LoadsAsked;
+    askPlan(Step, *Plan, Model, Request.Call.Id);
+    Loading.push_back(Plan->Target);
   }
-  const auto Plan = planFor(Step, Request.Service, Model);
-  if (!Plan)
-    return result_code::NoTarget;
-  if (Request.LoadsAsked >= MaxLoadsAsked)
-    return result_code::NoMemory;
-  ++Request.LoadsAsked;
-  askPlan(Step, *Plan, Model, Request.Call.Id);
-  const auto Ready =
-      Step.Now + milliseconds(static_cast<std::int64_t>(Plan->LoadMs));
-  if (Ready >= Request.Deadline) {
-    RetryAfterMs = static_cast<std::int64_t>(Plan->LoadMs);
+  const auto Ready = readyTime(Step, Model);
+  const auto Read = milliseconds(static_cast<std::int64_t>(
+      readingMs(Step.State, Model) * Request.Call.Prompt.InputTokens));
+  if (Ready + Read >= Request.FirstBy) {
+    RetryAfterMs = std::max(LeastLoadRetryMs, toMilliseconds(Ready - Step.Now));
     return result_code::DeadlineUnreachable;
   }
-  Request.WaitsFor = {Plan->Target, ""};
+  Request.WaitsFor = {Loading.front(), ""};
   return result_code::NotReady;
 }
 
-auto considerCopy(const gateway_step &Step, const request_state &Request,
-                  double ExpectedMs) -> void {
-  const double Allowed =
-      QueueShare * static_cast<double>(Request.Route.TargetLatencyMs);
-  const auto &Model = Request.Call.Prompt.Model;
-  if (ExpectedMs <= Allowed ||
-      loadingTargets(Step.State, Model).size() >= MaxCopiesLoading)
+namespace {
+
+/// True if this gateway is the one that plans copies of \p Model: the first by
+/// rendezvous hash among those that are heard.
+auto answersFor(const gateway_step &Step, const model_name &Model) -> bool {
+  const auto &State = Step.State;
+  const auto Own = stableHash(State.Options.Self.Text, stableHash(Model.Text));
+  for (const auto &[Peer, Heard] : State.PeerHeard)
+    if (Step.Now - Heard < PeerSilence &&
+        stableHash(Peer.Text, stableHash(Model.Text)) > Own)
+      return false;
+  return true;
+}
+
+auto planCopiesOf(const gateway_step &Step, const service_spec &Service,
+                  const model_name &Model) -> void {
+  auto &State = Step.State;
+  const auto Wanted = wantedCopies(State.Demand.rate(Model, Step.Now));
+  const auto Loading = loadingTargets(State, Model).size();
+  const auto Have = State.Book.holders(Model) + Loading;
+  if (Have >= Wanted || Loading >= MaxCopiesLoading)
     return;
-  const auto Plan = planFor(Step, Request.Service, Model);
+  const auto Plan = planFor(Step, Service.Name, Model);
   if (!Plan)
     return;
-  const double Gain = (ExpectedMs - Allowed) * CopyHorizonSeconds *
-                      Step.State.Demand.rate(Model, Step.Now);
+  // The copies that there are work beyond their share until it is loaded.
+  const double Missing =
+      static_cast<double>(Wanted - Have) / static_cast<double>(Wanted);
+  const double Gain = Missing * CopyHorizonSeconds *
+                      State.Demand.rate(Model, Step.Now).WorkMsPerSecond;
   if (Gain > Plan->CostMs)
-    askPlan(Step, *Plan, Model, Request.Call.Id);
+    askPlan(Step, *Plan, Model, "");
+}
+
+} // namespace
+
+auto planCopies(const gateway_step &Step) -> void {
+  const auto Models = Step.State.Demand.models();
+  for (const auto &[Name, Service] : Step.State.Configuration.Services)
+    for (const auto &Model : Models)
+      if (Service.Engine.Models.contains(Model) && answersFor(Step, Model))
+        planCopiesOf(Step, Service, Model);
 }
 
 auto handle(const gateway_step &Step, const load_answered &Event) -> void {
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -26,9 +26,21 @@
 /// Unreachable targets that one request tries.
 constexpr std::size_t MaxTried = 4;
 /// Weight of one observation in the moving average of reading times.
-constexpr double ReadingWeight = 0.2;
-/// Prompts below this say little about the reading time, tokens.
-constexpr std::uint32_t LeastReadTokens = 500;
+constexpr double ReadingWeight = 0.1;
+/// Expected times below this say little about the reading time, ms.
+constexpr double LeastObservedMs = 40;
+/// Bounds of observed against expected time; beyond them it is a disturbance.
+constexpr double LeastRatio = 0.3;
+constexpr double GreatestRatio = 3;
+/// Bounds of the observed reading time, ms a token.
+constexpr double LeastReadingMs = 0.004;
+constexpr double GreatestReadingMs = 0.2;
+/// Expected times are rough: a request is refused only if it would have to be
+/// this much faster.
+constexpr double PatienceSlack = 1.2;
+/// Part of the caller's patience that a refused request should find free.
+constexpr double RetryShare = 0.5;
+constexpr std::int64_t LeastRetryMs = 150;
 
 auto chooseService(gateway_state &State, const route &Route) -> service_name {
   std::uint32_t Sum = 0;
@@ -81,8 +93,9 @@
     -> void {
   if (Request.Current.empty())
     return;
-  Step.State.Book.noteEnded(Request.Current, Request.PendingTokens, Failed);
-  Request.PendingTokens = 0;
+  Step.State.Book.noteEnded(Request.Current, rankOf(Request.Route.Priority),
+                            Request.ReadMs, Failed);
+  Request.ReadMs = 0;
   Request.Current = target_name();
 }
 
@@ -104,10 +117,12 @@
   ++Request.Attempts;
   Request.Tried.insert(Pick.Target);
   Request.Current = Pick.Target;
-  Request.PendingTokens = Pick.NewTokens;
+  Request.ReadMs = Pick.ReadMs;
+  Request.ExpectedMs = Pick.ExpectedMs;
   Request.WaitsFor.reset();
   Request.SentAt = Step.Now;
-  Step.State.Book.noteSent(Pick.Target, Pick.NewTokens);
+  Step.State.Book.noteSent(Pick.Target, rankOf(Request.Route.Priority),
+                           Pick.ReadMs);
   if (Request.Call.HasPrompt)
     rememberPrefix(Step, Request, *Entry);
   Step.Effects.push_back(
@@ -119,12 +134,30 @@
         {"attempt", std::to_string(Request.Attempts)},
         {"target", Pick.Target.Text},
         {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
-        {"new_tokens", std::to_string(Pick.NewTokens)},
+        {"read_ms", std::to_string(static_cast<int>(Pick.ReadMs))},
         {"target_sequence", std::to_string(Entry->Target.Sequence)},
         {"waited_ms",
          std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
 }
 
+/// True if the caller will have left before the first output.
+auto isHopeless(const request_state &Request, const pick &Pick, time_point Now)
+    -> bool {
+  const double Left =
+      std::chrono::duration<double, std::milli>(Request.FirstBy - Now).count();
+  return Pick.ExpectedMs > PatienceSlack * Left;
+}
+
+/// Time until the queue at the chosen target has become short enough.
+auto retryAfterQueue(const request_state &Request, const pick &Pick)
+    -> std::int64_t {
+  const double Patience = std::chrono::duration<double, std::milli>(
+                              Request.FirstBy - Request.Call.Arrived)
+                              .count();
+  return std::max(LeastRetryMs, static_cast<std::int64_t>(
+                                    Pick.ExpectedMs - RetryShare * Patience));
+}
+
 /// Sends the request, makes it wait for a load, or refuses it.
 auto place(const gateway_step &Step, request_number Number) -> void {
   auto &Request = Step.State.Requests.at(Number);
@@ -132,15 +165,22 @@
     return refuse(Step, Number, result_code::DeadlineUnreachable, 0,
                   "no time is left");
   const auto &Call = Request.Call;
-  const auto Pick = pickTarget(Step.State.Book,
-                               {Request.Service, Step.State.Options.DataCentre,
-                                Call.HasPrompt ? &Call.Prompt : nullptr,
-                                &Request.Keys, &Request.Tried, Step.Now});
-  if (Pick && !Pick->NeedsAdapter) {
-    if (Call.HasPrompt)
-      considerCopy(Step, Request, Pick->ExpectedMs);
+  pick_request Wanted;
+  Wanted.Service = Request.Service;
+  Wanted.DataCentre = Step.State.Options.DataCentre;
+  Wanted.Prompt = Call.HasPrompt ? &Call.Prompt : nullptr;
+  Wanted.MsPerToken = readingMs(Step.State, Call.Prompt.Model);
+  Wanted.Rank = rankOf(Request.Route.Priority);
+  Wanted.Keys = &Request.Keys;
+  Wanted.Tried = &Request.Tried;
+  Wanted.Now = Step.Now;
+  const auto Pick = pickTarget(Step.State.Book, Wanted);
+  if (Pick && Call.HasPrompt && isHopeless(Request, *Pick, Step.Now))
+    return refuse(Step, Number, result_code::DeadlineUnreachable,
+                  retryAfterQueue(Request, *Pick),
+                  "the queues are longer than the caller waits");
+  if (Pick && !Pick->NeedsAdapter)
     return send(Step, Number, Request, *Pick);
-  }
   if (Pick)
     return waitForAdapter(Step, Request, Pick->Target);
   std::int64_t RetryAfterMs = NoTargetRetryMs;
@@ -213,9 +253,17 @@
   Request.Deadline =
       std::min(Event.Call.CallerDeadline,
                Event.Call.Arrived + milliseconds(Route->TimeoutMs));
+  Request.FirstBy =
+      Route->PatienceMs > 0
+          ? std::min(Request.Deadline,
+                     Event.Call.Arrived + milliseconds(Route->PatienceMs))
+          : Request.Deadline;
   if (Event.Call.HasPrompt) {
-    Request.Keys = prefixKeys(Event.Call.Prompt);
-    State.Demand.note(Event.Call.Prompt.Model, Step.Now);
+    const auto &Prompt = Event.Call.Prompt;
+    Request.Keys = prefixKeys(Prompt);
+    State.Demand.note(Prompt.Model,
+                      readingMs(State, Prompt.Model) * Prompt.InputTokens,
+                      Step.Now);
   }
   State.Budgets[Request.Service].noteRequest(Step.Now);
   Step.Effects.push_back(set_deadline{Event.Number, Request.Deadline});
@@ -229,22 +277,21 @@
     return;
   auto &Request = Found->second;
   auto *Entry = Step.State.Book.find(Request.Current);
-  if (Entry != nullptr && Request.PendingTokens >= LeastReadTokens) {
-    // The queue before this request is part of what was waited for.
-    const auto Queue = static_cast<double>(Entry->load().PendingTokens);
+  if (Entry != nullptr && Request.ExpectedMs >= LeastObservedMs) {
     const double Took =
         std::chrono::duration<double, std::milli>(Step.Now - Request.SentAt)
             .count();
-    const double PerToken =
-        Took / std::max(Queue, static_cast<double>(Request.PendingTokens));
-    Entry->MsPerToken =
-        Entry->MsPerToken == 0
-            ? PerToken
-            : Entry->MsPerToken +
-                  ReadingWeight * (PerToken - Entry->MsPerToken);
+    const double Ratio =
+        std::clamp(Took / Request.ExpectedMs, LeastRatio, GreatestRatio);
+    const auto &Model = Request.Call.Prompt.Model;
+    Step.State.ReadingMs[Model] = std::clamp(
+        readingMs(Step.State, Model) * (1 + ReadingWeight * (Ratio - 1)),
+        LeastReadingMs, GreatestReadingMs);
+    Entry->Slowness += ReadingWeight * (Ratio - Entry->Slowness);
   }
-  Step.State.Book.noteFirstOutput(Request.Current, Request.PendingTokens);
-  Request.PendingTokens = 0;
+  Step.State.Book.noteFirstOutput(
+      Request.Current, rankOf(Request.Route.Priority), Request.ReadMs);
+  Request.ReadMs = 0;
 }
 
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void {
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -6,11 +6,8 @@
 
 namespace {
 
-/// Prompt reading time until one was observed, ms a token; engines of the
-/// 70-billion class read about 40 tokens in a millisecond.
-constexpr double DefaultMsPerToken = 0.025;
 /// Slowdown of a batch by each request in it, ms to the first output.
-constexpr double MsPerActive = 1.5;
+constexpr double MsPerActive = 0.5;
 /// Time of a plain request that waits behind another one for a slot, ms.
 constexpr double PlainMsPerActive = 12;
 /// Round trip to another data centre and the price of its bytes, ms.
@@ -25,13 +22,12 @@
 } // namespace
 
 auto expectedMs(const target_entry &Entry, const pick_request &Request,
-                std::uint32_t NewTokens) -> double {
+                double ReadMs) -> double {
   const auto Load = Entry.load();
   double Expected = FailureMs * Entry.FailureShare;
   if (Request.Prompt != nullptr) {
-    const double PerToken =
-        Entry.MsPerToken > 0 ? Entry.MsPerToken : DefaultMsPerToken;
-    Expected += PerToken * static_cast<double>(Load.PendingTokens + NewTokens) +
+    Expected += std::max(Entry.Slowness, 1.0) *
+                    (Load.pendingMs(Request.Rank) + ReadMs) +
                 MsPerActive * Load.Active;
   } else {
     Expected += PlainMsPerActive * Load.Active;
@@ -61,10 +57,12 @@
       if (Candidate.NeedsAdapter && Entry.ControllerAddress.empty())
         continue;
       const auto Cached = Entry.Cache.cachedTokens(Prompt, *Request.Keys);
-      Candidate.NewTokens =
-          Prompt.InputTokens - std::min(Prompt.InputTokens, Cached);
+      Candidate.ReadMs =
+          Request.MsPerToken *
+          static_cast<double>(Prompt.InputTokens -
+                              std::min(Prompt.InputTokens, Cached));
     }
-    Candidate.ExpectedMs = expectedMs(Entry, Request, Candidate.NewTokens) +
+    Candidate.ExpectedMs = expectedMs(Entry, Request, Candidate.ReadMs) +
                            (Candidate.NeedsAdapter ? AdapterMs : 0);
     if (!Best || Candidate.ExpectedMs < Best->ExpectedMs)
       Best = Candidate;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -8,7 +8,16 @@
 namespace {
 
 /// Time constant of the moving average: demand moves within seconds.
-constexpr double DemandSeconds = 4;
+constexpr double DemandSeconds = 3;
+/// Part of a target's time that reading the prompts of one model may take; the
+/// rest is for bursts and for the other models there.
+constexpr double CopyUtilization = 0.3;
+/// Least demand that keeps one copy, requests a second.
+constexpr double LeastRate = 0.02;
+/// A model that was loaded less than this ago makes no way.
+constexpr duration LeastStay = milliseconds(2500);
+/// Factor on the cost of a copy that the demand does not call for.
+constexpr double SurplusWeight = 0.1;
 /// Cost of evicting the last copy of a model, ms of load a request.
 constexpr double LastCopyWeight = 3;
 /// Cost of work that the loading target has under way, ms a request.
@@ -55,11 +64,17 @@
     const double Reload = Spec == Engine.Models.end()
                               ? 0
                               : loadMs(Spec->second, Entry.Target.Holds);
-    const double Rate = Demand.rate(Model, Now);
+    const auto Rate = Demand.rate(Model, Now);
+    const auto Loaded = Entry.LoadedAt.find(Model);
+    if (Loaded != Entry.LoadedAt.end() && Now - Loaded->second < LeastStay)
+      continue;
     // Reloading one of few copies delays its share of the demand.
-    double Cost = Rate * HorizonSeconds * Reload / std::max(Copies, 1.0);
+    double Cost =
+        Rate.PerSecond * HorizonSeconds * Reload / std::max(Copies, 1.0);
     if (Copies <= 1)
       Cost = LastCopyWeight * (Cost + Reload);
+    else if (Copies > static_cast<double>(wantedCopies(Rate)))
+      Cost *= SurplusWeight;
     Victims.push_back({Model, Cost, weightsOf(Engine, Model, Held)});
   }
   std::sort(Victims.begin(), Victims.end(),
@@ -71,16 +86,18 @@
 
 } // namespace
 
-auto demand::note(const model_name &Model, time_point Now) -> void {
+auto demand::note(const model_name &Model, double WorkMs, time_point Now)
+    -> void {
   auto &Counter = Own[Model];
-  Counter.Count *=
+  const double Kept =
       std::exp(-secondsBetween(Counter.Since, Now) / DemandSeconds);
-  Counter.Count += 1;
+  Counter.Requests = Counter.Requests * Kept + 1;
+  Counter.WorkMs = Counter.WorkMs * Kept + WorkMs;
   Counter.Since = Now;
 }
 
-auto demand::setPeer(const instance_name &Peer,
-                     const std::map<model_name, double> &Rates) -> void {
+auto demand::setPeer(const instance_name &Peer, const model_rates &Rates)
+    -> void {
   Peers[Peer] = Rates;
 }
 
@@ -88,33 +105,53 @@
   Peers.erase(Peer);
 }
 
-auto demand::ownRate(const model_name &Model, time_point Now) const -> double {
-  const auto Found = Own.find(Model);
-  if (Found == Own.end())
-    return 0;
-  const auto Age = secondsBetween(Found->second.Since, Now);
-  return Found->second.Count * std::exp(-Age / DemandSeconds) / DemandSeconds;
+auto demand::rateOf(const counter &Counter, time_point Now) -> model_rate {
+  const double Kept =
+      std::exp(-secondsBetween(Counter.Since, Now) / DemandSeconds);
+  return {Counter.Requests * Kept / DemandSeconds,
+          Counter.WorkMs * Kept / DemandSeconds};
 }
 
-auto demand::rate(const model_name &Model, time_point Now) const -> double {
-  double Sum = ownRate(Model, Now);
+auto demand::rate(const model_name &Model, time_point Now) const -> model_rate {
+  model_rate Sum;
+  if (const auto Found = Own.find(Model); Found != Own.end())
+    Sum = rateOf(Found->second, Now);
   for (const auto &[Name, Rates] : Peers) {
     const auto Found = Rates.find(Model);
-    Sum += Found == Rates.end() ? 0 : Found->second;
+    if (Found == Rates.end())
+      continue;
+    Sum.PerSecond += Found->second.PerSecond;
+    Sum.WorkMsPerSecond += Found->second.WorkMsPerSecond;
   }
   return Sum;
 }
 
-auto demand::ownRates(time_point Now) const -> std::map<model_name, double> {
-  /// Rates below this are not worth telling, requests a second.
-  constexpr double LeastRate = 0.02;
-  std::map<model_name, double> Rates;
+auto demand::ownRates(time_point Now) const -> model_rates {
+  model_rates Rates;
   for (const auto &[Model, Counter] : Own)
-    if (const double Rate = ownRate(Model, Now); Rate >= LeastRate)
+    if (const auto Rate = rateOf(Counter, Now); Rate.PerSecond >= LeastRate)
       Rates[Model] = Rate;
   return Rates;
 }
 
+auto demand::models() const -> std::set<model_name> {
+  std::set<model_name> Models;
+  for (const auto &[Model, Counter] : Own)
+    Models.insert(Model);
+  for (const auto &[Name, Rates] : Peers)
+    for (const auto &[Model, Rate] : Rates)
+      Models.insert(Model);
+  return Models;
+}
+
+auto wantedCopies(const model_rate &Rate) -> std::size_t {
+  constexpr double MsPerSecond = 1000;
+  if (Rate.PerSecond < LeastRate)
+    return 0;
+  return static_cast<std::size_t>(
+      std::ceil(Rate.WorkMsPerSecond / (MsPerSecond * CopyUtilization)));
+}
+
 auto planLoad(const target_book &Book, const service_spec &Service,
               const model_name &Model, const demand &Demand,
               const std::map<target_name, model_name> &Busy, time_point Now)
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -9,23 +9,47 @@
 /// Weight of one attempt in the moving average of failures.
 constexpr double FailureWeight = 0.15;
 
+/// Time in which a controller's word on contents goes before the store's: a
+/// heartbeat and its way through the store.
+constexpr duration ToldValid = milliseconds(2500);
+
 template <typename number> auto takeOff(number &From, number Amount) -> void {
   From -= std::min(From, Amount);
 }
 
+auto setHoldings(target_entry &Entry, const holdings &Holds, time_point Now)
+    -> void {
+  for (const auto &[Model, Held] : Holds.Models)
+    if (!Entry.Target.Holds.Models.contains(Model))
+      Entry.LoadedAt[Model] = Now;
+  Entry.Target.Holds = Holds;
+}
+
 } // namespace
 
+auto rankOf(std::uint32_t Priority) -> std::size_t {
+  return std::min<std::size_t>(Priority, Ranks - 1);
+}
+
+auto target_load::pendingMs(std::size_t Rank) const -> double {
+  double Sum = 0;
+  for (std::size_t I = 0; I <= Rank; ++I)
+    Sum += PendingMs[I];
+  return Sum;
+}
+
 auto target_entry::load() const -> target_load {
   auto Sum = Own;
   for (const auto &[Name, Each] : Peer) {
-    Sum.PendingTokens += Each.PendingTokens;
+    for (std::size_t I = 0; I < Ranks; ++I)
+      Sum.PendingMs[I] += Each.PendingMs[I];
     Sum.Active += Each.Active;
   }
   return Sum;
 }
 
-auto target_book::update(const target &Target, std::uint64_t CacheTokens)
-    -> bool {
+auto target_book::update(const target &Target, std::uint64_t CacheTokens,
+                         time_point Now) -> bool {
   auto &Entry = Entries[Target.Name];
   const auto &Known = Entry.Target;
   const bool SameLife = Known.Name == Target.Name && Known.Born == Target.Born;
@@ -40,19 +64,41 @@
   if (!SameLife) {
     Entry.Cache.clear();
     Entry.FailureShare = 0;
+    Entry.Slowness = 1;
     Entry.AvoidUntil = {};
+    Entry.ToldAt = {};
+    Entry.LoadedAt.clear();
   }
   Entry.LostSince = NoDeadline;
   const bool Changed = !SameLife || Known.Leaving != Target.Leaving ||
                        Known.Address != Target.Address ||
                        !(Known.Holds == Target.Holds);
   const bool Leaving = SameLife && Known.Leaving;
+  const bool Told = Entry.ToldAt != time_point() &&
+                    Now - Entry.ToldAt < ToldValid &&
+                    Target.Sequence == Known.Sequence;
+  const auto Holds = Told ? Known.Holds : Target.Holds;
+  auto Before = Entry.Target.Holds;
   Entry.Target = Target;
+  Entry.Target.Holds = std::move(Before);
+  setHoldings(Entry, Holds, Now);
   Entry.Target.Leaving |= Leaving;
   Entry.Cache.setCapacity(CacheTokens);
   return Changed;
 }
 
+auto target_book::updateHoldings(target_entry &Entry, std::uint64_t Sequence,
+                                 const holdings &Holds, time_point Now)
+    -> bool {
+  if (Sequence < Entry.Target.Sequence)
+    return false;
+  const bool Changed = !(Entry.Target.Holds == Holds);
+  setHoldings(Entry, Holds, Now);
+  Entry.Target.Sequence = Sequence;
+  Entry.ToldAt = Now;
+  return Changed;
+}
+
 auto target_book::remove(const target_name &Name) -> void {
   Entries.erase(Name);
 }
@@ -83,26 +129,26 @@
       }));
 }
 
-auto target_book::noteSent(const target_name &Name, std::uint32_t Tokens)
-    -> void {
+auto target_book::noteSent(const target_name &Name, std::size_t Rank,
+                           double ReadMs) -> void {
   if (auto *Entry = find(Name)) {
-    Entry->Own.PendingTokens += Tokens;
+    Entry->Own.PendingMs[Rank] += ReadMs;
     ++Entry->Own.Active;
   }
 }
 
-auto target_book::noteFirstOutput(const target_name &Name, std::uint32_t Tokens)
-    -> void {
+auto target_book::noteFirstOutput(const target_name &Name, std::size_t Rank,
+                                  double ReadMs) -> void {
   if (auto *Entry = find(Name))
-    takeOff(Entry->Own.PendingTokens, std::uint64_t{Tokens});
+    takeOff(Entry->Own.PendingMs[Rank], ReadMs);
 }
 
-auto target_book::noteEnded(const target_name &Name,
-                            std::uint32_t PendingTokens, bool Failed) -> void {
+auto target_book::noteEnded(const target_name &Name, std::size_t Rank,
+                            double ReadMs, bool Failed) -> void {
   auto *Entry = find(Name);
   if (Entry == nullptr)
     return;
-  takeOff(Entry->Own.PendingTokens, std::uint64_t{PendingTokens});
+  takeOff(Entry->Own.PendingMs[Rank], ReadMs);
   takeOff(Entry->Own.Active, 1U);
   Entry->FailureShare +=
       FailureWeight * ((Failed ? 1.0 : 0.0) - Entry->FailureShare);
