--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -129,7 +129,7 @@
 
 auto gateway_request::makeEnd(attempt_end End, std::uint16_t Status) const
     -> ended {
-  return {Number, End, Status, false};
+  return {Number, End, Status, false, toMilliseconds(LongestGap)};
 }
 
 auto gateway_request::attempt(const send_attempt &Send) -> awaitable<ended> {
@@ -244,9 +244,15 @@
   const auto Status = AnswerHead.Status;
   Events.restart();
   bool First = true;
+  auto LastPart = process_clock::now();
+  LongestGap = duration::zero();
   for (;;) {
     std::string Bytes;
     const auto Read = co_await Connection->readBody(Bytes);
+    const auto Now = process_clock::now();
+    if (!First)
+      LongestGap = std::max(LongestGap, Now - LastPart);
+    LastPart = Now;
     if (CallerLeft || !Commands.empty())
       co_return makeEnd(attempt_end::CutShort, Status);
     if (!Bytes.empty() && std::exchange(First, false))
--- a/apps/limpetbridge/src/serving/gateway_request.h
+++ b/apps/limpetbridge/src/serving/gateway_request.h
@@ -73,9 +73,10 @@
   net::asio::steady_timer DeadlineTimer;
   std::deque<command> Commands;
   std::shared_ptr<net::target_connection> Target;
-  net::answer_head AnswerHead;  ///< Of the current attempt.
-  net::http_answer Failure;     ///< Kept for relay_failure.
-  serving::event_stream Events; ///< Of a resumable stream.
+  net::answer_head AnswerHead;            ///< Of the current attempt.
+  net::http_answer Failure;               ///< Kept for relay_failure.
+  serving::event_stream Events;           ///< Of a resumable stream.
+  duration LongestGap = duration::zero(); ///< Of the current attempt.
   bool Resumable = false;
   bool AnswerBegun = false; ///< The caller has got a part of the answer.
   bool ClosesAfter = false; ///< The head said that the connection ends.
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -47,9 +47,10 @@
 struct attempt_ended {
   request_number Number = 0;
   attempt_end End = attempt_end::Unknown;
-  std::uint16_t Status = 0; ///< Of the target's answer; 0 without one.
-  bool WrongTarget = false; ///< Another target has the address, or the
-                            ///< model is not there.
+  std::uint16_t Status = 0;      ///< Of the target's answer; 0 without one.
+  bool WrongTarget = false;      ///< Another target has the address, or the
+                                 ///< model is not there.
+  std::int64_t LongestGapMs = 0; ///< Between two parts of the answer.
 };
 
 /// The caller closed its connection before its answer was complete.
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -121,6 +121,7 @@
   Request.ExpectedMs = Pick.ExpectedMs;
   Request.WaitsFor.reset();
   Request.SentAt = Step.Now;
+  Request.FirstMs = -1;
   Step.State.Book.noteSent(Pick.Target, rankOf(Request.Route.Priority),
                            Pick.ReadMs);
   if (Request.Call.HasPrompt)
@@ -276,6 +277,7 @@
   if (Found == Step.State.Requests.end())
     return;
   auto &Request = Found->second;
+  Request.FirstMs = toMilliseconds(Step.Now - Request.SentAt);
   auto *Entry = Step.State.Book.find(Request.Current);
   if (Entry != nullptr && Request.ExpectedMs >= LeastObservedMs) {
     const double Took =
@@ -311,6 +313,9 @@
        {"target", Target.Text},
        {"end", std::string(nameOf(Event.End))},
        {"status", std::to_string(Event.Status)},
+       {"route", Request.Route.Name},
+       {"first_ms", std::to_string(Request.FirstMs)},
+       {"longest_gap_ms", std::to_string(Event.LongestGapMs)},
        {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))}});
   Request.MayHaveRun |= Event.End == attempt_end::Failed ||
                         Event.End == attempt_end::Unknown ||
