--- a/libs/net/include/net/asio.h
+++ b/libs/net/include/net/asio.h
@@ -38,7 +38,7 @@
 /// throw, and its state is unknown then.
 template <typename executor>
 auto spawn(const executor &Executor, awaitable<void> Task) -> void {
-  asio::co_spawn(Executor, std::move(Task), [](std::exception_ptr Thrown) {
+  asio::co_spawn(Executor, std::move(Task), [](const std::exception_ptr &Thrown) {
     if (Thrown)
       std::rethrow_exception(Thrown);
   });
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -29,7 +29,8 @@
   target_name Target;
   bool NeedsAdapter = false; ///< The adapter must be loaded first.
   double ReadMs = 0;         ///< Reading what is not in its cache.
-  double ExpectedMs = 0;     ///< Until the first output.
+  double ExpectedMs = 0;       ///< Until the first output.
+  double CostMs = 0;           ///< With what the choice costs others.
 };
 
 /// Expected time to the first output at \p Entry, ms.
@@ -37,6 +38,13 @@
                               const pick_request &Request, double ReadMs)
     -> double;
 
+/// What the request costs streams that are under way at \p Entry, and what
+/// less urgent prompts there will cost its own stream, ms. A long prompt is read
+/// between the tokens of the streams and stretches their pauses.
+[[nodiscard]] auto interferenceMs(const target_entry &Entry,
+                                  const pick_request &Request, double ReadMs)
+    -> double;
+
 /// Picks among the targets that take work and, for a prompt, hold the model.
 /// \returns none when no target qualifies.
 [[nodiscard]] auto pickTarget(const target_book &Book,
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -14,6 +14,10 @@
 constexpr double OtherDataCentreMs = 15;
 /// Expected loss by failed attempts, ms at a share of 1.
 constexpr double FailureMs = 1500;
+/// Harm to one stream by each ms of reading beside it.
+constexpr double StreamHarm = 0.1;
+/// Harm to a request's own stream by each ms of less urgent reading.
+constexpr double LessUrgentHarm = 0.3;
 /// Order and fetch of an adapter, ms.
 constexpr double AdapterMs = 25;
 /// Put on targets that refused a moment ago, ms; they stay a last resort.
@@ -39,6 +43,16 @@
   return Expected;
 }
 
+auto interferenceMs(const target_entry &Entry, const pick_request &Request,
+                    double ReadMs) -> double {
+  if (Request.Prompt == nullptr)
+    return 0;
+  const auto Load = Entry.load();
+  return StreamHarm * Load.Active * ReadMs +
+         LessUrgentHarm *
+             (Load.pendingMs(Ranks - 1) - Load.pendingMs(Request.Rank));
+}
+
 auto pickTarget(const target_book &Book, const pick_request &Request)
     -> std::optional<pick> {
   std::optional<pick> Best;
@@ -64,7 +78,9 @@
     }
     Candidate.ExpectedMs = expectedMs(Entry, Request, Candidate.ReadMs) +
                            (Candidate.NeedsAdapter ? AdapterMs : 0);
-    if (!Best || Candidate.ExpectedMs < Best->ExpectedMs)
+    Candidate.CostMs = Candidate.ExpectedMs +
+                       interferenceMs(Entry, Request, Candidate.ReadMs);
+    if (!Best || Candidate.CostMs < Best->CostMs)
       Best = Candidate;
   }
   return Best;
