--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -171,6 +171,8 @@
     const auto Job = Line.Queue.front();
     Job->Held = co_await runJob(Line, Job);
     Job->Done = true;
+    if (Job->Job.Adapter.empty())
+      Leaving.clear();
     Line.Queue.pop_front();
     for (const auto &Waiter : Job->Waiters)
       Waiter->cancel();
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -21,6 +21,8 @@
   std::size_t Rank = 0;
   const std::vector<prefix_key> *Keys = nullptr;
   const std::set<target_name> *Tried = nullptr;
+  /// Targets that load a model; they take no orders for adapters meanwhile.
+  const std::map<target_name, model_name> *Busy = nullptr;
   time_point Now;
 };
 
@@ -29,8 +31,8 @@
   target_name Target;
   bool NeedsAdapter = false; ///< The adapter must be loaded first.
   double ReadMs = 0;         ///< Reading what is not in its cache.
-  double ExpectedMs = 0;       ///< Until the first output.
-  double CostMs = 0;           ///< With what the choice costs others.
+  double ExpectedMs = 0;     ///< Until the first output.
+  double CostMs = 0;         ///< With what the choice costs others.
 };
 
 /// Expected time to the first output at \p Entry, ms.
@@ -39,8 +41,8 @@
     -> double;
 
 /// What the request costs streams that are under way at \p Entry, and what
-/// less urgent prompts there will cost its own stream, ms. A long prompt is read
-/// between the tokens of the streams and stretches their pauses.
+/// less urgent prompts there will cost its own stream, ms. A long prompt is
+/// read between the tokens of the streams and stretches their pauses.
 [[nodiscard]] auto interferenceMs(const target_entry &Entry,
                                   const pick_request &Request, double ReadMs)
     -> double;
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -21,6 +21,13 @@
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
 
+/// Refuses requests whose load comes too late for their callers.
+auto refuseLateWaiters(const gateway_step &Step) -> void;
+
+/// A gateway that was not heard for this long counts as gone; it tells ten
+/// times a second.
+inline constexpr duration PeerSilence = milliseconds(1500);
+
 /// Places again the requests that wait for \p Model.
 auto placeWaiting(const gateway_step &Step, const model_name &Model) -> void;
 
@@ -38,6 +45,11 @@
 /// the demand calls for more than there are.
 auto planCopies(const gateway_step &Step) -> void;
 auto handle(const gateway_step &Step, const load_answered &Event) -> void;
+/// When \p Model should be loaded by the loads under way.
+auto readyTime(const gateway_step &Step, const model_name &Model) -> time_point;
+/// Targets with a load of a whole model under way.
+auto busyTargets(const gateway_state &State)
+    -> std::map<target_name, model_name>;
 /// Forgets loads whose answer is overdue.
 auto expireLoads(const gateway_step &Step) -> void;
 
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -71,6 +71,24 @@
     handle(Step, Each);
 }
 
+/// Forgets what gateways told that are not heard any more: the loads that they
+/// asked for may never come.
+auto forgetSilentPeers(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  std::vector<instance_name> Silent;
+  for (const auto &[Peer, Heard] : State.PeerHeard)
+    if (Step.Now - Heard >= PeerSilence)
+      Silent.push_back(Peer);
+  for (const auto &Peer : Silent) {
+    State.PeerHeard.erase(Peer);
+    State.PeerLoads.erase(Peer);
+    State.Demand.removePeer(Peer);
+    for (auto &[Name, Entry] : State.Book.all())
+      Entry.Peer.erase(Peer);
+    note(Step, log_level::Warning, "peer_silent", {{"peer", Peer.Text}});
+  }
+}
+
 } // namespace
 
 auto handle(const gateway_step &Step, const configuration_read &Event) -> void {
@@ -146,6 +164,8 @@
   }
   State.Demand.setPeer(Event.From, Event.Demand);
   State.PeerLoads[Event.From] = Event.Loading;
+  if (!State.PeerHeard.contains(Event.From))
+    note(Step, log_level::Info, "peer_heard", {{"peer", Event.From.Text}});
   State.PeerHeard[Event.From] = Step.Now;
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
@@ -154,7 +174,9 @@
 
 auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
   auto &State = Step.State;
+  forgetSilentPeers(Step);
   expireLoads(Step);
+  refuseLateWaiters(Step);
   planCopies(Step);
   std::vector<target_name> Gone;
   for (const auto &[Name, Entry] : State.Book.all())
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -19,12 +19,12 @@
 constexpr std::size_t MaxCopiesLoading = 3;
 /// Seconds over which a further copy has to pay.
 constexpr double CopyHorizonSeconds = 8;
-/// A gateway that was not heard for this long plans nothing.
-constexpr duration PeerSilence = milliseconds(1500);
 /// Expected end of a load that another gateway has asked for.
 constexpr duration PeerLoadTime = milliseconds(1500);
 /// Least time until a repeat of a request whose model is being loaded, ms.
 constexpr std::int64_t LeastLoadRetryMs = 200;
+/// Time in which no other load is asked for where one has failed.
+constexpr duration FailedLoadPause = milliseconds(1500);
 /// Expected end of an adapter's load.
 constexpr duration AdapterTime = milliseconds(20);
 
@@ -78,19 +78,6 @@
                                   Model, Adapter, std::move(Victims)});
 }
 
-/// Targets with a load of whole models under way.
-auto busyTargets(const gateway_state &State)
-    -> std::map<target_name, model_name> {
-  std::map<target_name, model_name> Busy;
-  for (const auto &[Target, Loads] : State.Loads)
-    for (const auto &Load : Loads)
-      if (Load.Adapter.empty())
-        Busy[Target] = Load.Model;
-  for (const auto &[Peer, Loads] : State.PeerLoads)
-    Busy.insert(Loads.begin(), Loads.end());
-  return Busy;
-}
-
 auto planFor(const gateway_step &Step, const service_name &Service,
              const model_name &Model) -> std::optional<load_plan> {
   const auto &Services = Step.State.Configuration.Services;
@@ -109,7 +96,8 @@
       Ready + LoadSlack, RequestId);
 }
 
-/// When \p Model should be loaded by the loads under way.
+} // namespace
+
 auto readyTime(const gateway_step &Step, const model_name &Model)
     -> time_point {
   auto Ready = NoDeadline;
@@ -120,7 +108,17 @@
   return Ready == NoDeadline ? Step.Now + PeerLoadTime : Ready;
 }
 
-} // namespace
+auto busyTargets(const gateway_state &State)
+    -> std::map<target_name, model_name> {
+  std::map<target_name, model_name> Busy;
+  for (const auto &[Target, Loads] : State.Loads)
+    for (const auto &Load : Loads)
+      if (Load.Adapter.empty())
+        Busy[Target] = Load.Model;
+  for (const auto &[Peer, Loads] : State.PeerLoads)
+    Busy.insert(Loads.begin(), Loads.end());
+  return Busy;
+}
 
 auto waitForAdapter(const gateway_step &Step, request_state &Request,
                     const target_name &Chosen) -> void {
@@ -165,8 +163,7 @@
   const auto &State = Step.State;
   const auto Own = stableHash(State.Options.Self.Text, stableHash(Model.Text));
   for (const auto &[Peer, Heard] : State.PeerHeard)
-    if (Step.Now - Heard < PeerSilence &&
-        stableHash(Peer.Text, stableHash(Model.Text)) > Own)
+    if (stableHash(Peer.Text, stableHash(Model.Text)) > Own)
       return false;
   return true;
 }
@@ -220,7 +217,9 @@
         {"model", Event.Model.Text},
         {"adapter", Event.Adapter},
         {"held", Event.Held ? "true" : "false"}});
-  if (Entry != nullptr && !Event.Held)
+  if (Entry != nullptr && !Event.Held && Event.Adapter.empty())
+    Entry->NoLoadUntil = Step.Now + FailedLoadPause;
+  if (Entry != nullptr && !Event.Held && !Event.Adapter.empty())
     Entry->AvoidUntil = Step.Now + AdapterTimeout;
   placeWaiting(Step, Event.Model);
 }
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -41,6 +41,9 @@
 /// Part of the caller's patience that a refused request should find free.
 constexpr double RetryShare = 0.5;
 constexpr std::int64_t LeastRetryMs = 150;
+/// A waiting request is given up this long before its caller leaves: it could
+/// not be read any more, and its caller can still come back.
+constexpr duration WaitSlack = milliseconds(400);
 
 auto chooseService(gateway_state &State, const route &Route) -> service_name {
   std::uint32_t Sum = 0;
@@ -174,6 +177,8 @@
   Wanted.Rank = rankOf(Request.Route.Priority);
   Wanted.Keys = &Request.Keys;
   Wanted.Tried = &Request.Tried;
+  const auto Busy = busyTargets(Step.State);
+  Wanted.Busy = &Busy;
   Wanted.Now = Step.Now;
   const auto Pick = pickTarget(Step.State.Book, Wanted);
   if (Pick && Call.HasPrompt && isHopeless(Request, *Pick, Step.Now))
@@ -383,6 +388,20 @@
          MayHaveRun ? "the target is still at work" : "it was still waiting");
 }
 
+auto refuseLateWaiters(const gateway_step &Step) -> void {
+  std::vector<request_number> Late;
+  for (const auto &[Number, Request] : Step.State.Requests)
+    if (Request.WaitsFor && Step.Now + WaitSlack >= Request.FirstBy)
+      Late.push_back(Number);
+  for (const auto Number : Late) {
+    const auto &Request = Step.State.Requests.at(Number);
+    const auto Ready = readyTime(Step, Request.Call.Prompt.Model);
+    refuse(Step, Number, result_code::DeadlineUnreachable,
+           std::max(LeastRetryMs, toMilliseconds(Ready - Step.Now)),
+           "the load comes too late");
+  }
+}
+
 auto placeWaiting(const gateway_step &Step, const model_name &Model) -> void {
   std::vector<request_number> Numbers;
   for (const auto &[Number, Request] : Step.State.Requests)
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -18,6 +18,8 @@
 constexpr double StreamHarm = 0.1;
 /// Harm to a request's own stream by each ms of less urgent reading.
 constexpr double LessUrgentHarm = 0.3;
+/// Wait for the end of a model's load before an adapter can be ordered, ms.
+constexpr double BusyMs = 1000;
 /// Order and fetch of an adapter, ms.
 constexpr double AdapterMs = 25;
 /// Put on targets that refused a moment ago, ms; they stay a last resort.
@@ -68,18 +70,20 @@
         continue;
       Candidate.NeedsAdapter =
           !holdsAll(Entry.Target, Prompt.Model, Prompt.Adapter);
+      const bool Busy = Request.Busy != nullptr && Request.Busy->contains(Name);
       if (Candidate.NeedsAdapter && Entry.ControllerAddress.empty())
         continue;
+      Candidate.ExpectedMs =
+          Candidate.NeedsAdapter ? AdapterMs + (Busy ? BusyMs : 0) : 0;
       const auto Cached = Entry.Cache.cachedTokens(Prompt, *Request.Keys);
       Candidate.ReadMs =
           Request.MsPerToken *
           static_cast<double>(Prompt.InputTokens -
                               std::min(Prompt.InputTokens, Cached));
     }
-    Candidate.ExpectedMs = expectedMs(Entry, Request, Candidate.ReadMs) +
-                           (Candidate.NeedsAdapter ? AdapterMs : 0);
-    Candidate.CostMs = Candidate.ExpectedMs +
-                       interferenceMs(Entry, Request, Candidate.ReadMs);
+    Candidate.ExpectedMs += expectedMs(Entry, Request, Candidate.ReadMs);
+    Candidate.CostMs =
+        Candidate.ExpectedMs + interferenceMs(Entry, Request, Candidate.ReadMs);
     if (!Best || Candidate.CostMs < Best->CostMs)
       Best = Candidate;
   }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -164,7 +164,8 @@
   for (const auto &[Name, Entry] : Book.all()) {
     const auto &Target = Entry.Target;
     if (Target.Service != Service.Name || !Entry.takesWork() ||
-        Entry.ControllerAddress.empty() || Target.Holds.Models.contains(Model))
+        Entry.ControllerAddress.empty() || Now < Entry.NoLoadUntil ||
+        Target.Holds.Models.contains(Model))
       continue;
     load_plan Plan;
     Plan.Target = Name;
