--- /dev/null
+++ b/libs/serving/tests/gateway_fixture.h
@@ -0,0 +1,140 @@
+/// \file
+/// A gateway's reducer in virtual time, with a small deployment around it.
+#ifndef LIMPETBRIDGE_SERVING_TESTS_GATEWAY_FIXTURE_H
+#define LIMPETBRIDGE_SERVING_TESTS_GATEWAY_FIXTURE_H
+
+#include "serving/gateway.h"
+
+#include <string>
+#include <vector>
+
+namespace limpetbridge::serving {
+
+/// One service of engines and one plain service, with their routes.
+inline auto makeConfiguration(std::uint64_t Version) -> configuration {
+  configuration To;
+  To.Version = Version;
+  const auto Add = [&](const char *Prefix, request_kind Kind,
+                       const char *Service, std::uint32_t Attempts,
+                       bool Resumable) {
+    route Route;
+    Route.Name = Prefix;
+    Route.Host = "h";
+    Route.Prefix = Prefix;
+    Route.Kind = Kind;
+    Route.Resumable = Resumable;
+    Route.Attempts = Attempts;
+    Route.TimeoutMs = 4000;
+    Route.TargetLatencyMs = 600;
+    Route.PatienceMs = Kind == request_kind::Stream ? 2400 : 0;
+    Route.Shares = {{service_name(Service), 1}};
+    To.Routes.push_back(Route);
+  };
+  Add("/chat/", request_kind::Stream, "models", 1, false);
+  Add("/plan/", request_kind::Stream, "models", 2, true);
+  Add("/pay/", request_kind::NonIdempotent, "ledger", 2, false);
+  Add("/read/", request_kind::Idempotent, "ledger", 2, false);
+  service_spec Models;
+  Models.Name = service_name("models");
+  Models.HasEngine = true;
+  Models.Engine.WeightsMb = 230;
+  Models.Engine.AdapterSlots = 8;
+  Models.Engine.CacheTokens = 200'000;
+  for (const auto *Name : {"a", "b", "c", "d", "e"}) {
+    model_spec Model;
+    Model.Name = model_name(Name);
+    Model.WeightsMb = 70;
+    Model.LoadMs = 1000;
+    Model.DiskLoadMs = 500;
+    Model.MemoryLoadMs = 300;
+    Models.Engine.Models[Model.Name] = Model;
+  }
+  To.Services[Models.Name] = Models;
+  service_spec Ledger;
+  Ledger.Name = service_name("ledger");
+  To.Services[Ledger.Name] = Ledger;
+  return To;
+}
+
+/// A gateway that has read its configuration.
+struct gateway_world {
+  gateway_world() {
+    gateway_options Options;
+    Options.Self = instance_name("g1");
+    Options.DataCentre = data_centre_name("north");
+    Options.Retries.Extra = 100;
+    State = makeGatewayState(Options);
+    tell(configuration_read{makeConfiguration(1)});
+  }
+
+  auto tell(const gateway_event &Event) -> void {
+    Effects = reduce(State, Event, Now);
+  }
+
+  auto addTarget(const char *Name, const char *Service,
+                 std::vector<std::string> Models) -> void {
+    target Target;
+    Target.Name = target_name(Name);
+    Target.Born = 1;
+    Target.Service = service_name(Service);
+    Target.Address = std::string(Name) + ":1";
+    Target.DataCentre = data_centre_name("north");
+    for (const auto &Model : Models)
+      Target.Holds.Models[model_name(Model)];
+    tell(target_described{Target});
+    instance_record Controller;
+    Controller.Name = instance_name(std::string("c-") + Name);
+    Controller.Role = instance_role::Controller;
+    Controller.Address = std::string("c-") + Name + ":1";
+    Controller.TargetAddress = Target.Address;
+    tell(instances_listed{{Controller}});
+  }
+
+  auto arrive(request_number Number, const char *Path,
+              const char *Model = nullptr, std::uint32_t Tokens = 1000)
+      -> void {
+    request_arrived Event;
+    Event.Number = Number;
+    Event.Call.Id = std::to_string(Number);
+    Event.Call.Host = "h";
+    Event.Call.Path = Path;
+    Event.Call.Arrived = Now;
+    if (Model != nullptr) {
+      Event.Call.HasPrompt = true;
+      Event.Call.Prompt.Model = model_name(Model);
+      Event.Call.Prompt.InputTokens = Tokens;
+      Event.Call.Prompt.Parts = {{Number, Tokens}};
+    }
+    tell(Event);
+  }
+
+  auto end(request_number Number, attempt_end End) -> void {
+    attempt_ended Event;
+    Event.Number = Number;
+    Event.End = End;
+    tell(Event);
+  }
+
+  template <typename effect>
+  [[nodiscard]] auto all() const -> std::vector<effect> {
+    std::vector<effect> Found;
+    for (const auto &Each : Effects)
+      if (const auto *Effect = std::get_if<effect>(&Each))
+        Found.push_back(*Effect);
+    return Found;
+  }
+
+  /// The only effect of its kind, or a default one.
+  template <typename effect> [[nodiscard]] auto one() const -> effect {
+    const auto Found = all<effect>();
+    return Found.size() == 1 ? Found.front() : effect();
+  }
+
+  gateway_state State;
+  gateway_effects Effects;
+  time_point Now{seconds(1000)};
+};
+
+} // namespace limpetbridge::serving
+
+#endif // LIMPETBRIDGE_SERVING_TESTS_GATEWAY_FIXTURE_H
--- /dev/null
+++ b/libs/serving/tests/order_plan_test.cpp
@@ -0,0 +1,187 @@
+#include "serving/order_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::serving;
+
+constexpr double MemoryMb = 230;
+constexpr std::uint32_t AdapterSlots = 3;
+
+auto makeEngine() -> engine_spec {
+  engine_spec Engine;
+  Engine.WeightsMb = MemoryMb;
+  Engine.AdapterSlots = AdapterSlots;
+  for (const auto *Name : {"a", "b", "c", "d", "e"}) {
+    model_spec Model;
+    Model.Name = model_name(Name);
+    Model.WeightsMb = 70;
+    Model.AdapterMb = 5;
+    Engine.Models[Model.Name] = Model;
+  }
+  return Engine;
+}
+
+/// An engine that carries out one order at a time, and at once refuses what
+/// has another sequence.
+struct engine_model {
+  engine_report Report;
+  order_step Underway;
+
+  auto accept(const order_step &Step, std::uint64_t Sequence) -> bool {
+    if (Report.Busy || Sequence != Report.Sequence)
+      return false;
+    ++Report.Sequence;
+    auto &Models = Report.Holds.Models;
+    if (Step.Kind == step_kind::LoadAdapter)
+      Models[Step.Model].Adapters.insert(Step.Adapter);
+    else if (Step.Kind == step_kind::UnloadAdapter)
+      Models[Step.Model].Adapters.erase(Step.Adapter);
+    else {
+      Report.Busy = true;
+      Underway = Step;
+      if (Step.Kind == step_kind::Load)
+        Models[Step.Model];
+    }
+    return true;
+  }
+
+  auto finish() -> void {
+    if (Report.Busy && Underway.Kind == step_kind::Unload)
+      Report.Holds.Models.erase(Underway.Model);
+    Report.Busy = false;
+  }
+
+  [[nodiscard]] auto usedMb(const engine_spec &Engine) const -> double {
+    double Used = 0;
+    for (const auto &[Model, Held] : Report.Holds.Models)
+      Used += Engine.Models.at(Model).WeightsMb +
+              Engine.Models.at(Model).AdapterMb *
+                  static_cast<double>(Held.Adapters.size());
+    return Used;
+  }
+
+  [[nodiscard]] auto adapters() const -> std::size_t {
+    std::size_t Count = 0;
+    for (const auto &[Model, Held] : Report.Holds.Models)
+      Count += Held.Adapters.size();
+    return Count;
+  }
+};
+
+class order_plan_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(order_plan_test);
+  CPPUNIT_TEST(nextStep_room_loads);
+  CPPUNIT_TEST(nextStep_noRoom_unloadsAVictim);
+  CPPUNIT_TEST(nextStep_noVictim_isImpossible);
+  CPPUNIT_TEST(nextStep_busy_waits);
+  CPPUNIT_TEST(nextStep_fullAdapterSlots_unloadsTheOldest);
+  CPPUNIT_TEST(nextStep_lateAndLostOrders_neverOvercommit);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto setUp() -> void override {
+    Engine = makeEngine();
+    Report = {};
+  }
+
+  auto nextStep_room_loads() -> void {
+    Report.Holds.OnDisk.insert(model_name("a"));
+    const auto FromDisk = step({model_name("a"), "", {}});
+    CPPUNIT_ASSERT(FromDisk.Kind == step_kind::Load && !FromDisk.FromStore);
+    CPPUNIT_ASSERT(step({model_name("b"), "", {}}).FromStore);
+  }
+
+  auto nextStep_noRoom_unloadsAVictim() -> void {
+    hold({"a", "b", "c"});
+    const auto Step =
+        step({model_name("d"), "", {model_name("e"), model_name("b")}});
+    CPPUNIT_ASSERT(Step.Kind == step_kind::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Step.Model.Text);
+  }
+
+  auto nextStep_noVictim_isImpossible() -> void {
+    hold({"a", "b", "c"});
+    CPPUNIT_ASSERT(step({model_name("d"), "", {}}).Kind ==
+                   step_kind::Impossible);
+    CPPUNIT_ASSERT(step({model_name("d"), "x", {}}).Kind ==
+                   step_kind::Impossible);
+  }
+
+  auto nextStep_busy_waits() -> void {
+    hold({"a"});
+    Report.Busy = true;
+    CPPUNIT_ASSERT(step({model_name("b"), "", {}}).Kind == step_kind::Wait);
+    CPPUNIT_ASSERT(step({model_name("a"), "x", {}}).Kind == step_kind::Wait);
+  }
+
+  auto nextStep_fullAdapterSlots_unloadsTheOldest() -> void {
+    hold({"a"});
+    Report.Holds.Models[model_name("a")].Adapters = {"x", "y", "z"};
+    std::map<adapter_key, time_point> LastUsed;
+    LastUsed[{model_name("a"), "x"}] = time_point(seconds(3));
+    LastUsed[{model_name("a"), "y"}] = time_point(seconds(1));
+    LastUsed[{model_name("a"), "z"}] = time_point(seconds(2));
+    const auto Step =
+        nextStep(Engine, Report, {model_name("a"), "w", {}}, LastUsed);
+    CPPUNIT_ASSERT(Step.Kind == step_kind::UnloadAdapter);
+    CPPUNIT_ASSERT_EQUAL(std::string("y"), Step.Adapter);
+  }
+
+  auto nextStep_lateAndLostOrders_neverOvercommit() -> void {
+    const auto &Spec = Engine;
+    const bool Held = rc::check("memory and slots hold", [&Spec] {
+      engine_model Target;
+      std::vector<std::pair<order_step, std::uint64_t>> Late;
+      for (int I = 0; I < 60; ++I) {
+        load_job Job;
+        Job.Model = model_name(std::string(1, *rc::gen::inRange('a', 'f')));
+        if (*rc::gen::inRange(0, 2) == 0)
+          Job.Adapter = std::string(1, *rc::gen::inRange('u', 'z'));
+        for (const auto &[Model, What] : Target.Report.Holds.Models)
+          if (Model != Job.Model)
+            Job.Victims.push_back(Model);
+        const auto Step = nextStep(Spec, Target.Report, Job, {});
+        const bool IsOrder = Step.Kind == step_kind::Load ||
+                             Step.Kind == step_kind::Unload ||
+                             Step.Kind == step_kind::LoadAdapter ||
+                             Step.Kind == step_kind::UnloadAdapter;
+        const auto Sequence = Target.Report.Sequence;
+        const int Fate = *rc::gen::inRange(0, 3);
+        if (IsOrder && Fate == 0)
+          Late.emplace_back(Step, Sequence); // Carried out later, perhaps.
+        else if (IsOrder)
+          (void)Target.accept(Step, Sequence);
+        if (!Late.empty() && *rc::gen::inRange(0, 3) == 0) {
+          (void)Target.accept(Late.front().first, Late.front().second);
+          Late.erase(Late.begin());
+        }
+        if (*rc::gen::inRange(0, 2) == 0)
+          Target.finish();
+        RC_ASSERT(Target.usedMb(Spec) <= MemoryMb);
+        RC_ASSERT(Target.adapters() <= AdapterSlots);
+      }
+    });
+    CPPUNIT_ASSERT(Held);
+  }
+
+private:
+  auto hold(std::initializer_list<const char *> Models) -> void {
+    for (const auto *Model : Models)
+      Report.Holds.Models[model_name(Model)];
+  }
+
+  auto step(const load_job &Job) -> order_step {
+    return nextStep(Engine, Report, Job, {});
+  }
+
+  engine_spec Engine;
+  engine_report Report;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_plan_test);
+
+} // namespace
