--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -61,6 +61,8 @@
                                      return answerCall(std::move(Request));
                                    }));
       });
+  // Calls and datagrams come to the same port.
+  Settings.LinkAddress = Calls->address();
   Link = std::make_unique<net::datagram_socket>(
       Context, Settings.LinkAddress,
       [this](const std::string & /*From*/, std::string_view Bytes) {
@@ -68,6 +70,10 @@
       });
 }
 
+auto controller_node::requestStop() -> void {
+  net::asio::post(Context.get_executor(), [this] { Context.stop(); });
+}
+
 auto controller_node::run() -> void {
   log(log_level::Info, "started",
       {{"role", Settings.Role}, {"target", Settings.ControllerTarget}});
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -23,8 +23,10 @@
   controller_node(const node_settings &NodeSettings,
                   controller_hooks NodeHooks);
 
-  /// Serves until SIGTERM.
+  /// Serves until SIGTERM or requestStop.
   auto run() -> void;
+  /// Ends run; from any thread.
+  auto requestStop() -> void;
 
 private:
   /// A load request in progress; requests for the same thing share it.
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -16,9 +16,6 @@
 /// Longest wait for a controller's answer to a load request: a load from the
 /// weight store, with those before it.
 constexpr duration LoadCallTimeout = seconds(8);
-/// Time after SIGTERM in which callers may still send requests: the balancer
-/// takes two failed looks, a second apart, to turn away from this instance.
-constexpr duration OpenAfterStop = milliseconds(2600);
 /// Left of the grace period for the end of the process.
 constexpr duration EndSlack = milliseconds(400);
 /// Time between looks at what is still in progress.
@@ -74,6 +71,20 @@
       [this](const std::string & /*From*/, std::string_view Bytes) {
         takeMessage(Bytes);
       });
+  Settings.LinkAddress = Link->address();
+}
+
+auto gateway_node::requestStop() -> void {
+  const auto Executor = Context.get_executor();
+  net::asio::post(Executor, [this, Executor] { net::spawn(Executor, stop()); });
+}
+
+auto gateway_node::callerAddress() const -> std::string {
+  return Callers->address();
+}
+
+auto gateway_node::readinessAddress() const -> std::string {
+  return Readiness->address();
 }
 
 auto gateway_node::run() -> void {
@@ -255,7 +266,8 @@
   log(log_level::Info, "stopping",
       {{"requests", std::to_string(Requests.size())},
        {"connections", std::to_string(Connections.size())}});
-  co_await sleep(OpenAfterStop);
+  // Callers may still send requests until the balancer has turned away.
+  co_await sleep(milliseconds(Settings.BalancerWaitMs));
   Closing = true;
   Callers->stop();
   const auto Last = Began + milliseconds(Settings.StopGraceMs) - EndSlack;
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -23,8 +23,14 @@
   /// \throws std::exception if an address cannot be listened on.
   gateway_node(const node_settings &NodeSettings, gateway_hooks NodeHooks);
 
-  /// Serves until SIGTERM and the end of work in progress.
+  /// Serves until SIGTERM, or requestStop, and the end of work in progress.
   auto run() -> void;
+  /// Drains and ends run; from any thread.
+  auto requestStop() -> void;
+
+  /// Addresses that are listened on, with the ports that were picked.
+  [[nodiscard]] auto callerAddress() const -> std::string;
+  [[nodiscard]] auto readinessAddress() const -> std::string;
 
 private:
   using connection = std::shared_ptr<net::caller_connection>;
--- a/libs/net/include/net/asio.h
+++ b/libs/net/include/net/asio.h
@@ -8,9 +8,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -38,10 +40,11 @@
 /// throw, and its state is unknown then.
 template <typename executor>
 auto spawn(const executor &Executor, awaitable<void> Task) -> void {
-  asio::co_spawn(Executor, std::move(Task), [](const std::exception_ptr &Thrown) {
-    if (Thrown)
-      std::rethrow_exception(Thrown);
-  });
+  asio::co_spawn(Executor, std::move(Task),
+                 [](const std::exception_ptr &Thrown) {
+                   if (Thrown)
+                     std::rethrow_exception(Thrown);
+                 });
 }
 
 /// `ip:port` as an endpoint; none if it is not an IP number and a port.
--- a/libs/net/include/net/server.h
+++ b/libs/net/include/net/server.h
@@ -27,6 +27,8 @@
   auto stop() -> void;
   /// Port that is listened on.
   [[nodiscard]] auto port() const -> std::uint16_t;
+  /// The same with the IP number, `ip:port`.
+  [[nodiscard]] auto address() const -> std::string;
 
 private:
   auto acceptNext() -> void;
@@ -54,6 +56,8 @@
                   received OnReceived);
   /// Sends \p Bytes to `ip:port`; a lost datagram is not reported.
   auto send(const std::string &Address, std::string_view Bytes) -> void;
+  /// `ip:port` that is received on.
+  [[nodiscard]] auto address() const -> std::string;
   auto stop() -> void;
 
 private:
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -59,6 +59,11 @@
   return Acceptor.local_endpoint().port();
 }
 
+auto listener::address() const -> std::string {
+  return Acceptor.local_endpoint().address().to_string() + ":" +
+         std::to_string(port());
+}
+
 auto serveCalls(std::shared_ptr<caller_connection> Connection,
                 call_handler Handler) -> awaitable<void> {
   const connection_limits Limits;
@@ -113,6 +118,11 @@
       });
 }
 
+auto datagram_socket::address() const -> std::string {
+  const auto Endpoint = Socket.local_endpoint();
+  return Endpoint.address().to_string() + ":" + std::to_string(Endpoint.port());
+}
+
 auto datagram_socket::stop() -> void {
   error_code Ignored; // Already closed is as good.
   Socket.close(Ignored);
--- /dev/null
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -0,0 +1,87 @@
+/// \file
+/// Emulator of a worker of the platform: a model engine or a plain service,
+/// with the ways in which its answers go wrong.
+#ifndef LIMPETBRIDGE_EMULATOR_WORKER_EMULATOR_H
+#define LIMPETBRIDGE_EMULATOR_WORKER_EMULATOR_H
+
+#include "net/server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpetbridge::emulator {
+
+/// What a worker does with a request.
+enum class behaviour : std::uint8_t {
+  Answer,        ///< A whole answer.
+  Refuse,        ///< 503, not executed.
+  FailAfterRun,  ///< 500 of its own.
+  FalsePromise,  ///< 503 after having run.
+  ResetAfterRun, ///< Runs it and resets the connection.
+  Hang,          ///< Runs it and never answers.
+  Stream,        ///< A whole event stream.
+  CutStream,     ///< Breaks off within the third event.
+  Unframed,      ///< Ends with the connection.
+  UnframedCut,   ///< The same, with a reset.
+  ForeignFirst,  ///< A late answer to another request comes before its own.
+  Encoded,       ///< Claims a content encoding.
+};
+
+/// One request or order as the worker saw it.
+struct seen_request {
+  net::http_request Request;
+  bool ClosedEarly = false; ///< The sender closed before the answer.
+};
+
+/// One worker on one io_context.
+class worker_emulator {
+public:
+  worker_emulator(net::asio::io_context &EmulatorContext, std::string WorkerId,
+                  std::string WorkerService);
+
+  [[nodiscard]] auto address() const -> std::string;
+  /// Its row in the store, as JSON.
+  [[nodiscard]] auto row() const -> std::string;
+
+  behaviour Behaviour = behaviour::Answer;
+  std::int64_t EventGapMs = 5;
+  std::int64_t LoadMs = 30;
+  bool Draining = false;
+  std::set<std::string> Models;
+  std::vector<std::shared_ptr<seen_request>> Requests;
+  std::vector<nlohmann::json> Orders;
+
+private:
+  auto serve(std::shared_ptr<net::caller_connection> Connection)
+      -> net::awaitable<void>;
+  auto serveOne(std::shared_ptr<net::caller_connection> Connection,
+                net::http_request Request) -> net::awaitable<bool>;
+  auto run(std::shared_ptr<net::caller_connection> Connection,
+           std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
+  auto stream(std::shared_ptr<net::caller_connection> Connection,
+              std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
+  auto takeOrder(const net::http_request &Request) -> net::http_answer;
+  [[nodiscard]] auto report() const -> nlohmann::json;
+  [[nodiscard]] auto signedHead(const net::http_request &Request) const
+      -> net::answer_head;
+
+  net::asio::io_context &Context;
+  std::string Id;
+  std::string Service;
+  std::uint64_t Sequence = 0;
+  bool Busy = false;
+  std::unique_ptr<net::listener> Listener;
+};
+
+/// Text of the worker's whole stream.
+[[nodiscard]] auto wholeStream() -> std::string;
+
+} // namespace limpetbridge::emulator
+
+#endif // LIMPETBRIDGE_EMULATOR_WORKER_EMULATOR_H
--- /dev/null
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -0,0 +1,231 @@
+#include "emulator/worker_emulator.h"
+
+namespace limpetbridge::emulator {
+
+namespace {
+
+using json = nlohmann::json;
+using net::awaitable;
+
+constexpr int Events = 6;
+constexpr int CutAt = 3;
+constexpr std::uint64_t Born = 1000;
+
+auto eventText(int Number) -> std::string {
+  return "id: " + std::to_string(Number) + "\ndata: event " +
+         std::to_string(Number) + "\n\n";
+}
+
+auto makeAnswer(std::uint16_t Status, const std::string &Body)
+    -> net::http_answer {
+  net::http_answer Answer;
+  Answer.Head.Status = Status;
+  Answer.Body = Body;
+  return Answer;
+}
+
+auto idOf(const net::http_request &Request) -> std::string {
+  return std::string(
+      net::findField(Request.Fields, "X-Limpetbridge-Attempt-Id"));
+}
+
+} // namespace
+
+auto wholeStream() -> std::string {
+  std::string Text;
+  for (int Number = 1; Number <= Events; ++Number)
+    Text += eventText(Number);
+  return Text;
+}
+
+worker_emulator::worker_emulator(net::asio::io_context &EmulatorContext,
+                                 std::string WorkerId,
+                                 std::string WorkerService)
+    : Context(EmulatorContext), Id(std::move(WorkerId)),
+      Service(std::move(WorkerService)) {
+  Listener = std::make_unique<net::listener>(
+      Context, "127.0.0.1:0",
+      [this](std::shared_ptr<net::caller_connection> Accepted) {
+        net::spawn(Context.get_executor(), serve(std::move(Accepted)));
+      });
+}
+
+auto worker_emulator::address() const -> std::string {
+  return "127.0.0.1:" + std::to_string(Listener->port());
+}
+
+auto worker_emulator::report() const -> json {
+  json List = json::array();
+  for (const auto &Model : Models)
+    List.push_back(
+        {{"name", Model}, {"version", 1}, {"adapters", json::array()}});
+  return {{"stage", "colocated"}, {"models", List}, {"busy", Busy},
+          {"sequence", Sequence}, {"born", Born},   {"queued_requests", 0},
+          {"active_requests", 0}};
+}
+
+auto worker_emulator::row() const -> std::string {
+  auto Row = report();
+  Row["service"] = Service;
+  Row["address"] = address();
+  Row["zone"] = "north";
+  Row["version"] = "v1";
+  Row["slots"] = 8;
+  Row["state"] = Draining ? "draining" : "ready";
+  return Row.dump();
+}
+
+auto worker_emulator::serve(std::shared_ptr<net::caller_connection> Connection)
+    -> awaitable<void> {
+  const net::connection_limits Limits;
+  for (;;) {
+    auto Outcome = co_await Connection->readRequest(Limits);
+    if (Outcome.End != net::read_end::Request)
+      break;
+    const bool Open = co_await serveOne(Connection, std::move(Outcome.Request));
+    if (!Open)
+      co_return;
+  }
+  co_await Connection->finish();
+}
+
+auto worker_emulator::serveOne(
+    std::shared_ptr<net::caller_connection> Connection,
+    net::http_request Request) -> awaitable<bool> {
+  std::string Bytes;
+  if (Request.Target == "/report")
+    Bytes = printAnswer(makeAnswer(200, report().dump()), false);
+  else if (Request.Target == "/order")
+    Bytes = printAnswer(takeOrder(Request), false);
+  if (!Bytes.empty())
+    co_return co_await Connection->write(std::move(Bytes));
+  const auto Seen = std::make_shared<seen_request>();
+  Seen->Request = std::move(Request);
+  Requests.push_back(Seen);
+  Connection->startWatch([Seen] { Seen->ClosedEarly = true; });
+  const bool Open = co_await run(Connection, Seen);
+  Connection->stopWatch();
+  co_return Open;
+}
+
+auto worker_emulator::takeOrder(const net::http_request &Request)
+    -> net::http_answer {
+  const auto Order = json::parse(Request.Body);
+  Orders.push_back(Order);
+  if (net::findField(Request.Fields, "X-Limpetbridge-Expected-Instance") != Id)
+    return makeAnswer(421, "");
+  if (Busy || Order.value("precondition", Sequence) != Sequence)
+    return makeAnswer(409, "");
+  ++Sequence;
+  Busy = true;
+  const auto Timer =
+      std::make_shared<net::asio::steady_timer>(Context, milliseconds(LoadMs));
+  Timer->async_wait([this, Timer, Order](net::error_code Error) {
+    if (Error)
+      return;
+    Busy = false;
+    if (Order.at("operation") == "model_loading")
+      Models.insert(Order.at("model"));
+    else
+      Models.erase(Order.at("model").get<std::string>());
+  });
+  return makeAnswer(202, "");
+}
+
+auto worker_emulator::signedHead(const net::http_request &Request) const
+    -> net::answer_head {
+  net::answer_head Head;
+  Head.Status = 200;
+  Head.Fields = {{"X-Limpetbridge-Attempt-Id", idOf(Request)},
+                 {"X-Limpetbridge-Response-Signature", "proof-" + Id}};
+  return Head;
+}
+
+auto worker_emulator::run(std::shared_ptr<net::caller_connection> Connection,
+                          std::shared_ptr<seen_request> Seen)
+    -> awaitable<bool> {
+  const auto &Request = Seen->Request;
+  net::http_answer Answer{signedHead(Request), Request.Method + " " +
+                                                   Request.Target + " " +
+                                                   Request.Body};
+  std::string Bytes;
+  switch (Behaviour) {
+  case behaviour::Answer:
+    Bytes = printAnswer(Answer, false);
+    break;
+  case behaviour::Refuse:
+    Answer.Head = {503, "", {{"X-Limpetbridge-Not-Executed", "1"}}};
+    Bytes = printAnswer(Answer, false);
+    break;
+  case behaviour::FailAfterRun:
+    Answer.Head.Status = 500;
+    Bytes = printAnswer(Answer, false);
+    break;
+  case behaviour::FalsePromise:
+    Answer.Head.Status = 503;
+    Bytes = printAnswer(Answer, false);
+    break;
+  case behaviour::ResetAfterRun:
+    Connection->abort();
+    co_return false;
+  case behaviour::Hang: {
+    net::asio::steady_timer Timer(Context, std::chrono::seconds(30));
+    co_await Timer.async_wait(net::asio::use_awaitable);
+    co_return false;
+  }
+  case behaviour::Stream:
+  case behaviour::CutStream:
+    co_return co_await stream(Connection, Seen);
+  case behaviour::Unframed:
+  case behaviour::UnframedCut: {
+    Bytes = printHead(Answer.Head) + "\r\n" + Answer.Body;
+    co_await Connection->write(std::move(Bytes));
+    if (Behaviour == behaviour::UnframedCut)
+      Connection->abort();
+    else
+      co_await Connection->finish();
+    co_return false;
+  }
+  case behaviour::ForeignFirst: {
+    net::http_answer Foreign = Answer;
+    Foreign.Head.Fields[0].Value = "another";
+    Foreign.Body = "not yours";
+    Bytes = printAnswer(Foreign, false) + printAnswer(Answer, false);
+    break;
+  }
+  case behaviour::Encoded:
+    Answer.Head.Fields.push_back({"Content-Encoding", "gzip"});
+    Bytes = printAnswer(Answer, false);
+    break;
+  }
+  co_return co_await Connection->write(std::move(Bytes));
+}
+
+auto worker_emulator::stream(std::shared_ptr<net::caller_connection> Connection,
+                             std::shared_ptr<seen_request> Seen)
+    -> awaitable<bool> {
+  auto Head = signedHead(Seen->Request);
+  Head.Fields.push_back({"Content-Type", "text/event-stream"});
+  Head.Fields.push_back({"Transfer-Encoding", "chunked"});
+  std::string Bytes = printHead(Head) + "\r\n";
+  const auto After =
+      std::string(net::findField(Seen->Request.Fields, "Last-Event-Id"));
+  for (int Number = After.empty() ? 1 : std::stoi(After) + 1; Number <= Events;
+       ++Number) {
+    const auto Event = eventText(Number);
+    const bool Cut = Behaviour == behaviour::CutStream && Number == CutAt;
+    Bytes += net::printChunk(Cut ? Event.substr(0, Event.size() / 2) : Event);
+    const bool Written = co_await Connection->write(std::move(Bytes));
+    if (Cut)
+      Connection->abort();
+    if (Cut || !Written)
+      co_return false;
+    Bytes.clear();
+    net::asio::steady_timer Timer(Context, milliseconds(EventGapMs));
+    co_await Timer.async_wait(net::asio::use_awaitable);
+  }
+  Bytes = "0\r\n\r\n";
+  co_return co_await Connection->write(std::move(Bytes));
+}
+
+} // namespace limpetbridge::emulator
--- /dev/null
+++ b/testing/emulator/tests/controller_path_test.cpp
@@ -0,0 +1,83 @@
+#include "fleet_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::emulator;
+
+/// A gateway that asks a real controller to load what is missing.
+class controller_path_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(controller_path_test);
+  CPPUNIT_TEST(load_missingModel_isOrderedAndServed);
+  CPPUNIT_TEST(restart_fencingToken_rises);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto setUp() -> void override {
+    Fleet = std::make_unique<fleet>();
+    Fleet->publishConfiguration();
+    Engine = &Fleet->addWorker("e1", "models");
+    Engine->Behaviour = behaviour::Stream;
+    Engine->Models.insert("a");
+    Fleet->publish("e1");
+    Fleet->startController("e1");
+    Fleet->startGateway();
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+  }
+
+  auto tearDown() -> void override { Fleet.reset(); }
+
+  auto load_missingModel_isOrderedAndServed() -> void {
+    CPPUNIT_ASSERT(served("b"));
+    const auto Order = firstOrder();
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         Order.at("model").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         Order.at("precondition").get<std::uint64_t>());
+    CPPUNIT_ASSERT(Order.at("fencing_token").get<std::uint64_t>() > 0);
+  }
+
+  auto restart_fencingToken_rises() -> void {
+    CPPUNIT_ASSERT(served("b"));
+    const auto Before = firstOrder().at("fencing_token").get<std::uint64_t>();
+    const auto Row = Fleet->Outside.call(
+        [&] { return Fleet->Store->version("instances", "controller-1"); });
+    CPPUNIT_ASSERT_EQUAL(Row, Before);
+    Fleet->startController("e1");
+    const auto Until = process_clock::now() + Patience;
+    auto After = Row;
+    while (After == Row && process_clock::now() < Until)
+      After = Fleet->Outside.call(
+          [&] { return Fleet->Store->version("instances", "controller-1"); });
+    CPPUNIT_ASSERT(After > Before);
+  }
+
+private:
+  /// Sends until the model is served; controllers are found by then.
+  auto served(const std::string &Model) -> bool {
+    const auto Until = process_clock::now() + Patience;
+    while (process_clock::now() < Until) {
+      const auto Answer =
+          Fleet->send("/chat/x", "prompt",
+                      {{"X-Limpetbridge-Model", Model},
+                       {"X-Limpetbridge-Token-Usage", "100,20"}});
+      if (Answer.Head.Status == 200 && Answer.Body == wholeStream())
+        return true;
+      usleep(50'000);
+    }
+    return false;
+  }
+
+  auto firstOrder() -> nlohmann::json {
+    return Fleet->Outside.call([&] { return Engine->Orders.at(0); });
+  }
+
+  std::unique_ptr<fleet> Fleet;
+  worker_emulator *Engine = nullptr;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(controller_path_test);
+
+} // namespace
--- /dev/null
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -0,0 +1,195 @@
+#include "fleet_fixture.h"
+
+#include "base/log.h"
+
+namespace limpetbridge::emulator {
+
+namespace {
+
+constexpr const char *Configuration = R"({"version":3,"routes":[
+ {"name":"chat","host":"h","prefix":"/chat/","kind":"streaming",
+  "timeout_ms":3000,"target_latency_ms":600,"priority":0,"service":"models",
+  "attempts":1,"sticky":true},
+ {"name":"plan","host":"h","prefix":"/plan/","kind":"streaming",
+  "timeout_ms":3000,"target_latency_ms":600,"priority":1,"service":"models",
+  "attempts":2,"sticky":true,"resumable":true},
+ {"name":"pay","host":"h","prefix":"/pay/","kind":"non_idempotent",
+  "timeout_ms":600,"priority":2,"service":"ledger","attempts":2},
+ {"name":"read","host":"h","prefix":"/read/","kind":"idempotent",
+  "timeout_ms":600,"priority":2,"service":"ledger","attempts":2}],
+ "services":[{"name":"ledger"},{"name":"models","inference_engine":{
+  "slots":8,"kv_cache_tokens":100000,"weights_size_mb":230.0,
+  "adapter_slot_count":8,"loads_per_s":2.0,"models":[
+  {"name":"a","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0},
+  {"name":"b","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0}]}}],
+ "limits":{"max_body_bytes":100000,"header_timeout_ms":500,
+  "idle_timeout_ms":5000}})";
+
+auto makeSettings(const std::string &StoreAddress, const char *Role)
+    -> node_settings {
+  auto Settings = defaultSettings();
+  Settings.Role = Role;
+  Settings.Name = std::string(Role) + "-1";
+  Settings.DataCentre = "north";
+  Settings.GatewayCallers = "127.0.0.1:0";
+  Settings.GatewayReadiness = "127.0.0.1:0";
+  Settings.LinkAddress = "127.0.0.1:0";
+  Settings.StoreAddress = StoreAddress;
+  Settings.StoreWaitMs = 300;
+  Settings.BalancerWaitMs = 50;
+  return Settings;
+}
+
+} // namespace
+
+fleet::fleet() {
+  Store = Outside.call(
+      [this] { return std::make_unique<store_emulator>(Outside.Context); });
+}
+
+fleet::~fleet() {
+  if (Gateway)
+    Gateway->requestStop();
+  if (Controller)
+    Controller->requestStop();
+  GatewayThread.reset();
+  ControllerThread.reset();
+  Outside.Context.stop();
+}
+
+auto fleet::addWorker(const char *Id, const char *Service)
+    -> worker_emulator & {
+  Workers[Id] = Outside.call([&] {
+    return std::make_unique<worker_emulator>(Outside.Context, Id, Service);
+  });
+  publish(Id);
+  return *Workers[Id];
+}
+
+auto fleet::publish(const char *Id) -> void {
+  Outside.call([&] {
+    Store->put("servers", Id, Workers[Id]->row());
+    return 0;
+  });
+}
+
+auto fleet::publishConfiguration() -> void {
+  Outside.call([&] {
+    Store->put("op", "config", Configuration);
+    return 0;
+  });
+}
+
+auto fleet::startGateway() -> void {
+  const auto Settings = makeSettings(Store->address(), "gateway");
+  Gateway = std::make_unique<gateway_node>(Settings,
+                                           adapter::makeGatewayHooks(Settings));
+  GatewayThread = std::make_unique<thread>("gateway", LoopStackBytes,
+                                           [this] { Gateway->run(); });
+}
+
+auto fleet::startController(const char *WorkerId) -> void {
+  auto Settings = makeSettings(Store->address(), "controller");
+  Settings.ControllerTarget = Workers[WorkerId]->address();
+  Settings.TargetService = "models";
+  if (Controller)
+    Controller->requestStop();
+  ControllerThread.reset();
+  Controller = std::make_unique<controller_node>(
+      Settings, adapter::makeControllerHooks(Settings));
+  ControllerThread = std::make_unique<thread>("controller", LoopStackBytes,
+                                              [this] { Controller->run(); });
+}
+
+auto fleet::isReady() -> bool {
+  const auto Address = Gateway->readinessAddress();
+  const net::asio::any_io_executor Executor = Outside.Context.get_executor();
+  net::http_request Request;
+  Request.Target = "/readiness";
+  Request.Fields.push_back({"Host", "h"});
+  const auto Answer = Outside.await<std::optional<net::http_answer>>([&] {
+    return net::fetch(Executor, Address, Request,
+                      process_clock::now() + seconds(1));
+  });
+  return Answer && Answer->Head.Status == 200;
+}
+
+auto fleet::awaitReady() -> bool {
+  const auto Until = process_clock::now() + Patience;
+  while (process_clock::now() < Until) {
+    if (isReady())
+      return true;
+    usleep(5000);
+  }
+  return false;
+}
+
+auto fleet::makeRequest(const std::string &Path, const std::string &Body,
+                        net::header_fields More) -> net::http_request {
+  net::http_request Request;
+  Request.Method = Body.empty() ? "GET" : "POST";
+  Request.Target = Path;
+  Request.Body = Body;
+  Request.Fields = {{"Host", "h"},
+                    {"X-Limpetbridge-Attempt-Id", std::to_string(++LastId)},
+                    {"X-Limpetbridge-Deadline-Ms", "5000"}};
+  for (auto &Field : More)
+    Request.Fields.push_back(std::move(Field));
+  return Request;
+}
+
+auto fleet::send(const std::string &Path, const std::string &Body,
+                 net::header_fields More) -> client_answer {
+  const auto Bytes = printRequest(makeRequest(Path, Body, std::move(More)));
+  const auto Address = Gateway->callerAddress();
+  return Outside.await<client_answer>([&]() -> net::awaitable<client_answer> {
+    client_answer Answer;
+    const auto Connection = std::make_shared<net::target_connection>(
+        Outside.Context.get_executor());
+    const auto Deadline = process_clock::now() + Patience;
+    const bool Connected = co_await Connection->connect(Address, Deadline);
+    if (!Connected)
+      co_return Answer;
+    Connection->startSend(Bytes);
+    const auto Head = co_await Connection->readHead();
+    if (!Head)
+      co_return Answer;
+    Answer.HasHead = true;
+    Answer.Head = *Head;
+    auto Read = net::body_read::Data;
+    while (Read == net::body_read::Data)
+      Read = co_await Connection->readBody(Answer.Body);
+    Answer.Whole = Read == net::body_read::End;
+    Connection->close();
+    co_return Answer;
+  });
+}
+
+auto fleet::sendRaw(const std::string &Bytes) -> std::string {
+  const auto Endpoint = *net::parseEndpoint<net::tcp>(Gateway->callerAddress());
+  net::asio::io_context Context;
+  net::tcp::socket Socket(Context);
+  Socket.connect(Endpoint);
+  net::error_code Error;
+  net::asio::write(Socket, net::asio::buffer(Bytes), Error);
+  std::string Answer;
+  std::array<char, 4096> Part{};
+  while (!Error) {
+    const auto Count = Socket.read_some(net::asio::buffer(Part), Error);
+    Answer.append(Part.data(), Count);
+  }
+  return Answer;
+}
+
+auto fleet::sendAndLeave(const std::string &Path, duration Wait) -> void {
+  const auto Endpoint = *net::parseEndpoint<net::tcp>(Gateway->callerAddress());
+  net::asio::io_context Context;
+  net::tcp::socket Socket(Context);
+  Socket.connect(Endpoint);
+  net::asio::write(Socket,
+                   net::asio::buffer(printRequest(makeRequest(Path, "", {}))));
+  usleep(static_cast<useconds_t>(Wait / microseconds(1)));
+  Socket.close();
+}
+
+} // namespace limpetbridge::emulator
--- /dev/null
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -0,0 +1,111 @@
+/// \file
+/// A gateway and, if asked for, a controller against emulated store and
+/// workers, each in a thread of its own, with a plain client.
+#ifndef LIMPETBRIDGE_EMULATOR_TESTS_FLEET_FIXTURE_H
+#define LIMPETBRIDGE_EMULATOR_TESTS_FLEET_FIXTURE_H
+
+#include "adapter/hooks.h"
+#include "base/thread.h"
+#include "controller_node.h"
+#include "emulator/store_emulator.h"
+#include "emulator/worker_emulator.h"
+#include "gateway_node.h"
+#include "net/target_connection.h"
+
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace limpetbridge::emulator {
+
+/// Longest wait for anything that must happen.
+inline constexpr duration Patience = seconds(8);
+
+/// Runs an io_context in a thread for as long as it lives.
+class emulator_thread {
+public:
+  emulator_thread()
+      : Work(Context.get_executor()),
+        Thread("emulator", LoopStackBytes, [this] { Context.run(); }) {}
+  ~emulator_thread() { Context.stop(); }
+
+  /// Runs \p Job there and waits for it.
+  template <typename job> auto call(job Job) {
+    std::packaged_task<decltype(Job())()> Task(std::move(Job));
+    auto Result = Task.get_future();
+    net::asio::post(Context, [&Task] { Task(); });
+    return Result.get();
+  }
+
+  /// Runs the coroutine of \p Make there and waits for its result.
+  template <typename value>
+  auto await(std::function<net::awaitable<value>()> Make) -> value {
+    std::promise<value> Promise;
+    auto Result = Promise.get_future();
+    const auto Task = [&]() -> net::awaitable<void> {
+      value Got = co_await Make();
+      Promise.set_value(std::move(Got));
+    };
+    net::asio::post(Context,
+                    [&] { net::spawn(Context.get_executor(), Task()); });
+    return Result.get();
+  }
+
+  net::asio::io_context Context;
+
+private:
+  net::asio::executor_work_guard<net::asio::io_context::executor_type> Work;
+  thread Thread;
+};
+
+/// What a client got.
+struct client_answer {
+  bool HasHead = false;
+  net::answer_head Head;
+  std::string Body;
+  bool Whole = false; ///< The body came to its end.
+};
+
+/// The deployment.
+class fleet {
+public:
+  fleet();
+  ~fleet();
+
+  auto addWorker(const char *Id, const char *Service) -> worker_emulator &;
+  /// Writes the worker's row anew.
+  auto publish(const char *Id) -> void;
+  auto publishConfiguration() -> void;
+  auto startGateway() -> void;
+  auto startController(const char *WorkerId) -> void;
+  /// Waits until the gateway is ready.
+  auto awaitReady() -> bool;
+  [[nodiscard]] auto isReady() -> bool;
+
+  /// Sends a request and reads the answer, or as much as comes.
+  auto send(const std::string &Path, const std::string &Body = "",
+            net::header_fields More = {}) -> client_answer;
+  /// Sends \p Bytes as they are. \returns all that comes back.
+  auto sendRaw(const std::string &Bytes) -> std::string;
+  /// Sends a request and closes after \p Wait without reading.
+  auto sendAndLeave(const std::string &Path, duration Wait) -> void;
+
+  emulator_thread Outside;
+  std::unique_ptr<store_emulator> Store;
+  std::map<std::string, std::unique_ptr<worker_emulator>> Workers;
+  std::unique_ptr<gateway_node> Gateway;
+  std::unique_ptr<controller_node> Controller;
+
+private:
+  auto makeRequest(const std::string &Path, const std::string &Body,
+                   net::header_fields More) -> net::http_request;
+
+  std::uint64_t LastId = 0;
+  std::unique_ptr<thread> GatewayThread;
+  std::unique_ptr<thread> ControllerThread;
+};
+
+} // namespace limpetbridge::emulator
+
+#endif // LIMPETBRIDGE_EMULATOR_TESTS_FLEET_FIXTURE_H
--- /dev/null
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -0,0 +1,300 @@
+#include "fleet_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::emulator;
+
+/// The way of a request through a real gateway.
+class gateway_path_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(gateway_path_test);
+  CPPUNIT_TEST(plain_request_comesBackSigned);
+  CPPUNIT_TEST(plain_chunkedBody_isForwardedWhole);
+  CPPUNIT_TEST(plain_ambiguousFraming_isRejectedAndNotForwarded);
+  CPPUNIT_TEST(plain_bodyTooLarge_isRejected);
+  CPPUNIT_TEST(plain_slowHeader_isEnded);
+  CPPUNIT_TEST(plain_unknownRoute_isNotFound);
+  CPPUNIT_TEST(plain_refusedByOne_isServedByAnother);
+  CPPUNIT_TEST(plain_runWithoutAnswer_isUnknownAndSeenOnce);
+  CPPUNIT_TEST(plain_falsePromise_isNotPassedOn);
+  CPPUNIT_TEST(plain_foreignAnswerFirst_isSkipped);
+  CPPUNIT_TEST(plain_encodedAnswer_isNotASuccess);
+  CPPUNIT_TEST(plain_unframedAnswer_isWhole);
+  CPPUNIT_TEST(plain_unframedAndReset_isNotWhole);
+  CPPUNIT_TEST(plain_noAnswer_endsAtTheTimeout);
+  CPPUNIT_TEST(plain_callerLeaves_targetIsTold);
+  CPPUNIT_TEST(stream_whole_isRelayedByteForByte);
+  CPPUNIT_TEST(stream_cut_doesNotLookComplete);
+  CPPUNIT_TEST(stream_cutButResumable_goesOnElsewhere);
+  CPPUNIT_TEST(stop_streamInProgress_isFinished);
+  CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
+  CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto setUp() -> void override {
+    Fleet = std::make_unique<fleet>();
+    Fleet->publishConfiguration();
+    First = &Fleet->addWorker("w1", "ledger");
+  }
+
+  auto tearDown() -> void override { Fleet.reset(); }
+
+  auto plain_request_comesBackSigned() -> void {
+    start();
+    const auto Answer = Fleet->send("/read/x?y=%20z");
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200}, Answer.Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /read/x?y=%20z "), Answer.Body);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("proof-w1"),
+        std::string(net::findField(Answer.Head.Fields,
+                                   "X-Limpetbridge-Response-Signature")));
+  }
+
+  auto plain_chunkedBody_isForwardedWhole() -> void {
+    start();
+    const auto Text = Fleet->sendRaw(
+        "POST /read/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "X-Limpetbridge-Attempt-Id: 9\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(Text.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Text.ends_with("POST /read/x abcde"));
+  }
+
+  auto plain_ambiguousFraming_isRejectedAndNotForwarded() -> void {
+    start();
+    const std::string Begin = "POST /read/x HTTP/1.1\r\n";
+    for (const auto *Head :
+         {"Host: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+          "Host: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n",
+          "Host: h\r\nContent-Length: 3, 3\r\n",
+          "Host: h\r\nContent-Length: +3\r\n",
+          "Host: h\r\nTransfer-Encoding: xchunked\r\n",
+          "Host: h\r\nTransfer-Encoding: chunked, identity\r\n",
+          "Host: h\r\nTransfer-Encoding : chunked\r\n",
+          "Host: h\r\nHost: i\r\nContent-Length: 3\r\n",
+          "Content-Length: 3\r\n"}) {
+      const auto Text = Fleet->sendRaw(Begin + Head + "\r\n3\r\nabc\r\n");
+      CPPUNIT_ASSERT_MESSAGE(Head, Text.starts_with("HTTP/1.1 400"));
+    }
+    const auto Absolute =
+        Fleet->sendRaw("GET http://h/read/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(Absolute.starts_with("HTTP/1.1 400"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, First->Requests.size());
+  }
+
+  auto plain_bodyTooLarge_isRejected() -> void {
+    start();
+    const auto Text = Fleet->sendRaw("POST /read/x HTTP/1.1\r\nHost: h\r\n"
+                                     "Content-Length: 100001\r\n\r\n");
+    CPPUNIT_ASSERT(Text.starts_with("HTTP/1.1 413"));
+  }
+
+  auto plain_slowHeader_isEnded() -> void {
+    start();
+    const auto Text = Fleet->sendRaw("GET /read/x HTTP/1.1\r\nHost:");
+    CPPUNIT_ASSERT(Text.starts_with("HTTP/1.1 408"));
+  }
+
+  auto plain_unknownRoute_isNotFound() -> void {
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{404},
+                         Fleet->send("/other/").Head.Status);
+  }
+
+  auto plain_refusedByOne_isServedByAnother() -> void {
+    First->Behaviour = behaviour::Refuse;
+    Fleet->addWorker("w2", "ledger");
+    start();
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                           Fleet->send("/pay/x", "b").Head.Status);
+  }
+
+  auto plain_runWithoutAnswer_isUnknownAndSeenOnce() -> void {
+    First->Behaviour = behaviour::ResetAfterRun;
+    auto &Second = Fleet->addWorker("w2", "ledger");
+    Second.Behaviour = behaviour::ResetAfterRun;
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{502},
+                         Fleet->send("/pay/x", "b").Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         First->Requests.size() + Second.Requests.size());
+  }
+
+  auto plain_falsePromise_isNotPassedOn() -> void {
+    First->Behaviour = behaviour::FalsePromise;
+    start();
+    const auto Answer = Fleet->send("/pay/x", "b");
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{502}, Answer.Head.Status);
+    CPPUNIT_ASSERT(!net::hasField(Answer.Head.Fields,
+                                  "X-Limpetbridge-Response-Signature"));
+  }
+
+  auto plain_foreignAnswerFirst_isSkipped() -> void {
+    First->Behaviour = behaviour::ForeignFirst;
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /pay/x b"),
+                         Fleet->send("/pay/x", "b").Body);
+  }
+
+  auto plain_encodedAnswer_isNotASuccess() -> void {
+    First->Behaviour = behaviour::Encoded;
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{502},
+                         Fleet->send("/pay/x", "b").Head.Status);
+  }
+
+  auto plain_unframedAnswer_isWhole() -> void {
+    First->Behaviour = behaviour::Unframed;
+    start();
+    const auto Answer = Fleet->send("/pay/x", "b");
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200}, Answer.Head.Status);
+    CPPUNIT_ASSERT(Answer.Whole);
+  }
+
+  auto plain_unframedAndReset_isNotWhole() -> void {
+    First->Behaviour = behaviour::UnframedCut;
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{502},
+                         Fleet->send("/pay/x", "b").Head.Status);
+  }
+
+  auto plain_noAnswer_endsAtTheTimeout() -> void {
+    First->Behaviour = behaviour::Hang;
+    start();
+    const auto Began = process_clock::now();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{504},
+                         Fleet->send("/pay/x", "b").Head.Status);
+    const auto Took = process_clock::now() - Began;
+    CPPUNIT_ASSERT(Took >= milliseconds(590));
+    CPPUNIT_ASSERT(Took < milliseconds(1100));
+  }
+
+  auto plain_callerLeaves_targetIsTold() -> void {
+    First->Behaviour = behaviour::Hang;
+    start();
+    Fleet->sendAndLeave("/read/x", milliseconds(150));
+    CPPUNIT_ASSERT(eventually([&] {
+      return !First->Requests.empty() && First->Requests[0]->ClosedEarly;
+    }));
+  }
+
+  auto stream_whole_isRelayedByteForByte() -> void {
+    addEngine("e1", behaviour::Stream);
+    start();
+    const auto Answer = chat("/chat/x");
+    CPPUNIT_ASSERT(Answer.Whole);
+    CPPUNIT_ASSERT_EQUAL(wholeStream(), Answer.Body);
+  }
+
+  auto stream_cut_doesNotLookComplete() -> void {
+    addEngine("e1", behaviour::CutStream);
+    start();
+    const auto Answer = chat("/chat/x");
+    CPPUNIT_ASSERT(Answer.HasHead && !Answer.Whole);
+  }
+
+  auto stream_cutButResumable_goesOnElsewhere() -> void {
+    auto &One = addEngine("e1", behaviour::CutStream);
+    auto &Two = addEngine("e2", behaviour::Stream);
+    start();
+    for (int I = 0; I < 6 && One.Requests.empty(); ++I) {
+      const auto Answer = chat("/plan/x");
+      CPPUNIT_ASSERT(Answer.Whole);
+      CPPUNIT_ASSERT_EQUAL(wholeStream(), Answer.Body);
+    }
+    CPPUNIT_ASSERT(!One.Requests.empty());
+    CPPUNIT_ASSERT(!Two.Requests.empty());
+  }
+
+  auto stop_streamInProgress_isFinished() -> void {
+    addEngine("e1", behaviour::Stream).EventGapMs = 120;
+    start();
+    auto Stopping = std::async(std::launch::async, [&] {
+      usleep(200'000);
+      Fleet->Gateway->requestStop();
+    });
+    const auto Answer = chat("/chat/x");
+    Stopping.get();
+    CPPUNIT_ASSERT(Answer.Whole);
+    CPPUNIT_ASSERT_EQUAL(wholeStream(), Answer.Body);
+    CPPUNIT_ASSERT(!Fleet->isReady());
+  }
+
+  auto start_storeDown_servesWhenItIsBack() -> void {
+    setDown(true);
+    Fleet->startGateway();
+    usleep(100'000);
+    CPPUNIT_ASSERT(!Fleet->isReady());
+    const auto Early = Fleet->send("/read/x");
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{503}, Early.Head.Status);
+    CPPUNIT_ASSERT(net::hasField(Early.Head.Fields, "Retry-After"));
+    setDown(false);
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    CPPUNIT_ASSERT(
+        eventually([&] { return Fleet->send("/read/x").Head.Status == 200; }));
+  }
+
+  auto drain_leavingWorker_getsNoMore() -> void {
+    auto &Second = Fleet->addWorker("w2", "ledger");
+    start();
+    First->Draining = true;
+    Fleet->publish("w1");
+    usleep(700'000);
+    const auto Before = First->Requests.size();
+    for (int I = 0; I < 5; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                           Fleet->send("/read/x").Head.Status);
+    CPPUNIT_ASSERT_EQUAL(Before, First->Requests.size());
+    CPPUNIT_ASSERT(Second.Requests.size() >= 5);
+  }
+
+private:
+  auto start() -> void {
+    Fleet->startGateway();
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    // Targets are read by another call than the configuration.
+    usleep(100'000);
+  }
+
+  auto addEngine(const char *Id, behaviour Behaviour) -> worker_emulator & {
+    auto &Worker = Fleet->addWorker(Id, "models");
+    Worker.Behaviour = Behaviour;
+    Worker.Models.insert("a");
+    Fleet->publish(Id);
+    return Worker;
+  }
+
+  auto chat(const std::string &Path) -> client_answer {
+    return Fleet->send(Path, "prompt",
+                       {{"X-Limpetbridge-Model", "a"},
+                        {"X-Limpetbridge-Token-Usage", "100,20"},
+                        {"X-Limpetbridge-Prompt-Prefix", "1:50,2:50"}});
+  }
+
+  auto setDown(bool Down) -> void {
+    Fleet->Outside.call([&] { return Fleet->Store->Faults.Down = Down; });
+  }
+
+  static auto eventually(const std::function<bool()> &Holds) -> bool {
+    const auto Until = process_clock::now() + Patience;
+    while (process_clock::now() < Until) {
+      if (Holds())
+        return true;
+      usleep(10'000);
+    }
+    return false;
+  }
+
+  std::unique_ptr<fleet> Fleet;
+  worker_emulator *First = nullptr;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_path_test);
+
+} // namespace
