Metrics of a gateway, and a log that is bounded and never blocks

Counters by end of attempt, refusal and decision, quantiles of first output, whole answer and longest gap by route, believed load of each target with its age. Standard output takes at most 400 lines a second of each kind and none when it is not read; what was left out is counted.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -66,6 +66,16 @@
                                      return answerReadiness(std::move(Request));
                                    }));
       });
+  if (!Settings.MetricsAddress.empty())
+    MetricsPage = std::make_unique<net::listener>(
+        Context, Settings.MetricsAddress,
+        [this, Executor](connection Accepted) {
+          net::spawn(Executor,
+                     net::serveCalls(std::move(Accepted),
+                                     [this](net::http_request Request) {
+                                       return answerMetrics(std::move(Request));
+                                     }));
+        });
   Link = std::make_unique<net::datagram_socket>(
       Context, Settings.LinkAddress,
       [this](const std::string & /*From*/, std::string_view Bytes) {
@@ -83,6 +93,10 @@
   return Callers->address();
 }
 
+auto gateway_node::metricsAddress() const -> std::string {
+  return MetricsPage ? MetricsPage->address() : "";
+}
+
 auto gateway_node::readinessAddress() const -> std::string {
   return Readiness->address();
 }
@@ -108,6 +122,8 @@
   while (!Events.empty()) {
     const auto Next = std::move(Events.front());
     Events.pop_front();
+    if (const auto *Ended = std::get_if<attempt_ended>(&Next))
+      Metrics.count("attempts", nameOf(Ended->End));
     for (const auto &Effect : reduce(State, Next, process_clock::now()))
       std::visit([this](const auto &Each) { execute(Each); }, Effect);
   }
@@ -132,6 +148,7 @@
 }
 
 auto gateway_node::execute(const refuse_request &Effect) -> void {
+  Metrics.count("refusals", describe(Effect.Code).Name);
   command(Effect.Number, Effect);
 }
 
@@ -156,7 +173,46 @@
     Link->send(Address, Bytes);
 }
 
+auto gateway_node::execute(const record_times &Effect) -> void {
+  if (Effect.FirstMs >= 0)
+    Metrics.observe("first_output", Effect.Route,
+                    static_cast<double>(Effect.FirstMs));
+  Metrics.observe("whole_answer", Effect.Route,
+                  static_cast<double>(Effect.WholeMs));
+  if (Effect.LongestGapMs > 0)
+    Metrics.observe("longest_gap", Effect.Route,
+                    static_cast<double>(Effect.LongestGapMs));
+}
+
+auto gateway_node::answerMetrics(net::http_request /*Request*/)
+    -> awaitable<net::http_answer> {
+  const auto Now = process_clock::now();
+  Metrics.set("ready", !Draining && State.Configuration.Version > 0 ? 1 : 0);
+  Metrics.set("requests_in_progress",
+              static_cast<std::int64_t>(State.Requests.size()));
+  Metrics.set("configuration_version",
+              static_cast<std::int64_t>(State.Configuration.Version));
+  Metrics.set("gateways_heard",
+              static_cast<std::int64_t>(State.PeerHeard.size()));
+  for (const auto &[Name, Entry] : State.Book.all()) {
+    const auto Label = "{target=\"" + Name.Text + "\"}";
+    const auto Load = Entry.load();
+    Metrics.set("target_active" + Label, Load.Active);
+    Metrics.set("target_pending_ms" + Label,
+                static_cast<std::int64_t>(Load.pendingMs(Ranks - 1)));
+    if (Entry.ToldAt != time_point())
+      Metrics.set("target_told_age_ms" + Label,
+                  toMilliseconds(Now - Entry.ToldAt));
+  }
+  net::http_answer Answer;
+  Answer.Head.Status = Okay;
+  Answer.Head.Fields.push_back({"Content-Type", "text/plain"});
+  Answer.Body = Metrics.print();
+  co_return Answer;
+}
+
 auto gateway_node::execute(const write_note &Effect) -> void {
+  Metrics.count("decisions", Effect.Event);
   log(Effect.Level, Effect.Event, Effect.Fields);
 }
 
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -31,6 +31,7 @@
   /// Addresses that are listened on, with the ports that were picked.
   [[nodiscard]] auto callerAddress() const -> std::string;
   [[nodiscard]] auto readinessAddress() const -> std::string;
+  [[nodiscard]] auto metricsAddress() const -> std::string;
 
 private:
   using connection = std::shared_ptr<net::caller_connection>;
@@ -43,6 +44,7 @@
   auto execute(const serving::ask_load &Effect) -> void;
   auto execute(const serving::send_digest &Effect) -> void;
   auto execute(const serving::greet_controllers &Effect) -> void;
+  auto execute(const serving::record_times &Effect) -> void;
   auto execute(const serving::write_note &Effect) -> void;
   auto command(serving::request_number Number, gateway_request::command Command)
       -> void;
@@ -52,6 +54,8 @@
       -> net::awaitable<bool>;
   auto answerReadiness(net::http_request Request)
       -> net::awaitable<net::http_answer>;
+  auto answerMetrics(net::http_request Request)
+      -> net::awaitable<net::http_answer>;
   auto askController(serving::ask_load Effect) -> net::awaitable<void>;
   auto takeMessage(std::string_view Bytes) -> void;
   auto keepTime() -> net::awaitable<void>;
@@ -72,6 +76,8 @@
   request_environment Environment;
   std::unique_ptr<net::listener> Callers;
   std::unique_ptr<net::listener> Readiness;
+  std::unique_ptr<net::listener> MetricsPage;
+  metrics Metrics;
   std::unique_ptr<net::datagram_socket> Link;
 };
 
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -26,7 +26,16 @@
 /// `-` for standard output.
 auto startLog(const std::string &Instance, const std::string &File) -> void;
 
-/// Writes one line. \p Event is a stable snake-case word.
+/// Limits of the log on standard output, which is bounded and never blocks.
+struct log_limits {
+  double LinesPerSecond = 400;    ///< Of information, on the average.
+  double FailuresPerSecond = 400; ///< Of warnings and errors, besides.
+};
+auto setLogLimits(const log_limits &Limits) -> void;
+
+/// Writes one line. \p Event is a stable snake-case word. Lines beyond the
+/// limits, and those that standard output does not take at once, are left out
+/// and counted; the next line that is written tells how many.
 auto log(log_level Level, std::string_view Event,
          std::initializer_list<log_field> Fields) -> void;
 
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -88,6 +88,8 @@
 
     setting_row{"drain", "deadline_ms", &s::DrainDeadlineMs, "60000", "ms", 1,
                 HourMs, "", "Longest wait for work in progress at the end."},
+    setting_row{"drain", "grace_ms", &s::StopGraceMs, "8000", "ms", 100, HourMs,
+                "", "Time from SIGTERM to SIGKILL."},
     setting_row{"drain", "balancer_wait_ms", &s::BalancerWaitMs, "2000", "ms",
                 0, 60000, "", "Time in which the balancer sees readyz fail."},
 
@@ -121,8 +123,6 @@
                 "", "Window of the limit on loads from the weight store."},
     setting_row{"loads", "overrun", &s::LoadOverrun, "1", "", 0, 10, "",
                 "Loads of a window, as a multiple of the declared rate."},
-    setting_row{"drain", "grace_ms", &s::StopGraceMs, "8000", "ms", 100, HourMs,
-                "", "Time from SIGTERM to SIGKILL."},
 
     setting_row{"log", "file", &s::LogFile, "", "", 0, MaxPath, "",
                 "Log file; empty writes to standard error."},
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -65,6 +65,14 @@
   std::vector<std::string> Addresses;
 };
 
+/// Times of an attempt, for the metrics.
+struct record_times {
+  std::string Route;
+  std::int64_t FirstMs = 0; ///< To the first output; below 0: it had none.
+  std::int64_t WholeMs = 0; ///< From the caller's first byte to the end.
+  std::int64_t LongestGapMs = 0;
+};
+
 /// One line of the log.
 struct write_note {
   log_level Level = log_level::Info;
@@ -74,7 +82,8 @@
 
 using gateway_effect =
     std::variant<set_deadline, send_attempt, refuse_request, relay_failure,
-                 ask_load, send_digest, greet_controllers, write_note>;
+                 ask_load, send_digest, greet_controllers, record_times,
+                 write_note>;
 using gateway_effects = std::vector<gateway_effect>;
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -41,9 +41,9 @@
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
   double Slowness = 1;           ///< Observed against expected time.
   std::map<model_name, time_point> LoadedAt; ///< When models appeared.
-  time_point AvoidUntil;         ///< Refused or unreachable a moment ago.
-  time_point NoLoadUntil;        ///< A load has failed there a moment ago.
-  time_point ToldAt;     ///< When its controller last told of its contents.
+  time_point AvoidUntil;  ///< Refused or unreachable a moment ago.
+  time_point NoLoadUntil; ///< A load has failed there a moment ago.
+  time_point ToldAt;      ///< When its controller last told of its contents.
   time_point LostSince = NoDeadline; ///< Row missing; kept for a grace period.
 
   /// Load of this gateway and of the others together.
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -325,6 +325,9 @@
   Request.MayHaveRun |= Event.End == attempt_end::Failed ||
                         Event.End == attempt_end::Unknown ||
                         Event.End == attempt_end::CutShort;
+  Step.Effects.push_back(record_times{
+      Request.Route.Name, Request.FirstMs,
+      toMilliseconds(Step.Now - Request.Call.Arrived), Event.LongestGapMs});
   const bool Repeatable =
       Request.Route.Kind == request_kind::Idempotent || Request.Route.Resumable;
   switch (Event.End) {
--- a/libs/serving/tests/gateway_fixture.h
+++ b/libs/serving/tests/gateway_fixture.h
@@ -72,7 +72,7 @@
   }
 
   auto addTarget(const char *Name, const char *Service,
-                 std::vector<std::string> Models) -> void {
+                 const std::vector<std::string> &Models) -> void {
     target Target;
     Target.Name = target_name(Name);
     Target.Born = 1;
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -34,6 +34,7 @@
   Settings.GatewayCallers = "127.0.0.1:0";
   Settings.GatewayReadiness = "127.0.0.1:0";
   Settings.LinkAddress = "127.0.0.1:0";
+  Settings.MetricsAddress = "127.0.0.1:0";
   Settings.StoreAddress = StoreAddress;
   Settings.StoreWaitMs = 300;
   Settings.BalancerWaitMs = 50;
@@ -102,16 +103,20 @@
 }
 
 auto fleet::isReady() -> bool {
-  const auto Address = Gateway->readinessAddress();
+  const auto Answer = get(Gateway->readinessAddress(), "/readiness");
+  return Answer && Answer->Head.Status == 200;
+}
+
+auto fleet::get(const std::string &Address, const std::string &Path)
+    -> std::optional<net::http_answer> {
   const net::asio::any_io_executor Executor = Outside.Context.get_executor();
   net::http_request Request;
-  Request.Target = "/readiness";
+  Request.Target = Path;
   Request.Fields.push_back({"Host", "h"});
-  const auto Answer = Outside.await<std::optional<net::http_answer>>([&] {
+  return Outside.await<std::optional<net::http_answer>>([&] {
     return net::fetch(Executor, Address, Request,
                       process_clock::now() + seconds(1));
   });
-  return Answer && Answer->Head.Status == 200;
 }
 
 auto fleet::awaitReady() -> bool {
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -82,6 +82,9 @@
   /// Waits until the gateway is ready.
   auto awaitReady() -> bool;
   [[nodiscard]] auto isReady() -> bool;
+  /// Reads a page of one of the processes.
+  auto get(const std::string &Address, const std::string &Path)
+      -> std::optional<net::http_answer>;
 
   /// Sends a request and reads the answer, or as much as comes.
   auto send(const std::string &Path, const std::string &Body = "",
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(stop_streamInProgress_isFinished);
   CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
   CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
+  CPPUNIT_TEST(metrics_afterRequests_countThem);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -254,6 +255,19 @@
     CPPUNIT_ASSERT(Second.Requests.size() >= 5);
   }
 
+  auto metrics_afterRequests_countThem() -> void {
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                         Fleet->send("/read/x").Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{404}, Fleet->send("/none/").Head.Status);
+    const auto Page = Fleet->get(Fleet->Gateway->metricsAddress(), "/metrics");
+    CPPUNIT_ASSERT(Page.has_value());
+    for (const auto *Line :
+         {"attempts{kind=\"answered\"} 1\n", "refusals{kind=\"not_found\"} 1\n",
+          "ready 1\n", "whole_answer_count{kind=\"read\"} 1\n"})
+      CPPUNIT_ASSERT_MESSAGE(Line, Page->Body.find(Line) != std::string::npos);
+  }
+
 private:
   auto start() -> void {
     Fleet->startGateway();
