--- a/testing/emulator/tests/controller_path_test.cpp
+++ b/testing/emulator/tests/controller_path_test.cpp
@@ -11,6 +11,7 @@
 class controller_path_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(controller_path_test);
   CPPUNIT_TEST(load_missingModel_isOrderedAndServed);
+  CPPUNIT_TEST(load_noRoom_unloadsAnotherModelFirst);
   CPPUNIT_TEST(restart_fencingToken_rises);
   CPPUNIT_TEST_SUITE_END();
 
@@ -39,6 +40,22 @@
     CPPUNIT_ASSERT(Order.at("fencing_token").get<std::uint64_t>() > 0);
   }
 
+  auto load_noRoom_unloadsAnotherModelFirst() -> void {
+    Fleet->Outside.call([&] {
+      Engine->Models = {"a", "c", "d"};
+      return 0;
+    });
+    Fleet->publish("e1");
+    // A model that has just appeared is not evicted.
+    usleep(2'700'000);
+    CPPUNIT_ASSERT(served("b"));
+    CPPUNIT_ASSERT_EQUAL(std::string("model_unloading"),
+                         firstOrder().at("operation").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Fleet->Outside.call([&] {
+      return Engine->Models.size();
+    }));
+  }
+
   auto restart_fencingToken_rises() -> void {
     CPPUNIT_ASSERT(served("b"));
     const auto Before = firstOrder().at("fencing_token").get<std::uint64_t>();
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -21,7 +21,9 @@
   "slots":8,"kv_cache_tokens":100000,"weights_size_mb":230.0,
   "adapter_slot_count":8,"loads_per_s":2.0,"models":[
   {"name":"a","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0},
-  {"name":"b","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0}]}}],
+  {"name":"b","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0},
+  {"name":"c","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0},
+  {"name":"d","weights_size_mb":70.0,"load_time_s":0.05,"adapters":0}]}}],
  "limits":{"max_body_bytes":100000,"header_timeout_ms":500,
   "idle_timeout_ms":5000}})";
 
