--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -32,12 +32,6 @@
 constexpr std::uint16_t Okay = 200;
 constexpr std::uint16_t Unavailable = 503;
 
-auto sleep(duration Span) -> awaitable<void> {
-  net::asio::steady_timer Timer(co_await net::asio::this_coro::executor);
-  Timer.expires_after(Span);
-  co_await Timer.async_wait(net::asio::use_awaitable);
-}
-
 auto sameJob(const load_job &Left, const load_request &Right) -> bool {
   return Left.Model == Right.Model && Left.Adapter == Right.Adapter;
 }
@@ -265,7 +259,7 @@
   while (process_clock::now() < Deadline) {
     const auto Report = co_await readReport(Line);
     if (!Report || engine() == nullptr) {
-      co_await sleep(Pause);
+      co_await net::sleepFor(Pause);
       continue;
     }
     const auto Step = nextStep(*engine(), *Report, Job->Job, LastUsed);
@@ -280,14 +274,14 @@
       co_return false;
     }
     if (Step.Kind == step_kind::Wait) {
-      co_await sleep(Pause);
+      co_await net::sleepFor(Pause);
       continue;
     }
     bool Permitted = true;
     if (Step.FromStore)
       Permitted = co_await permitLoad();
     if (!Permitted) {
-      co_await sleep(PermitPause);
+      co_await net::sleepFor(PermitPause);
       continue;
     }
     const auto End = co_await carryOut(Line, *Job, Step, Report->Sequence);
@@ -298,7 +292,7 @@
       Leaving.insert(Step.Model);
       tell(*Report);
     }
-    co_await sleep(Pause);
+    co_await net::sleepFor(Pause);
   }
   co_return false;
 }
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -35,12 +35,6 @@
   return Options;
 }
 
-auto sleep(duration Span) -> awaitable<void> {
-  net::asio::steady_timer Timer(co_await net::asio::this_coro::executor);
-  Timer.expires_after(Span);
-  co_await Timer.async_wait(net::asio::use_awaitable);
-}
-
 } // namespace
 
 gateway_node::gateway_node(const node_settings &NodeSettings,
@@ -249,7 +243,7 @@
 
 auto gateway_node::keepTime() -> awaitable<void> {
   for (;;) {
-    co_await sleep(TickInterval);
+    co_await net::sleepFor(TickInterval);
     dispatch(tick{});
   }
 }
@@ -323,7 +317,7 @@
       {{"requests", std::to_string(Requests.size())},
        {"connections", std::to_string(Connections.size())}});
   // Callers may still send requests until the balancer has turned away.
-  co_await sleep(milliseconds(Settings.BalancerWaitMs));
+  co_await net::sleepFor(milliseconds(Settings.BalancerWaitMs));
   Closing = true;
   Callers->stop();
   const auto Last = Began + milliseconds(Settings.StopGraceMs) - EndSlack;
@@ -332,10 +326,10 @@
       Connection->closeIfIdle();
     if (Requests.empty())
       break;
-    co_await sleep(DrainLook);
+    co_await net::sleepFor(DrainLook);
   }
   // The last answers are read before the process ends.
-  co_await sleep(DrainLook);
+  co_await net::sleepFor(DrainLook);
   Context.stop();
 }
 
--- a/libs/net/include/net/asio.h
+++ b/libs/net/include/net/asio.h
@@ -47,6 +47,13 @@
                  });
 }
 
+/// Pauses the calling task.
+inline auto sleepFor(duration Span) -> awaitable<void> {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  Timer.expires_after(Span);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
 /// `ip:port` as an endpoint; none if it is not an IP number and a port.
 template <typename protocol>
 [[nodiscard]] auto parseEndpoint(const std::string &Address)
