Models about to be unloaded get no more requests; early refusals name their request

Cause: a gateway that asked a controller for a load went on sending to the models that this load evicts, and the other gateways did so until the controller's report. Targets answer such requests 503; routes with a single attempt pass that on to their callers.

Change: a load carries its victims in the gateway's state and in its digest, which leaves at once when a load is asked for. A target serves a model only if no load that is under way evicts it; a load that fails gives the model back.

--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -11,6 +11,13 @@
 
 constexpr const char *Kind = "k";
 
+template <typename names> auto namesOf(const names &Names) -> json {
+  json Array = json::array();
+  for (const auto &Name : Names)
+    Array.push_back(Name.Text);
+  return Array;
+}
+
 auto toJson(const gateway_digest &Digest) -> json {
   json Loads = json::array();
   for (const auto &[Target, Load] : Digest.Loads)
@@ -23,8 +30,9 @@
   for (const auto &[Target, Key, Tokens] : Digest.Prefixes)
     Prefixes.push_back({Target.Text, Key, Tokens});
   json Loading = json::array();
-  for (const auto &[Target, Model] : Digest.Loading)
-    Loading.push_back({Target.Text, Model.Text});
+  for (const auto &[Target, Change] : Digest.Loading)
+    Loading.push_back(
+        {Target.Text, Change.Model.Text, namesOf(Change.Victims)});
   return {{Kind, "digest"}, {"f", Digest.From.Text}, {"l", Loads},
           {"d", Demand},    {"p", Prefixes},         {"m", Loading}};
 }
@@ -34,13 +42,6 @@
       {Kind, "greeting"}, {"f", Greeting.From.Text}, {"a", Greeting.Address}};
 }
 
-auto namesOf(const std::set<model_name> &Names) -> json {
-  json Array = json::array();
-  for (const auto &Name : Names)
-    Array.push_back(Name.Text);
-  return Array;
-}
-
 auto toJson(const holdings_told &Event) -> json {
   json Models = json::array();
   for (const auto &[Model, Held] : Event.Holds.Models)
@@ -68,9 +69,12 @@
     Digest.Prefixes.emplace_back(target_name(Each.at(0).get<std::string>()),
                                  Each.at(1).get<prefix_key>(),
                                  Each.at(2).get<std::uint32_t>());
-  for (const auto &Each : From.at("m"))
-    Digest.Loading[target_name(Each.at(0).get<std::string>())] =
-        model_name(Each.at(1).get<std::string>());
+  for (const auto &Each : From.at("m")) {
+    auto &Change = Digest.Loading[target_name(Each.at(0).get<std::string>())];
+    Change.Model = model_name(Each.at(1).get<std::string>());
+    for (const auto &Victim : Each.at(2))
+      Change.Victims.emplace_back(Victim.get<std::string>());
+  }
   return Digest;
 }
 
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -63,11 +63,12 @@
   struct pending_load {
     model_name Model;
     std::string Adapter;
-    time_point Ready;    ///< When it should be done.
-    time_point Deadline; ///< When it is given up.
+    std::vector<model_name> Victims; ///< Unloaded for it.
+    time_point Ready;                ///< When it should be done.
+    time_point Deadline;             ///< When it is given up.
   };
   std::map<target_name, std::vector<pending_load>> Loads;
-  std::map<instance_name, std::map<target_name, model_name>> PeerLoads;
+  std::map<instance_name, std::map<target_name, model_change>> PeerLoads;
   std::map<instance_name, time_point> PeerHeard; ///< Last digest of each.
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> NewPrefixes;
   /// Rows that lapsed while the store was away may come back until then.
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -135,7 +135,7 @@
   /// Prompt parts sent to targets since the last digest.
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> Prefixes;
   /// Loads that this gateway has asked for.
-  std::map<target_name, model_name> Loading;
+  std::map<target_name, model_change> Loading;
 };
 
 /// Time passed.
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -21,8 +21,6 @@
   std::size_t Rank = 0;
   const std::vector<prefix_key> *Keys = nullptr;
   const std::set<target_name> *Tried = nullptr;
-  /// Targets that load a model; they take no orders for adapters meanwhile.
-  const std::map<target_name, model_name> *Busy = nullptr;
   time_point Now;
 };
 
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -53,12 +53,10 @@
   double CostMs = 0; ///< With what the victims' callers will wait, ms.
 };
 
-/// \param Busy targets at which this gateway knows of a load under way.
 /// \returns none when no target can take the model.
 [[nodiscard]] auto planLoad(const target_book &Book,
                             const service_spec &Service,
                             const model_name &Model, const demand &Demand,
-                            const std::map<target_name, model_name> &Busy,
                             time_point Now) -> std::optional<load_plan>;
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -11,7 +11,9 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace limpetbridge::serving {
 
@@ -31,6 +33,12 @@
   [[nodiscard]] auto pendingMs(std::size_t Rank) const -> double;
 };
 
+/// A change of the models of a target that has been asked for.
+struct model_change {
+  model_name Model;                ///< To be loaded.
+  std::vector<model_name> Victims; ///< To be unloaded first.
+};
+
 /// One target and the beliefs about it.
 struct target_entry {
   target Target;
@@ -45,11 +53,15 @@
   time_point NoLoadUntil; ///< A load has failed there a moment ago.
   time_point ToldAt;      ///< When its controller last told of its contents.
   time_point LostSince = NoDeadline; ///< Row missing; kept for a grace period.
+  /// The load that is under way as far as this gateway knows.
+  std::optional<model_change> Change;
 
   /// Load of this gateway and of the others together.
   [[nodiscard]] auto load() const -> target_load;
   /// True if new work may be sent.
   [[nodiscard]] auto takesWork() const -> bool { return !Target.Leaving; }
+  /// True if \p Model is held and not about to be unloaded.
+  [[nodiscard]] auto serves(const model_name &Model) const -> bool;
 };
 
 /// All targets by name.
@@ -78,7 +90,7 @@
     return Entries;
   }
 
-  /// Number of targets that hold \p Model and take work.
+  /// Number of targets that serve \p Model and take work.
   [[nodiscard]] auto holders(const model_name &Model) const -> std::size_t;
 
   /// An attempt left for \p Name; reading its prompt takes \p ReadMs.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -47,9 +47,9 @@
 auto handle(const gateway_step &Step, const load_answered &Event) -> void;
 /// When \p Model should be loaded by the loads under way.
 auto readyTime(const gateway_step &Step, const model_name &Model) -> time_point;
-/// Targets with a load of a whole model under way.
-auto busyTargets(const gateway_state &State)
-    -> std::map<target_name, model_name>;
+/// Marks the targets whose models are being changed, by the loads that this
+/// gateway and the others have asked for.
+auto markChanges(gateway_state &State) -> void;
 /// Forgets loads whose answer is overdue.
 auto expireLoads(const gateway_step &Step) -> void;
 
@@ -70,6 +70,9 @@
 /// Number of gateways, this one included.
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
+/// Tells the other gateways of this one's load, demand and plans.
+auto sendDigest(const gateway_step &Step) -> void;
+
 /// Adds a line of the log to the effects.
 auto note(const gateway_step &Step, log_level Level, std::string Event,
           std::vector<std::pair<std::string, std::string>> Fields) -> void;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -87,6 +87,20 @@
       Entry.Peer.erase(Peer);
     note(Step, log_level::Warning, "peer_silent", {{"peer", Peer.Text}});
   }
+  if (!Silent.empty())
+    markChanges(State);
+}
+
+/// Controllers tell those that greet them what their targets hold.
+auto greetControllers(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  State.NextGreeting = Step.Now + GreetingInterval;
+  greet_controllers Greeting;
+  for (const auto &[Name, Instance] : State.Instances)
+    if (Instance.Role == instance_role::Controller)
+      Greeting.Addresses.push_back(Instance.Address);
+  if (!Greeting.Addresses.empty())
+    Step.Effects.push_back(std::move(Greeting));
 }
 
 } // namespace
@@ -174,6 +188,7 @@
   }
   State.Demand.setPeer(Event.From, Event.Demand);
   State.PeerLoads[Event.From] = Event.Loading;
+  markChanges(State);
   if (!State.PeerHeard.contains(Event.From))
     note(Step, log_level::Info, "peer_heard", {{"peer", Event.From.Text}});
   State.PeerHeard[Event.From] = Step.Now;
@@ -195,24 +210,19 @@
       Gone.push_back(Name);
   for (const auto &Name : Gone)
     lose(Step, Name);
-  if (Step.Now < State.NextDigest)
-    return;
+  if (Step.Now >= State.NextGreeting)
+    greetControllers(Step);
+  if (Step.Now >= State.NextDigest)
+    sendDigest(Step);
+}
+
+auto sendDigest(const gateway_step &Step) -> void {
+  auto &State = Step.State;
   State.NextDigest = Step.Now + State.Options.DigestInterval;
   send_digest Effect;
-  greet_controllers Greeting;
-  for (const auto &[Name, Instance] : State.Instances) {
-    if (Name == State.Options.Self)
-      continue;
-    if (Instance.Role == instance_role::Gateway)
+  for (const auto &[Name, Instance] : State.Instances)
+    if (Name != State.Options.Self && Instance.Role == instance_role::Gateway)
       Effect.Addresses.push_back(Instance.Address);
-    else if (Step.Now >= State.NextGreeting)
-      Greeting.Addresses.push_back(Instance.Address);
-  }
-  if (Step.Now >= State.NextGreeting) {
-    State.NextGreeting = Step.Now + GreetingInterval;
-    if (!Greeting.Addresses.empty())
-      Step.Effects.push_back(std::move(Greeting));
-  }
   auto &Digest = Effect.Digest;
   Digest.From = State.Options.Self;
   for (const auto &[Name, Entry] : State.Book.all())
@@ -223,7 +233,7 @@
   for (const auto &[Target, Loads] : State.Loads)
     for (const auto &Load : Loads)
       if (Load.Adapter.empty())
-        Digest.Loading[Target] = Load.Model;
+        Digest.Loading[Target] = {Load.Model, Load.Victims};
   if (!Effect.Addresses.empty())
     Step.Effects.push_back(std::move(Effect));
 }
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -49,8 +49,8 @@
       if (Load.Model == Model && Load.Adapter.empty())
         Targets.push_back(Target);
   for (const auto &[Peer, Loads] : State.PeerLoads)
-    for (const auto &[Target, Loading] : Loads)
-      if (Loading == Model && State.Book.find(Target) != nullptr)
+    for (const auto &[Target, Change] : Loads)
+      if (Change.Model == Model && State.Book.find(Target) != nullptr)
         Targets.push_back(Target);
   return Targets;
 }
@@ -60,7 +60,7 @@
          std::vector<model_name> Victims, time_point Ready, time_point Deadline,
          const std::string &RequestId) -> void {
   Step.State.Loads[Entry.Target.Name].push_back(
-      {Model, Adapter, Ready, Deadline});
+      {Model, Adapter, Victims, Ready, Deadline});
   std::string Making;
   for (const auto &Victim : Victims)
     Making += (Making.empty() ? "" : ",") + Victim.Text;
@@ -76,6 +76,11 @@
              Step.State.Demand.rate(Model, Step.Now).WorkMsPerSecond))}});
   Step.Effects.push_back(ask_load{Entry.Target.Name, Entry.ControllerAddress,
                                   Model, Adapter, std::move(Victims)});
+  if (!Adapter.empty())
+    return;
+  // Nobody sends to what is about to be unloaded, from this moment on.
+  markChanges(Step.State);
+  sendDigest(Step);
 }
 
 auto planFor(const gateway_step &Step, const service_name &Service,
@@ -85,7 +90,7 @@
   if (Found == Services.end())
     return std::nullopt;
   return planLoad(Step.State.Book, Found->second, Model, Step.State.Demand,
-                  busyTargets(Step.State), Step.Now);
+                  Step.Now);
 }
 
 auto askPlan(const gateway_step &Step, const load_plan &Plan,
@@ -108,16 +113,27 @@
   return Ready == NoDeadline ? Step.Now + PeerLoadTime : Ready;
 }
 
-auto busyTargets(const gateway_state &State)
-    -> std::map<target_name, model_name> {
-  std::map<target_name, model_name> Busy;
+auto markChanges(gateway_state &State) -> void {
+  for (auto &[Name, Entry] : State.Book.all())
+    Entry.Change.reset();
+  const auto Mark = [&](const target_name &Target, const model_change &Change) {
+    auto *Entry = State.Book.find(Target);
+    if (Entry == nullptr)
+      return;
+    if (!Entry->Change)
+      Entry->Change = Change;
+    else // Two loads wait for the target, one after the other.
+      Entry->Change->Victims.insert(Entry->Change->Victims.end(),
+                                    Change.Victims.begin(),
+                                    Change.Victims.end());
+  };
   for (const auto &[Target, Loads] : State.Loads)
     for (const auto &Load : Loads)
       if (Load.Adapter.empty())
-        Busy[Target] = Load.Model;
+        Mark(Target, {Load.Model, Load.Victims});
   for (const auto &[Peer, Loads] : State.PeerLoads)
-    Busy.insert(Loads.begin(), Loads.end());
-  return Busy;
+    for (const auto &[Target, Change] : Loads)
+      Mark(Target, Change);
 }
 
 auto waitForAdapter(const gateway_step &Step, request_state &Request,
@@ -206,6 +222,7 @@
   });
   if (Loads.empty())
     State.Loads.erase(Event.Target);
+  markChanges(State);
   auto *Entry = State.Book.find(Event.Target);
   if (Entry != nullptr && Event.Held) {
     auto &Held = Entry->Target.Holds.Models[Event.Model];
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -137,6 +137,8 @@
        {{"request", Request.Call.Id},
         {"attempt", std::to_string(Request.Attempts)},
         {"target", Pick.Target.Text},
+        {"model", Request.Call.Prompt.Model.Text},
+        {"adapter", Request.Call.Prompt.Adapter},
         {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
         {"read_ms", std::to_string(static_cast<int>(Pick.ReadMs))},
         {"target_sequence", std::to_string(Entry->Target.Sequence)},
@@ -177,8 +179,6 @@
   Wanted.Rank = rankOf(Request.Route.Priority);
   Wanted.Keys = &Request.Keys;
   Wanted.Tried = &Request.Tried;
-  const auto Busy = busyTargets(Step.State);
-  Wanted.Busy = &Busy;
   Wanted.Now = Step.Now;
   const auto Pick = pickTarget(Step.State.Book, Wanted);
   if (Pick && Call.HasPrompt && isHopeless(Request, *Pick, Step.Now))
@@ -244,16 +244,17 @@
 
 auto handle(const gateway_step &Step, const request_arrived &Event) -> void {
   auto &State = Step.State;
+  // Known from here on, so that a refusal is logged with the request's id.
+  auto &Request = State.Requests[Event.Number];
+  Request.Call = Event.Call;
+  Request.Deadline = Event.Call.CallerDeadline;
   if (State.Configuration.Version == 0)
     return refuse(Step, Event.Number, result_code::NotReady, NotReadyRetryMs,
                   "no configuration is known");
   const auto *Route = State.Routes.find(Event.Call.Host, Event.Call.Path);
   if (Route == nullptr)
     return refuse(Step, Event.Number, result_code::NotFound, 0,
-                  "no route of configuration " +
-                      std::to_string(State.Configuration.Version));
-  request_state Request;
-  Request.Call = Event.Call;
+                  "no route for host and path");
   Request.Route = *Route;
   Request.Service = chooseService(State, *Route);
   Request.Deadline =
@@ -273,7 +274,6 @@
   }
   State.Budgets[Request.Service].noteRequest(Step.Now);
   Step.Effects.push_back(set_deadline{Event.Number, Request.Deadline});
-  State.Requests[Event.Number] = std::move(Request);
   place(Step, Event.Number);
 }
 
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -64,15 +64,14 @@
     Candidate.Target = Name;
     if (Request.Prompt != nullptr) {
       const auto &Prompt = *Request.Prompt;
-      if (!holdsAll(Entry.Target, Prompt.Model, ""))
+      if (!Entry.serves(Prompt.Model))
         continue;
       Candidate.NeedsAdapter =
           !holdsAll(Entry.Target, Prompt.Model, Prompt.Adapter);
-      const bool Busy = Request.Busy != nullptr && Request.Busy->contains(Name);
       if (Candidate.NeedsAdapter && Entry.ControllerAddress.empty())
         continue;
       Candidate.ExpectedMs =
-          Candidate.NeedsAdapter ? AdapterMs + (Busy ? BusyMs : 0) : 0;
+          Candidate.NeedsAdapter ? AdapterMs + (Entry.Change ? BusyMs : 0) : 0;
       const auto Cached = Entry.Cache.cachedTokens(Prompt, *Request.Keys);
       Candidate.ReadMs =
           Request.MsPerToken *
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -59,6 +59,8 @@
     -> std::vector<victim> {
   std::vector<victim> Victims;
   for (const auto &[Model, Held] : Entry.Target.Holds.Models) {
+    if (!Entry.serves(Model))
+      continue;
     const auto Copies = static_cast<double>(Book.holders(Model));
     const auto Spec = Engine.Models.find(Model);
     const double Reload = Spec == Engine.Models.end()
@@ -153,8 +155,7 @@
 }
 
 auto planLoad(const target_book &Book, const service_spec &Service,
-              const model_name &Model, const demand &Demand,
-              const std::map<target_name, model_name> &Busy, time_point Now)
+              const model_name &Model, const demand &Demand, time_point Now)
     -> std::optional<load_plan> {
   const auto &Engine = Service.Engine;
   const auto Spec = Engine.Models.find(Model);
@@ -183,7 +184,7 @@
     }
     if (Free < Spec->second.WeightsMb)
       continue;
-    if (Busy.contains(Name))
+    if (Entry.Change)
       Cost += BusyMs;
     Plan.CostMs = Cost;
     if (!Best || Cost < Best->CostMs)
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -48,6 +48,13 @@
   return Sum;
 }
 
+auto target_entry::serves(const model_name &Model) const -> bool {
+  if (!Target.Holds.Models.contains(Model))
+    return false;
+  return !Change || std::find(Change->Victims.begin(), Change->Victims.end(),
+                              Model) == Change->Victims.end();
+}
+
 auto target_book::update(const target &Target, std::uint64_t CacheTokens,
                          time_point Now) -> bool {
   auto &Entry = Entries[Target.Name];
@@ -124,8 +131,7 @@
 auto target_book::holders(const model_name &Model) const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(Entries.begin(), Entries.end(), [&](const auto &Each) {
-        return Each.second.takesWork() &&
-               Each.second.Target.Holds.Models.contains(Model);
+        return Each.second.takesWork() && Each.second.serves(Model);
       }));
 }
 
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(gateway_test);
   CPPUNIT_TEST(arrive_noConfiguration_isNotReady);
   CPPUNIT_TEST(arrive_noRoute_isNotFound);
+  CPPUNIT_TEST(arrive_refusedAtOnce_isLoggedWithItsId);
   CPPUNIT_TEST(arrive_noTarget_isRefusedAtOnce);
   CPPUNIT_TEST(arrive_leavingTarget_getsNothing);
   CPPUNIT_TEST(end_nonIdempotentUnknown_isNeverRepeated);
@@ -44,6 +45,16 @@
     CPPUNIT_ASSERT(refusal().Code == result_code::NotFound);
   }
 
+  auto arrive_refusedAtOnce_isLoggedWithItsId() -> void {
+    World.arrive(7, "/other/");
+    expectNoteOf("7");
+    CPPUNIT_ASSERT(World.State.Requests.empty());
+    World.State = makeGatewayState({});
+    World.arrive(8, "/read/x");
+    expectNoteOf("8");
+    CPPUNIT_ASSERT(World.State.Requests.empty());
+  }
+
   auto arrive_noTarget_isRefusedAtOnce() -> void {
     World.arrive(1, "/read/x");
     CPPUNIT_ASSERT(refusal().Code == result_code::NoTarget);
@@ -220,6 +231,13 @@
   }
 
 private:
+  auto expectNoteOf(const std::string &Id) -> void {
+    const auto Note = World.one<write_note>();
+    CPPUNIT_ASSERT_EQUAL(std::string("request_refused"), Note.Event);
+    CPPUNIT_ASSERT(Note.Fields.front() ==
+                   std::make_pair(std::string("request"), Id));
+  }
+
   auto addLedgers() -> void {
     World.addTarget("l1", "ledger", {});
     World.addTarget("l2", "ledger", {});
