Adapters make way by their last use, and get no requests while they leave

Cause: a controller evicted the adapter that had been loaded the longest time ago; that one is often the most popular. An engine keeps an adapter that requests use until they have ended, and meanwhile answers others for it 503.

Change: gateways tell one another in their digests which adapters they used where; a request for an adapter carries the ages of all uses at that target, and the controller takes the least recently used. Adapters that were ordered away count as leaving: gateways are told that they are gone, and no second one is ordered away for the same place.

Tests: order_plan_test nextStep_adapterLeaving, gateway_loads_test ask_adapter_tellsTheUse.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -118,6 +118,10 @@
 }
 
 auto controller_node::findJob(const load_request &Request) -> job {
+  for (const auto &[Adapter, AgeMs] : Request.AdapterAgesMs) {
+    auto &Last = LastUsed[Adapter];
+    Last = std::max(Last, process_clock::now() - milliseconds(AgeMs));
+  }
   auto &Line = Request.Adapter.empty() ? Models : Adapters;
   auto &Queue = Line.Queue;
   const auto Found =
@@ -193,6 +197,13 @@
         {{"error", toString(Report.error())}});
     co_return std::nullopt;
   }
+  std::erase_if(LeavingAdapters, [&](const adapter_key &Adapter) {
+    const auto Held = Report.value().Holds.Models.find(Adapter.first);
+    return Report.value().Born != Told.Born ||
+           Held == Report.value().Holds.Models.end() ||
+           !Held->second.Adapters.contains(Adapter.second);
+  });
+  Report.value().LeavingAdapters = LeavingAdapters;
   tell(Report.value());
   co_return Report.value();
 }
@@ -205,6 +216,10 @@
   });
   for (const auto &Model : Leaving)
     Now.Holds.Models.erase(Model);
+  for (const auto &[Model, Adapter] : LeavingAdapters)
+    if (const auto Held = Now.Holds.Models.find(Model);
+        Held != Now.Holds.Models.end())
+      Held->second.Adapters.erase(Adapter);
   if (Now.Born == Told.Born && Now.Sequence == Told.Sequence &&
       Now.Holds == Told.Holds)
     return;
@@ -249,6 +264,18 @@
   co_return End;
 }
 
+auto controller_node::noteOrdered(const order_step &Step,
+                                  const engine_report &Report) -> void {
+  // No more requests may come for what is being unloaded.
+  if (Step.Kind == step_kind::Unload)
+    Leaving.insert(Step.Model);
+  else if (Step.Kind == step_kind::UnloadAdapter)
+    LeavingAdapters.insert({Step.Model, Step.Adapter});
+  else
+    return;
+  tell(Report);
+}
+
 auto controller_node::runJob(job_line &Line, job Job) -> awaitable<bool> {
   const bool ForAdapter = !Job->Job.Adapter.empty();
   const auto Deadline =
@@ -287,11 +314,8 @@
     const auto End = co_await carryOut(Line, *Job, Step, Report->Sequence);
     if (End == order_end::WrongTarget)
       co_return false;
-    if (End == order_end::Accepted && Step.Kind == step_kind::Unload) {
-      // No more requests may come for what is being unloaded.
-      Leaving.insert(Step.Model);
-      tell(*Report);
-    }
+    if (End == order_end::Accepted)
+      noteOrdered(Step, *Report);
     co_await net::sleepFor(Pause);
   }
   co_return false;
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -59,6 +59,8 @@
   auto carryOut(job_line &Line, const job_state &Job,
                 const serving::order_step &Step, std::uint64_t Sequence)
       -> net::awaitable<order_end>;
+  auto noteOrdered(const serving::order_step &Step,
+                   const serving::engine_report &Report) -> void;
   /// Tells the gateways if anything has changed.
   auto tell(const serving::engine_report &Report) -> void;
   auto permitLoad() -> net::awaitable<bool>;
@@ -74,7 +76,8 @@
   job_line Adapters;
   serving::holdings_told Told;
   std::set<model_name> Leaving; ///< Being unloaded; takes no requests.
-  std::map<std::string, time_point> Gateways; ///< Until when they are told.
+  std::set<serving::adapter_key> LeavingAdapters; ///< The same.
+  std::map<std::string, time_point> Gateways;     ///< Until when they are told.
   std::map<serving::adapter_key, time_point> LastUsed;
   std::unique_ptr<net::listener> Calls;
   std::unique_ptr<net::datagram_socket> Link;
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -215,8 +215,11 @@
   Request.Method = "POST";
   Request.Target = "/load";
   Request.Fields.push_back({"Host", Effect.ControllerAddress});
-  Request.Body =
-      encodeLoad({Effect.Model, Effect.Adapter, Effect.Victims, Effect.Target});
+  load_request Load{
+      Effect.Model, Effect.Adapter, Effect.Victims, Effect.Target, {}};
+  for (const auto &[Adapter, Used] : Effect.AdapterUse)
+    Load.AdapterAgesMs[Adapter] = toMilliseconds(process_clock::now() - Used);
+  Request.Body = encodeLoad(Load);
   const net::asio::any_io_executor Executor = Context.get_executor();
   const auto Answer =
       co_await net::fetch(Executor, Effect.ControllerAddress, Request,
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -33,8 +33,12 @@
   for (const auto &[Target, Change] : Digest.Loading)
     Loading.push_back(
         {Target.Text, Change.Model.Text, namesOf(Change.Victims)});
+  json Adapters = json::array();
+  for (const auto &[Target, Adapter] : Digest.AdapterUse)
+    Adapters.push_back({Target.Text, Adapter.first.Text, Adapter.second});
   return {{Kind, "digest"}, {"f", Digest.From.Text}, {"l", Loads},
-          {"d", Demand},    {"p", Prefixes},         {"m", Loading}};
+          {"d", Demand},    {"p", Prefixes},         {"m", Loading},
+          {"u", Adapters}};
 }
 
 auto toJson(const greeting &Greeting) -> json {
@@ -75,6 +79,11 @@
     for (const auto &Victim : Each.at(2))
       Change.Victims.emplace_back(Victim.get<std::string>());
   }
+  for (const auto &Each : From.at("u"))
+    Digest.AdapterUse.emplace(
+        target_name(Each.at(0).get<std::string>()),
+        adapter_key(model_name(Each.at(1).get<std::string>()),
+                    Each.at(2).get<std::string>()));
   return Digest;
 }
 
@@ -131,10 +140,14 @@
   json Victims = json::array();
   for (const auto &Victim : Request.Victims)
     Victims.push_back(Victim.Text);
+  json Ages = json::array();
+  for (const auto &[Adapter, Age] : Request.AdapterAgesMs)
+    Ages.push_back({Adapter.first.Text, Adapter.second, Age});
   return json{{"target", Request.Target.Text},
               {"model", Request.Model.Text},
               {"adapter", Request.Adapter},
-              {"victims", Victims}}
+              {"victims", Victims},
+              {"adapter_ages_ms", Ages}}
       .dump();
 }
 
@@ -147,6 +160,10 @@
     Request.Adapter = From.at("adapter").get<std::string>();
     for (const auto &Each : From.at("victims"))
       Request.Victims.emplace_back(Each.get<std::string>());
+    for (const auto &Each : From.at("adapter_ages_ms"))
+      Request.AdapterAgesMs[{model_name(Each.at(0).get<std::string>()),
+                             Each.at(1).get<std::string>()}] =
+          Each.at(2).get<std::int64_t>();
     return Request;
   } catch (const json::exception &Error) {
     return failure(result_code::MalformedRequest, Error.what());
--- a/apps/limpetbridge/src/serving/link_codec.h
+++ b/apps/limpetbridge/src/serving/link_codec.h
@@ -6,6 +6,8 @@
 #include "base/result.h"
 #include "serving/gateway_events.h"
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -32,6 +34,9 @@
   std::string Adapter;
   std::vector<model_name> Victims;
   target_name Target; ///< Whom it is meant for.
+  /// Ages of the last use of the target's adapters, ms: clocks of two machines
+  /// cannot be compared.
+  std::map<serving::adapter_key, std::int64_t> AdapterAgesMs;
 };
 
 [[nodiscard]] auto encodeLoad(const load_request &Request) -> std::string;
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -52,6 +52,8 @@
   model_name Model;
   std::string Adapter;             ///< Empty for the model itself.
   std::vector<model_name> Victims; ///< May be unloaded for it.
+  /// For an adapter: when those of the target were last used.
+  std::map<adapter_key, time_point> AdapterUse;
 };
 
 /// Tell another instance what this gateway knows.
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -134,6 +134,8 @@
   model_rates Demand;
   /// Prompt parts sent to targets since the last digest.
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> Prefixes;
+  /// Adapters used since the last digest.
+  std::set<std::pair<target_name, adapter_key>> AdapterUse;
   /// Loads that this gateway has asked for.
   std::map<target_name, model_change> Loading;
 };
--- a/libs/serving/include/serving/order_plan.h
+++ b/libs/serving/include/serving/order_plan.h
@@ -16,9 +16,6 @@
 
 namespace limpetbridge::serving {
 
-/// Name of an adapter with its model's.
-using adapter_key = std::pair<model_name, std::string>;
-
 /// What an engine reports about itself.
 struct engine_report {
   std::uint64_t Born = 0;     ///< Start of its life, Unix ms.
@@ -26,6 +23,8 @@
   bool Busy = false;          ///< A model is being loaded or unloaded.
   holdings Holds;
   std::set<adapter_key> PendingAdapters; ///< On their way from the store.
+  /// Ordered away while requests used them; they stay until those have ended.
+  std::set<adapter_key> LeavingAdapters;
   std::uint32_t Queued = 0;
   std::uint32_t Active = 0;
 };
@@ -58,7 +57,7 @@
 
 [[nodiscard]] auto nameOf(step_kind Kind) -> std::string_view;
 
-/// \param LastUsed when adapters were last asked for; the oldest makes way.
+/// \param LastUsed when adapters were last used; the oldest makes way.
 [[nodiscard]] auto nextStep(const engine_spec &Engine,
                             const engine_report &Report, const load_job &Job,
                             const std::map<adapter_key, time_point> &LastUsed)
--- a/libs/serving/include/serving/target.h
+++ b/libs/serving/include/serving/target.h
@@ -10,10 +10,14 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace limpetbridge::serving {
 
+/// Name of an adapter with its model's.
+using adapter_key = std::pair<model_name, std::string>;
+
 /// A model in accelerator memory.
 struct held_model {
   std::uint64_t Version = 0;
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -49,6 +49,8 @@
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
   double Slowness = 1;           ///< Observed against expected time.
   std::map<model_name, time_point> LoadedAt; ///< When models appeared.
+  /// Last use of adapters by any gateway, as far as this one was told.
+  std::map<adapter_key, time_point> AdapterUse;
   time_point AvoidUntil;  ///< Refused or unreachable a moment ago.
   time_point NoLoadUntil; ///< A load has failed there a moment ago.
   time_point ToldAt;      ///< When its controller last told of its contents.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -195,6 +195,9 @@
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
+  for (const auto &[Name, Adapter] : Event.AdapterUse)
+    if (auto *Entry = State.Book.find(Name))
+      Entry->AdapterUse[Adapter] = Step.Now;
 }
 
 auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
@@ -230,6 +233,7 @@
       Digest.Loads[Name] = Entry.Own;
   Digest.Demand = State.Demand.ownRates(Step.Now);
   Digest.Prefixes = std::exchange(State.NewPrefixes, {});
+  Digest.AdapterUse = std::exchange(State.NewAdapterUse, {});
   for (const auto &[Target, Loads] : State.Loads)
     for (const auto &Load : Loads)
       if (Load.Adapter.empty())
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -129,6 +129,12 @@
                            Pick.ReadMs);
   if (Request.Call.HasPrompt)
     rememberPrefix(Step, Request, *Entry);
+  if (!Request.Call.Prompt.Adapter.empty()) {
+    const adapter_key Adapter(Request.Call.Prompt.Model,
+                              Request.Call.Prompt.Adapter);
+    Entry->AdapterUse[Adapter] = Step.Now;
+    Step.State.NewAdapterUse.emplace(Pick.Target, Adapter);
+  }
   Step.Effects.push_back(
       send_attempt{Number, Request.Attempts, Pick.Target, Entry->Target.Address,
                    Request.Deadline, Request.Route.Kind,
--- a/libs/serving/src/order_plan.cpp
+++ b/libs/serving/src/order_plan.cpp
@@ -38,7 +38,7 @@
   return Count;
 }
 
-/// The held adapter that was asked for the longest time ago.
+/// The held adapter that was used the longest time ago.
 auto oldestAdapter(const engine_report &Report,
                    const std::map<adapter_key, time_point> &LastUsed)
     -> adapter_key {
@@ -48,7 +48,8 @@
     for (const auto &Adapter : Held.Adapters) {
       const auto Found = LastUsed.find({Model, Adapter});
       const auto Use = Found == LastUsed.end() ? time_point() : Found->second;
-      if (Use < OldestUse) {
+      if (!Report.LeavingAdapters.contains({Model, Adapter}) &&
+          Use < OldestUse) {
         Oldest = {Model, Adapter};
         OldestUse = Use;
       }
@@ -63,16 +64,21 @@
   const auto Held = Report.Holds.Models.find(Job.Model);
   if (Held == Report.Holds.Models.end())
     return {step_kind::Impossible, Job.Model, Job.Adapter};
+  const adapter_key Wanted(Job.Model, Job.Adapter);
+  if (Report.LeavingAdapters.contains(Wanted))
+    return {step_kind::Wait, Job.Model, Job.Adapter};
   if (Held->second.Adapters.contains(Job.Adapter))
     return {step_kind::Held, Job.Model, Job.Adapter};
   // Engines take no order while another one is carried out.
-  if (Report.Busy ||
-      Report.PendingAdapters.contains({Job.Model, Job.Adapter}) ||
+  if (Report.Busy || Report.PendingAdapters.contains(Wanted) ||
       Report.PendingAdapters.size() >= MaxPendingAdapters)
     return {step_kind::Wait, Job.Model, Job.Adapter};
   if (adapterCount(Report) < Engine.AdapterSlots &&
       freeMb(Engine, Report) >= adapterMb(Engine, Job.Model))
     return {step_kind::LoadAdapter, Job.Model, Job.Adapter};
+  // A place is about to become free.
+  if (!Report.LeavingAdapters.empty())
+    return {step_kind::Wait, Job.Model, Job.Adapter};
   const auto [Model, Adapter] = oldestAdapter(Report, LastUsed);
   if (Adapter.empty())
     return {step_kind::Impossible, Job.Model, Job.Adapter};
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -75,6 +75,7 @@
     Entry.AvoidUntil = {};
     Entry.ToldAt = {};
     Entry.LoadedAt.clear();
+    Entry.AdapterUse.clear();
   }
   Entry.LostSince = NoDeadline;
   const bool Changed = !SameLife || Known.Leaving != Target.Leaving ||
--- a/libs/serving/tests/gateway_loads_test.cpp
+++ b/libs/serving/tests/gateway_loads_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ask_victimOfTheLoad_getsNoRequests);
   CPPUNIT_TEST(ask_loadWithVictims_isToldToPeersAtOnce);
   CPPUNIT_TEST(digest_victimOfPeersLoad_getsNoRequestsUntilItEnds);
+  CPPUNIT_TEST(ask_adapter_tellsTheUseByAllGateways);
   CPPUNIT_TEST(told_unloadedModel_getsNoRequests);
   CPPUNIT_TEST(told_olderSequence_isIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -53,15 +54,7 @@
 
   auto arrive_adapterMissing_loadsItThere() -> void {
     World.addTarget("e1", "models", {"a"});
-    request_arrived Event;
-    Event.Number = 1;
-    Event.Call.Host = "h";
-    Event.Call.Path = "/chat/x";
-    Event.Call.Arrived = World.Now;
-    Event.Call.HasPrompt = true;
-    Event.Call.Prompt.Model = model_name("a");
-    Event.Call.Prompt.Adapter = "x";
-    World.tell(Event);
+    arriveForAdapter(1, "x");
     CPPUNIT_ASSERT_EQUAL(std::string("x"), asked().Adapter);
     World.tell(load_answered{target_name("e1"), model_name("a"), "x", true});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, World.all<send_attempt>().size());
@@ -168,6 +161,26 @@
                          World.one<send_attempt>().Target.Text);
   }
 
+  auto ask_adapter_tellsTheUseByAllGateways() -> void {
+    World.addTarget("e1", "models", {"a"});
+    auto &Held = World.State.Book.find(target_name("e1"))
+                     ->Target.Holds.Models[model_name("a")];
+    Held.Adapters = {"own", "theirs"};
+    arriveForAdapter(1, "own");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, World.all<send_attempt>().size());
+    const auto OwnUse = World.Now;
+    World.Now += milliseconds(400);
+    gateway_digest Digest;
+    Digest.From = instance_name("g2");
+    Digest.AdapterUse.emplace(target_name("e1"),
+                              adapter_key(model_name("a"), "theirs"));
+    World.tell(Digest);
+    arriveForAdapter(2, "new");
+    const auto Use = asked().AdapterUse;
+    CPPUNIT_ASSERT(Use.at({model_name("a"), "own"}) == OwnUse);
+    CPPUNIT_ASSERT(Use.at({model_name("a"), "theirs"}) == World.Now);
+  }
+
   auto told_unloadedModel_getsNoRequests() -> void {
     World.addTarget("e1", "models", {"a"});
     World.addTarget("e2", "models", {"a"});
@@ -200,6 +213,18 @@
   }
 
 private:
+  auto arriveForAdapter(request_number Number, const char *Adapter) -> void {
+    request_arrived Event;
+    Event.Number = Number;
+    Event.Call.Host = "h";
+    Event.Call.Path = "/chat/x";
+    Event.Call.Arrived = World.Now;
+    Event.Call.HasPrompt = true;
+    Event.Call.Prompt.Model = model_name("a");
+    Event.Call.Prompt.Adapter = Adapter;
+    World.tell(Event);
+  }
+
   /// Two targets without room, whose models have been there for a while.
   auto addTwoFull() -> void {
     World.addTarget("e1", "models", {"a", "b", "c"});
--- a/libs/serving/tests/order_plan_test.cpp
+++ b/libs/serving/tests/order_plan_test.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(nextStep_noVictim_isImpossible);
   CPPUNIT_TEST(nextStep_busy_waits);
   CPPUNIT_TEST(nextStep_fullAdapterSlots_unloadsTheOldest);
+  CPPUNIT_TEST(nextStep_adapterLeaving_waitsForItsPlace);
   CPPUNIT_TEST(nextStep_lateAndLostOrders_neverOvercommit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +132,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string("y"), Step.Adapter);
   }
 
+  auto nextStep_adapterLeaving_waitsForItsPlace() -> void {
+    hold({"a"});
+    Report.Holds.Models[model_name("a")].Adapters = {"x", "y", "z"};
+    Report.LeavingAdapters.insert({model_name("a"), "x"});
+    // Neither a second one is ordered away, nor is the leaving one held.
+    CPPUNIT_ASSERT(step({model_name("a"), "w", {}}).Kind == step_kind::Wait);
+    CPPUNIT_ASSERT(step({model_name("a"), "x", {}}).Kind == step_kind::Wait);
+    CPPUNIT_ASSERT(step({model_name("a"), "y", {}}).Kind == step_kind::Held);
+  }
+
   auto nextStep_lateAndLostOrders_neverOvercommit() -> void {
     const auto &Spec = Engine;
     const bool Held = rc::check("memory and slots hold", [&Spec] {
