A later life at an address takes the place of the earlier ones

Cause: after a loss of power all targets start again under new names, and the rows of their earlier lives stay in the store for three heartbeats. Gateways that start then read both and send to both; the target answers 421 to what was meant for its earlier life.

Change: the book of targets knows which life at an address was born last and sends to no other of the same service; a controller that reports a later life ends the one before. A row of another service hides nobody.

Tests: gateway_test target_laterLifeAtItsAddress, target_strayRow, told_laterLife.

--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,8 +61,12 @@
 
   /// Load of this gateway and of the others together.
   [[nodiscard]] auto load() const -> target_load;
+  /// A later life has its address: whatever the store still lists, it is gone.
+  bool Superseded = false;
   /// True if new work may be sent.
-  [[nodiscard]] auto takesWork() const -> bool { return !Target.Leaving; }
+  [[nodiscard]] auto takesWork() const -> bool {
+    return !Target.Leaving && !Superseded;
+  }
   /// True if \p Model is held and not about to be unloaded.
   [[nodiscard]] auto serves(const model_name &Model) const -> bool;
 };
@@ -83,6 +88,7 @@
   [[nodiscard]] auto find(const target_name &Name) -> target_entry *;
   [[nodiscard]] auto find(const target_name &Name) const
       -> const target_entry *;
+  /// The latest life at \p Address.
   [[nodiscard]] auto findAddress(const std::string &Address) -> target_entry *;
   [[nodiscard]] auto all() -> std::map<target_name, target_entry> & {
     return Entries;
@@ -106,7 +112,11 @@
                  bool Failed) -> void;
 
 private:
+  /// Finds out anew which life at \p Address is the latest.
+  auto markLatest(const std::string &Address) -> void;
+
   std::map<target_name, target_entry> Entries;
+  std::map<std::string, std::set<target_name>> AtAddress;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -167,7 +167,12 @@
 
 auto handle(const gateway_step &Step, const holdings_told &Event) -> void {
   auto *Entry = Step.State.Book.findAddress(Event.Address);
-  if (Entry == nullptr || Entry->Target.Born != Event.Born)
+  if (Entry == nullptr)
+    return;
+  // A later life works there; its row is still on the way.
+  if (Event.Born > Entry->Target.Born)
+    return lose(Step, Entry->Target.Name);
+  if (Entry->Target.Born != Event.Born)
     return;
   const auto Before = Entry->Target.Holds;
   if (Step.State.Book.updateHoldings(*Entry, Event.Sequence, Event.Holds,
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -1,6 +1,7 @@
 #include "serving/target_book.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpetbridge::serving {
 
@@ -87,14 +88,35 @@
                     Target.Sequence == Known.Sequence;
   const auto Holds = Told ? Known.Holds : Target.Holds;
   auto Before = Entry.Target.Holds;
+  const auto OldAddress = std::exchange(Entry.Target.Address, Target.Address);
+  if (OldAddress != Target.Address) {
+    AtAddress[OldAddress].erase(Target.Name);
+    markLatest(OldAddress);
+    AtAddress[Target.Address].insert(Target.Name);
+  }
   Entry.Target = Target;
   Entry.Target.Holds = std::move(Before);
   setHoldings(Entry, Holds, Now);
   Entry.Target.Leaving |= Leaving;
   Entry.Cache.setCapacity(CacheTokens);
+  markLatest(Target.Address);
   return Changed;
 }
 
+auto target_book::markLatest(const std::string &Address) -> void {
+  const auto *Latest = findAddress(Address);
+  if (Latest == nullptr) {
+    AtAddress.erase(Address);
+    return;
+  }
+  for (const auto &Name : AtAddress[Address]) {
+    auto &Entry = Entries[Name];
+    // A row of another service may be a stray one and hides nobody.
+    Entry.Superseded = Entry.Target.Born < Latest->Target.Born &&
+                       Entry.Target.Service == Latest->Target.Service;
+  }
+}
+
 auto target_book::updateHoldings(target_entry &Entry, std::uint64_t Sequence,
                                  const holdings &Holds, time_point Now)
     -> bool {
@@ -108,7 +130,13 @@
 }
 
 auto target_book::remove(const target_name &Name) -> void {
-  Entries.erase(Name);
+  const auto Found = Entries.find(Name);
+  if (Found == Entries.end())
+    return;
+  const auto Address = Found->second.Target.Address;
+  Entries.erase(Found);
+  AtAddress[Address].erase(Name);
+  markLatest(Address);
 }
 
 auto target_book::find(const target_name &Name) -> target_entry * {
@@ -122,11 +150,16 @@
 }
 
 auto target_book::findAddress(const std::string &Address) -> target_entry * {
-  const auto Found =
-      std::find_if(Entries.begin(), Entries.end(), [&](const auto &Each) {
-        return Each.second.Target.Address == Address;
-      });
-  return Found == Entries.end() ? nullptr : &Found->second;
+  const auto Found = AtAddress.find(Address);
+  if (Found == AtAddress.end())
+    return nullptr;
+  target_entry *Latest = nullptr;
+  for (const auto &Name : Found->second) {
+    auto &Entry = Entries[Name];
+    if (Latest == nullptr || Entry.Target.Born > Latest->Target.Born)
+      Latest = &Entry;
+  }
+  return Latest;
 }
 
 auto target_book::holders(const model_name &Model) const -> std::size_t {
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(deadline_running_isUnknown);
   CPPUNIT_TEST(configuration_olderVersion_isIgnored);
   CPPUNIT_TEST(target_olderLife_isIgnored);
+  CPPUNIT_TEST(target_laterLifeAtItsAddress_takesItsPlace);
+  CPPUNIT_TEST(target_strayRowAtItsAddress_hidesNobody);
+  CPPUNIT_TEST(told_laterLife_endsTheOneBefore);
   CPPUNIT_TEST(target_leavingTwice_staysLeaving);
   CPPUNIT_TEST(list_withoutTarget_losesItAfterTheGrace);
   CPPUNIT_TEST(lost_justAfterTheStoreIsBack_isKeptForTheGrace);
@@ -163,6 +166,53 @@
                          World.State.Book.holders(model_name("a")));
   }
 
+  auto target_laterLifeAtItsAddress_takesItsPlace() -> void {
+    // In both orders: a list tells them by name, not by age.
+    for (const bool OldFirst : {true, false}) {
+      World = gateway_world();
+      World.addTarget("l2", "ledger", {});
+      target Late = World.State.Book.find(target_name("l2"))->Target;
+      Late.Name = target_name("later");
+      Late.Born = 2;
+      if (!OldFirst)
+        World = gateway_world();
+      World.tell(target_described{Late});
+      if (!OldFirst)
+        World.addTarget("l2", "ledger", {});
+      for (request_number Number = 1; Number <= 4; ++Number) {
+        World.arrive(Number, "/read/x");
+        CPPUNIT_ASSERT_EQUAL(std::string("later"), sent().Target.Text);
+      }
+      World.tell(target_lost{target_name("later")});
+      World.arrive(9, "/read/x");
+      CPPUNIT_ASSERT_EQUAL(std::string("l2"), sent().Target.Text);
+    }
+  }
+
+  auto target_strayRowAtItsAddress_hidesNobody() -> void {
+    World.addTarget("l1", "ledger", {});
+    target Stray = World.State.Book.find(target_name("l1"))->Target;
+    Stray.Name = target_name("stray");
+    Stray.Born = 9;
+    Stray.Service = service_name("unknown");
+    World.tell(target_described{Stray});
+    World.arrive(1, "/read/x");
+    CPPUNIT_ASSERT_EQUAL(std::string("l1"), sent().Target.Text);
+  }
+
+  auto told_laterLife_endsTheOneBefore() -> void {
+    World.addTarget("e1", "models", {"a"});
+    World.addTarget("e2", "models", {"a"});
+    holdings_told Told;
+    Told.Address = "e1:1";
+    Told.Born = 2;
+    World.tell(Told);
+    for (request_number Number = 1; Number <= 4; ++Number) {
+      World.arrive(Number, "/chat/x", "a");
+      CPPUNIT_ASSERT_EQUAL(std::string("e2"), sent().Target.Text);
+    }
+  }
+
   auto target_leavingTwice_staysLeaving() -> void {
     addLedgers();
     leave("l1");
