Gateways relay what they have read to those that the store turns away

Cause: a gateway without the store kept what it knew and learned nothing new; one that started then served nothing.

One that cannot read the store, or that is behind for 300 ms, asks one that can for what is newer; at a start without the store it asks the seeds of its settings. What is older than known changes nothing, from either side. Decisions are in gateway_relay.cpp, the rows stay in the adapter. A sender of digests that has no record yet is answered at the address that it names. Answers of the store that cannot be parsed are logged.

--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -10,10 +10,24 @@
 #include "serving/gateway_events.h"
 #include "serving/protocol.h"
 
+#include <cstddef>
 #include <functional>
+#include <string>
+#include <string_view>
 
 namespace limpetbridge {
 
+/// What one gateway has read of the platform, for another that cannot read it
+/// itself. Versions decide: what is older changes nothing.
+struct shared_knowledge {
+  /// How far this gateway knows the platform.
+  std::function<std::string()> Question;
+  /// What the sender of \p Question does not know.
+  std::function<result<std::string>(std::string_view Question)> Answer;
+  /// Takes in another gateway's answer. \returns how much of it was new.
+  std::function<result<std::size_t>(std::string_view Answer)> Take;
+};
+
 /// Hooks of the adapter.
 struct gateway_hooks {
   std::function<result<serving::call>(const net::http_request &, time_point)>
@@ -26,8 +40,9 @@
       ReadAnswer;
   /// Starts to watch configuration, targets and instances, after having
   /// written the record of this instance.
-  std::function<void(net::asio::io_context &, serving::instance_record Self,
-                     std::function<void(serving::gateway_event)>)>
+  std::function<shared_knowledge(net::asio::io_context &,
+                                 serving::instance_record Self,
+                                 std::function<void(serving::gateway_event)>)>
       Watch;
 };
 
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -4,6 +4,8 @@
 #include "net/target_connection.h"
 #include "stop_signal.h"
 
+#include <sstream>
+
 namespace limpetbridge {
 
 namespace {
@@ -20,6 +22,10 @@
 constexpr duration EndSlack = milliseconds(400);
 /// Time between looks at what is still in progress.
 constexpr duration DrainLook = milliseconds(50);
+/// Longest wait for what another gateway knows; the next one is asked then.
+constexpr duration PeerCallTimeout = milliseconds(600);
+/// Where gateways ask one another for what they have read of the platform.
+constexpr const char *KnowledgePath = "/knowledge";
 constexpr std::uint16_t Okay = 200;
 constexpr std::uint16_t Unavailable = 503;
 
@@ -32,6 +38,10 @@
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
   Options.Seed = stableHash(Settings.Name);
+  std::istringstream Seeds(Settings.GatewaySeeds);
+  for (std::string Seed; std::getline(Seeds, Seed, ',');)
+    if (Seed != Settings.GatewayPeers)
+      Options.Seeds.push_back(Seed);
   return Options;
 }
 
@@ -51,31 +61,39 @@
       Context, Settings.GatewayCallers, [this, Executor](connection Accepted) {
         net::spawn(Executor, serveCaller(std::move(Accepted)));
       });
-  Readiness = std::make_unique<net::listener>(
-      Context, Settings.GatewayReadiness,
-      [this, Executor](connection Accepted) {
-        net::spawn(Executor,
-                   net::serveCalls(std::move(Accepted),
-                                   [this](net::http_request Request) {
-                                     return answerReadiness(std::move(Request));
-                                   }));
-      });
+  Readiness = listenForCalls(Settings.GatewayReadiness,
+                             [this](net::http_request Request) {
+                               return answerReadiness(std::move(Request));
+                             });
   if (!Settings.MetricsAddress.empty())
-    MetricsPage = std::make_unique<net::listener>(
-        Context, Settings.MetricsAddress,
-        [this, Executor](connection Accepted) {
-          net::spawn(Executor,
-                     net::serveCalls(std::move(Accepted),
-                                     [this](net::http_request Request) {
-                                       return answerMetrics(std::move(Request));
-                                     }));
-        });
+    MetricsPage = listenForCalls(Settings.MetricsAddress,
+                                 [this](net::http_request Request) {
+                                   return answerMetrics(std::move(Request));
+                                 });
+  const auto FromPeers = [this](net::http_request Request) {
+    return answerPeer(std::move(Request));
+  };
+  if (!Settings.GatewayPeers.empty())
+    SeedCalls = listenForCalls(Settings.GatewayPeers, FromPeers);
+  // Calls and datagrams come to the same port.
+  PeerCalls = listenForCalls(Settings.LinkAddress, FromPeers);
+  Settings.LinkAddress = PeerCalls->address();
+  State.Options.Address = Settings.LinkAddress;
   Link = std::make_unique<net::datagram_socket>(
       Context, Settings.LinkAddress,
       [this](const std::string & /*From*/, std::string_view Bytes) {
         takeMessage(Bytes);
       });
-  Settings.LinkAddress = Link->address();
+}
+
+auto gateway_node::listenForCalls(const std::string &Address,
+                                  net::call_handler Handler)
+    -> std::unique_ptr<net::listener> {
+  const auto Executor = Context.get_executor();
+  return std::make_unique<net::listener>(
+      Context, Address, [Handler, Executor](connection Accepted) {
+        net::spawn(Executor, net::serveCalls(std::move(Accepted), Handler));
+      });
 }
 
 auto gateway_node::requestStop() -> void {
@@ -91,6 +109,10 @@
   return MetricsPage ? MetricsPage->address() : "";
 }
 
+auto gateway_node::peersAddress() const -> std::string {
+  return PeerCalls->address();
+}
+
 auto gateway_node::readinessAddress() const -> std::string {
   return Readiness->address();
 }
@@ -101,7 +123,7 @@
   instance_record Self;
   Self.Name = instance_name(Settings.Name);
   Self.Address = Settings.LinkAddress;
-  Hooks.Watch(Context, Self, Environment.Dispatch);
+  Knowledge = Hooks.Watch(Context, Self, Environment.Dispatch);
   const auto Executor = Context.get_executor();
   net::spawn(Executor, keepTime());
   onStopSignal(Context, [this, Executor] { net::spawn(Executor, stop()); });
@@ -154,6 +176,10 @@
   net::spawn(Context.get_executor(), askController(Effect));
 }
 
+auto gateway_node::execute(const ask_peer &Effect) -> void {
+  net::spawn(Context.get_executor(), askPeer(Effect.Address));
+}
+
 auto gateway_node::execute(const send_digest &Effect) -> void {
   const auto Bytes = encodeLink(Effect.Digest);
   for (const auto &Address : Effect.Addresses)
@@ -231,6 +257,51 @@
   dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held});
 }
 
+auto gateway_node::askPeer(std::string PeerAddress) -> awaitable<void> {
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = KnowledgePath;
+  Request.Fields.push_back({"Host", PeerAddress});
+  Request.Body = Knowledge.Question();
+  const net::asio::any_io_executor Executor = Context.get_executor();
+  const auto Answer = co_await net::fetch(
+      Executor, PeerAddress, Request, process_clock::now() + PeerCallTimeout);
+  if (!Answer || Answer->Head.Status != Okay) {
+    log(log_level::Warning, "peer_without_answer",
+        {{"peer", PeerAddress},
+         {"status", std::to_string(Answer ? Answer->Head.Status : 0)}});
+    co_return;
+  }
+  const auto Newer = Knowledge.Take(Answer->Body);
+  if (!Newer)
+    log(log_level::Warning, "peer_answer_unreadable",
+        {{"peer", PeerAddress}, {"error", toString(Newer.error())}});
+  else if (Newer.value() > 0)
+    log(log_level::Info, "learned_from_peer",
+        {{"peer", PeerAddress},
+         {"rows", std::to_string(Newer.value())},
+         {"configuration", std::to_string(State.Configuration.Version)}});
+}
+
+auto gateway_node::answerPeer(net::http_request Request)
+    -> awaitable<net::http_answer> {
+  net::http_answer Answer;
+  if (Request.Target != KnowledgePath) {
+    Answer.Head.Status = describe(result_code::NotFound).HttpStatus;
+    co_return Answer;
+  }
+  const auto Told = Knowledge.Answer(Request.Body);
+  if (!Told) {
+    log(log_level::Warning, "peer_question_unreadable",
+        {{"error", toString(Told.error())}});
+    Answer.Head.Status = describe(Told.error().Code).HttpStatus;
+    co_return Answer;
+  }
+  Answer.Head.Status = Okay;
+  Answer.Body = Told.value();
+  co_return Answer;
+}
+
 auto gateway_node::takeMessage(std::string_view Bytes) -> void {
   auto Message = decodeLink(Bytes);
   if (!Message) {
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -32,6 +32,8 @@
   [[nodiscard]] auto callerAddress() const -> std::string;
   [[nodiscard]] auto readinessAddress() const -> std::string;
   [[nodiscard]] auto metricsAddress() const -> std::string;
+  /// Where other gateways ask for what this one knows.
+  [[nodiscard]] auto peersAddress() const -> std::string;
 
 private:
   using connection = std::shared_ptr<net::caller_connection>;
@@ -42,6 +44,7 @@
   auto execute(const serving::refuse_request &Effect) -> void;
   auto execute(const serving::relay_failure &Effect) -> void;
   auto execute(const serving::ask_load &Effect) -> void;
+  auto execute(const serving::ask_peer &Effect) -> void;
   auto execute(const serving::send_digest &Effect) -> void;
   auto execute(const serving::greet_controllers &Effect) -> void;
   auto execute(const serving::record_times &Effect) -> void;
@@ -56,7 +59,13 @@
       -> net::awaitable<net::http_answer>;
   auto answerMetrics(net::http_request Request)
       -> net::awaitable<net::http_answer>;
+  auto answerPeer(net::http_request Request)
+      -> net::awaitable<net::http_answer>;
   auto askController(serving::ask_load Effect) -> net::awaitable<void>;
+  auto askPeer(std::string PeerAddress) -> net::awaitable<void>;
+  /// Serves whole-message calls at \p Address.
+  auto listenForCalls(const std::string &Address, net::call_handler Handler)
+      -> std::unique_ptr<net::listener>;
   auto takeMessage(std::string_view Bytes) -> void;
   auto keepTime() -> net::awaitable<void>;
   auto stop() -> net::awaitable<void>;
@@ -77,6 +86,9 @@
   std::unique_ptr<net::listener> Callers;
   std::unique_ptr<net::listener> Readiness;
   std::unique_ptr<net::listener> MetricsPage;
+  std::unique_ptr<net::listener> PeerCalls; ///< At the link's address.
+  std::unique_ptr<net::listener> SeedCalls; ///< Where starting gateways ask.
+  shared_knowledge Knowledge;
   metrics Metrics;
   std::unique_ptr<net::datagram_socket> Link;
 };
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -36,9 +36,16 @@
   json Adapters = json::array();
   for (const auto &[Target, Adapter] : Digest.AdapterUse)
     Adapters.push_back({Target.Text, Adapter.first.Text, Adapter.second});
-  return {{Kind, "digest"}, {"f", Digest.From.Text}, {"l", Loads},
-          {"d", Demand},    {"p", Prefixes},         {"m", Loading},
-          {"u", Adapters}};
+  return {{Kind, "digest"},
+          {"f", Digest.From.Text},
+          {"a", Digest.Address},
+          {"l", Loads},
+          {"d", Demand},
+          {"p", Prefixes},
+          {"m", Loading},
+          {"u", Adapters},
+          {"c", Digest.Configuration},
+          {"s", Digest.StoreReachable}};
 }
 
 auto toJson(const greeting &Greeting) -> json {
@@ -62,6 +69,7 @@
 auto toDigest(const json &From) -> gateway_digest {
   gateway_digest Digest;
   Digest.From = instance_name(From.at("f").get<std::string>());
+  Digest.Address = From.at("a").get<std::string>();
   for (const auto &Each : From.at("l"))
     Digest.Loads[target_name(Each.at(0).get<std::string>())] = {
         Each.at(1).get<std::array<double, Ranks>>(),
@@ -79,6 +87,8 @@
     for (const auto &Victim : Each.at(2))
       Change.Victims.emplace_back(Victim.get<std::string>());
   }
+  Digest.Configuration = From.at("c").get<std::uint64_t>();
+  Digest.StoreReachable = From.at("s").get<bool>();
   for (const auto &Each : From.at("u"))
     Digest.AdapterUse.emplace(
         target_name(Each.at(0).get<std::string>()),
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -62,6 +62,8 @@
 
   std::string GatewayCallers;
   std::string GatewayReadiness;
+  std::string GatewayPeers;
+  std::string GatewaySeeds;
   std::string LinkAddress;
   std::string MetricsAddress;
   std::string StoreAddress;
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -19,11 +19,14 @@
 /// What a gateway is told at its start.
 struct gateway_options {
   instance_name Self;
+  std::string Address; ///< Where the others reach this one, ip:port.
   data_centre_name DataCentre;
   retry_limits Retries;
   /// Time in which a lost row may come back before its target counts as gone.
   duration LostGrace = seconds(0);
   duration DigestInterval = milliseconds(100);
+  /// Gateways that may be asked at a start without the store, ip:port.
+  std::vector<std::string> Seeds;
   std::uint64_t Seed = 1;
 };
 
@@ -74,6 +77,17 @@
   std::set<std::pair<target_name, adapter_key>> NewAdapterUse;
   /// Rows that lapsed while the store was away may come back until then.
   time_point RowsMayReturnUntil;
+  bool StoreReachable = true;
+  /// What the others last told of themselves.
+  struct peer_view {
+    std::uint64_t Configuration = 0;
+    bool StoreReachable = false;
+  };
+  std::map<instance_name, peer_view> PeerViews;
+  /// Since when another gateway has a newer configuration, or this one none.
+  time_point BehindSince = NoDeadline;
+  time_point NextPeerQuestion;
+  std::size_t PeerQuestions = 0; ///< Asked so far; picks whom to ask next.
   time_point NextDigest;
   time_point NextGreeting;
   std::minstd_rand Random;
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -56,6 +56,11 @@
   std::map<adapter_key, time_point> AdapterUse;
 };
 
+/// Ask another gateway for what it has read of the platform.
+struct ask_peer {
+  std::string Address;
+};
+
 /// Tell another instance what this gateway knows.
 struct send_digest {
   std::vector<std::string> Addresses;
@@ -84,8 +89,8 @@
 
 using gateway_effect =
     std::variant<set_deadline, send_attempt, refuse_request, relay_failure,
-                 ask_load, send_digest, greet_controllers, record_times,
-                 write_note>;
+                 ask_load, ask_peer, send_digest, greet_controllers,
+                 record_times, write_note>;
 using gateway_effects = std::vector<gateway_effect>;
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -130,6 +130,7 @@
 /// A gateway's view of its own load, told to the others.
 struct gateway_digest {
   instance_name From;
+  std::string Address; ///< Of the sender, ip:port.
   std::map<target_name, target_load> Loads;
   model_rates Demand;
   /// Prompt parts sent to targets since the last digest.
@@ -138,6 +139,8 @@
   std::set<std::pair<target_name, adapter_key>> AdapterUse;
   /// Loads that this gateway has asked for.
   std::map<target_name, model_change> Loading;
+  std::uint64_t Configuration = 0; ///< Version in force there.
+  bool StoreReachable = true;      ///< It reads the store.
 };
 
 /// Time passed.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -82,6 +82,7 @@
   for (const auto &Peer : Silent) {
     State.PeerHeard.erase(Peer);
     State.PeerLoads.erase(Peer);
+    State.PeerViews.erase(Peer);
     State.Demand.removePeer(Peer);
     for (auto &[Name, Entry] : State.Book.all())
       Entry.Peer.erase(Peer);
@@ -133,6 +134,7 @@
 
 auto handle(const gateway_step &Step, const store_reached &Event) -> void {
   // While the store is away, every row may lapse; nothing is read then.
+  Step.State.StoreReachable = Event.Reachable;
   Step.State.RowsMayReturnUntil =
       Event.Reachable ? Step.Now + Step.State.Options.LostGrace : NoDeadline;
 }
@@ -194,9 +196,18 @@
   State.Demand.setPeer(Event.From, Event.Demand);
   State.PeerLoads[Event.From] = Event.Loading;
   markChanges(State);
+  // It may be one that the store does not let write its record.
+  if (!State.Instances.contains(Event.From) && !Event.Address.empty()) {
+    instance_record Peer;
+    Peer.Name = Event.From;
+    Peer.Address = Event.Address;
+    Peer.Role = instance_role::Gateway;
+    State.Instances[Event.From] = Peer;
+  }
   if (!State.PeerHeard.contains(Event.From))
     note(Step, log_level::Info, "peer_heard", {{"peer", Event.From.Text}});
   State.PeerHeard[Event.From] = Step.Now;
+  State.PeerViews[Event.From] = {Event.Configuration, Event.StoreReachable};
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
@@ -208,6 +219,7 @@
 auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
   auto &State = Step.State;
   forgetSilentPeers(Step);
+  askPeers(Step);
   expireLoads(Step);
   refuseLateWaiters(Step);
   planCopies(Step);
@@ -233,6 +245,9 @@
       Effect.Addresses.push_back(Instance.Address);
   auto &Digest = Effect.Digest;
   Digest.From = State.Options.Self;
+  Digest.Address = State.Options.Address;
+  Digest.Configuration = State.Configuration.Version;
+  Digest.StoreReachable = State.StoreReachable;
   for (const auto &[Name, Entry] : State.Book.all())
     if (Entry.Own.Active > 0)
       Digest.Loads[Name] = Entry.Own;
--- /dev/null
+++ b/libs/serving/src/gateway_relay.cpp
@@ -0,0 +1,58 @@
+#include "details/gateway_parts.h"
+
+#include <algorithm>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Time between two questions; changes reach a gateway that the store turns
+/// away about this much later than the others.
+constexpr duration QuestionInterval = milliseconds(300);
+/// A gateway may be behind for this long: its own reading is under way.
+constexpr duration BehindGrace = milliseconds(300);
+
+/// True if this gateway has no configuration, or another one has a newer.
+auto isBehind(const gateway_state &State) -> bool {
+  const auto Own = State.Configuration.Version;
+  return Own == 0 || std::any_of(State.PeerViews.begin(), State.PeerViews.end(),
+                                 [&](const auto &Each) {
+                                   return Each.second.Configuration > Own;
+                                 });
+}
+
+/// Whom to ask: those that read the store; before any is heard, whoever may be
+/// there.
+auto candidates(const gateway_state &State) -> std::vector<std::string> {
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Instance] : State.Instances) {
+    const auto View = State.PeerViews.find(Name);
+    if (View != State.PeerViews.end() && View->second.StoreReachable)
+      Addresses.push_back(Instance.Address);
+  }
+  if (Addresses.empty() && State.Configuration.Version == 0)
+    Addresses = State.Options.Seeds;
+  return Addresses;
+}
+
+} // namespace
+
+auto askPeers(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  if (!isBehind(State))
+    State.BehindSince = NoDeadline;
+  else if (State.BehindSince == NoDeadline)
+    State.BehindSince = Step.Now;
+  const bool Behind = State.BehindSince != NoDeadline &&
+                      Step.Now - State.BehindSince >= BehindGrace;
+  if ((State.StoreReachable && !Behind) || Step.Now < State.NextPeerQuestion)
+    return;
+  const auto Addresses = candidates(State);
+  if (Addresses.empty())
+    return;
+  State.NextPeerQuestion = Step.Now + QuestionInterval;
+  Step.Effects.push_back(
+      ask_peer{Addresses[State.PeerQuestions++ % Addresses.size()]});
+}
+
+} // namespace limpetbridge::serving
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -35,6 +35,7 @@
   Settings.DataCentre = "north";
   Settings.GatewayCallers = "127.0.0.1:0";
   Settings.GatewayReadiness = "127.0.0.1:0";
+  Settings.GatewayPeers = "127.0.0.1:0";
   Settings.LinkAddress = "127.0.0.1:0";
   Settings.MetricsAddress = "127.0.0.1:0";
   Settings.StoreAddress = StoreAddress;
@@ -53,9 +54,12 @@
 fleet::~fleet() {
   if (Gateway)
     Gateway->requestStop();
+  if (CutOff)
+    CutOff->requestStop();
   if (Controller)
     Controller->requestStop();
   GatewayThread.reset();
+  CutOffThread.reset();
   ControllerThread.reset();
   Outside.Context.stop();
 }
@@ -91,6 +95,22 @@
                                            [this] { Gateway->run(); });
 }
 
+auto fleet::startCutOffGateway() -> void {
+  // Nobody listens on the discard port.
+  auto Settings = makeSettings("127.0.0.1:9", "gateway");
+  Settings.Name = "gateway-2";
+  Settings.GatewaySeeds = Gateway->peersAddress();
+  CutOff = std::make_unique<gateway_node>(Settings,
+                                          adapter::makeGatewayHooks(Settings));
+  CutOffThread = std::make_unique<thread>("gateway", LoopStackBytes,
+                                          [this] { CutOff->run(); });
+}
+
+auto fleet::isCutOffReady() -> bool {
+  const auto Answer = get(CutOff->readinessAddress(), "/readiness");
+  return Answer && Answer->Head.Status == 200;
+}
+
 auto fleet::startController(const char *WorkerId) -> void {
   auto Settings = makeSettings(Store->address(), "controller");
   Settings.ControllerTarget = Workers[WorkerId]->address();
@@ -147,8 +167,17 @@
 
 auto fleet::send(const std::string &Path, const std::string &Body,
                  net::header_fields More) -> client_answer {
-  const auto Bytes = printRequest(makeRequest(Path, Body, std::move(More)));
-  const auto Address = Gateway->callerAddress();
+  return exchange(Gateway->callerAddress(),
+                  printRequest(makeRequest(Path, Body, std::move(More))));
+}
+
+auto fleet::sendToCutOff(const std::string &Path) -> client_answer {
+  return exchange(CutOff->callerAddress(),
+                  printRequest(makeRequest(Path, "", {})));
+}
+
+auto fleet::exchange(const std::string &Address, const std::string &Bytes)
+    -> client_answer {
   return Outside.await<client_answer>([&]() -> net::awaitable<client_answer> {
     client_answer Answer;
     const auto Connection = std::make_shared<net::target_connection>(
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -78,6 +78,10 @@
   auto publish(const char *Id) -> void;
   auto publishConfiguration() -> void;
   auto startGateway() -> void;
+  /// Starts a second gateway that cannot reach the store and only knows the
+  /// first one.
+  auto startCutOffGateway() -> void;
+  [[nodiscard]] auto isCutOffReady() -> bool;
   auto startController(const char *WorkerId) -> void;
   /// Waits until the gateway is ready.
   auto awaitReady() -> bool;
@@ -89,6 +93,8 @@
   /// Sends a request and reads the answer, or as much as comes.
   auto send(const std::string &Path, const std::string &Body = "",
             net::header_fields More = {}) -> client_answer;
+  /// The same through the gateway that cannot reach the store.
+  auto sendToCutOff(const std::string &Path) -> client_answer;
   /// Sends \p Bytes as they are. \returns all that comes back.
   auto sendRaw(const std::string &Bytes) -> std::string;
   /// Sends a request and closes after \p Wait without reading.
@@ -98,14 +104,18 @@
   std::unique_ptr<store_emulator> Store;
   std::map<std::string, std::unique_ptr<worker_emulator>> Workers;
   std::unique_ptr<gateway_node> Gateway;
+  std::unique_ptr<gateway_node> CutOff;
   std::unique_ptr<controller_node> Controller;
 
 private:
+  auto exchange(const std::string &Address, const std::string &Bytes)
+      -> client_answer;
   auto makeRequest(const std::string &Path, const std::string &Body,
                    net::header_fields More) -> net::http_request;
 
   std::uint64_t LastId = 0;
   std::unique_ptr<thread> GatewayThread;
+  std::unique_ptr<thread> CutOffThread;
   std::unique_ptr<thread> ControllerThread;
 };
 
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(stream_cutButResumable_goesOnElsewhere);
   CPPUNIT_TEST(stop_streamInProgress_isFinished);
   CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
+  CPPUNIT_TEST(start_storeTurnsAway_servesByWhatAnotherGatewayKnows);
   CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
   CPPUNIT_TEST(metrics_afterRequests_countThem);
   CPPUNIT_TEST_SUITE_END();
@@ -241,6 +242,23 @@
         eventually([&] { return Fleet->send("/read/x").Head.Status == 200; }));
   }
 
+  auto start_storeTurnsAway_servesByWhatAnotherGatewayKnows() -> void {
+    start();
+    Fleet->startCutOffGateway();
+    CPPUNIT_ASSERT(eventually([&] { return Fleet->isCutOffReady(); }));
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Fleet->sendToCutOff("/read/x").Head.Status == 200; }));
+    // Later changes arrive the same way.
+    Fleet->addWorker("w2", "ledger");
+    Fleet->Outside.call([&] { return First->Draining = true; });
+    Fleet->publish("w1");
+    CPPUNIT_ASSERT(eventually([&] {
+      const auto Before = seen(*First).size();
+      const bool Served = Fleet->sendToCutOff("/read/x").Head.Status == 200;
+      return Served && seen(*First).size() == Before;
+    }));
+  }
+
   auto drain_leavingWorker_getsNoMore() -> void {
     auto &Second = Fleet->addWorker("w2", "ledger");
     start();
