Log queries in limpetctl, metrics of controllers, settings read again

Cause: on call, a request was followed by grep over many files; controllers told nothing of their orders but lines; a changed settings file needed a restart, and SIGHUP was only logged.

Change: `limpetctl log` filters the logs of many processes by request, target, event or failure and merges them by time, each process in its own order also when its clock steps back (base/log_query). Controllers serve metrics: orders, permits, quantiles of loads. Gateways and controllers read their settings again on SIGHUP and when the file's bytes change; a wrong key changes nothing and is logged. The page for on-call lists every setting with its default, held against the table by pages_test. Old test files use trailing return types too.

--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -83,7 +83,7 @@
     // while the listener runs.
     (void)Pool.submit(std::move(Job));
   }
-  void shutdown() override { Pool.stop(); } // NOLINT
+  auto shutdown() -> void override { Pool.stop(); } // NOLINT
 
 private:
   thread_pool Pool;
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "net/target_connection.h"
+#include "settings_watch.h"
 #include "stop_signal.h"
 
 #include <algorithm>
@@ -46,15 +47,22 @@
       Adapters(net::kept_client(Context.get_executor(),
                                 NodeSettings.ControllerTarget)) {
   const auto Executor = Context.get_executor();
-  Calls = std::make_unique<net::listener>(
-      Context, Settings.LinkAddress,
-      [this, Executor](std::shared_ptr<net::caller_connection> Accepted) {
-        net::spawn(Executor,
-                   net::serveCalls(std::move(Accepted),
-                                   [this](net::http_request Request) {
-                                     return answerCall(std::move(Request));
-                                   }));
-      });
+  const auto Listen = [&](const std::string &Address,
+                          net::call_handler Handler) {
+    return std::make_unique<net::listener>(
+        Context, Address,
+        [Handler, Executor](std::shared_ptr<net::caller_connection> Accepted) {
+          net::spawn(Executor, net::serveCalls(std::move(Accepted), Handler));
+        });
+  };
+  Calls = Listen(Settings.LinkAddress, [this](net::http_request Request) {
+    return answerCall(std::move(Request));
+  });
+  if (!Settings.MetricsAddress.empty())
+    MetricsPage =
+        Listen(Settings.MetricsAddress, [this](net::http_request Request) {
+          return answerMetrics(std::move(Request));
+        });
   // Calls and datagrams come to the same port.
   Settings.LinkAddress = Calls->address();
   Link = std::make_unique<net::datagram_socket>(
@@ -79,6 +87,11 @@
     log(log_level::Info, "configuration_in_force",
         {{"version", std::to_string(Configuration.Version)}});
   });
+  watchSettings(Context, Settings, [this](const node_settings &Changed) {
+    Metrics.count("settings", "reloaded");
+    Settings.LoadWindowMs = Changed.LoadWindowMs;
+    Settings.LoadOverrun = Changed.LoadOverrun;
+  });
   onStopSignal(Context, [this] {
     log(log_level::Info, "stopping",
         {{"jobs",
@@ -89,6 +102,27 @@
   log(log_level::Info, "stopped", {});
 }
 
+auto controller_node::metricsAddress() const -> std::string {
+  return MetricsPage ? MetricsPage->address() : "";
+}
+
+auto controller_node::answerMetrics(net::http_request /*Request*/)
+    -> awaitable<net::http_answer> {
+  Metrics.set("ready", FencingToken > 0 && engine() != nullptr ? 1 : 0);
+  Metrics.set("configuration_version",
+              static_cast<std::int64_t>(Configuration.Version));
+  Metrics.set("jobs_waiting", static_cast<std::int64_t>(Models.Queue.size() +
+                                                        Adapters.Queue.size()));
+  Metrics.set("target_sequence", static_cast<std::int64_t>(Told.Sequence));
+  Metrics.set("target_models",
+              static_cast<std::int64_t>(Told.Holds.Models.size()));
+  net::http_answer Answer;
+  Answer.Head.Status = Okay;
+  Answer.Head.Fields.push_back({"Content-Type", "text/plain"});
+  Answer.Body = Metrics.print();
+  co_return Answer;
+}
+
 auto controller_node::start() -> awaitable<void> {
   instance_record Self;
   Self.Name = instance_name(Settings.Name);
@@ -173,8 +207,13 @@
 auto controller_node::runJobs(job_line &Line) -> awaitable<void> {
   while (!Line.Queue.empty()) {
     const auto Job = Line.Queue.front();
+    const auto Began = process_clock::now();
     Job->Held = co_await runJob(Line, Job);
     Job->Done = true;
+    Metrics.observe(
+        Job->Job.Adapter.empty() ? "model_job" : "adapter_job",
+        Job->Held ? "held" : "failed",
+        static_cast<double>(toMilliseconds(process_clock::now() - Began)));
     if (Job->Job.Adapter.empty())
       Leaving.clear();
     Line.Queue.pop_front();
@@ -254,6 +293,9 @@
       co_await Line.Client.fetch(Request, process_clock::now() + OrderTimeout);
   const auto End =
       Answer ? Hooks.ReadOrderAnswer(Answer->Head.Status) : order_end::Unknown;
+  Metrics.count("orders", nameOf(Step.Kind));
+  if (End != order_end::Accepted)
+    Metrics.count("orders_not_accepted", nameOf(Step.Kind));
   log(log_level::Info, "order_ended",
       {{"order", std::string(nameOf(Step.Kind))},
        {"target", Job.Target.Text},
@@ -308,6 +350,7 @@
     if (Step.FromStore)
       Permitted = co_await permitLoad();
     if (!Permitted) {
+      Metrics.count("load_permits", "refused");
       co_await net::sleepFor(PermitPause);
       continue;
     }
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -3,6 +3,7 @@
 #ifndef LIMPETBRIDGE_NODE_SERVING_CONTROLLER_NODE_H
 #define LIMPETBRIDGE_NODE_SERVING_CONTROLLER_NODE_H
 
+#include "base/metrics.h"
 #include "base/settings.h"
 #include "controller_hooks.h"
 #include "link_codec.h"
@@ -28,6 +29,9 @@
   /// Ends run; from any thread.
   auto requestStop() -> void;
 
+  /// Address of the metrics, with the port that was picked.
+  [[nodiscard]] auto metricsAddress() const -> std::string;
+
 private:
   /// A load request in progress; requests for the same thing share it.
   struct job_state {
@@ -64,6 +68,8 @@
   /// Tells the gateways if anything has changed.
   auto tell(const serving::engine_report &Report) -> void;
   auto permitLoad() -> net::awaitable<bool>;
+  auto answerMetrics(net::http_request Request)
+      -> net::awaitable<net::http_answer>;
   auto takeDatagram(std::string_view Bytes) -> void;
   [[nodiscard]] auto engine() const -> const serving::engine_spec *;
 
@@ -79,7 +85,9 @@
   std::set<serving::adapter_key> LeavingAdapters; ///< The same.
   std::map<std::string, time_point> Gateways;     ///< Until when they are told.
   std::map<serving::adapter_key, time_point> LastUsed;
+  metrics Metrics;
   std::unique_ptr<net::listener> Calls;
+  std::unique_ptr<net::listener> MetricsPage;
   std::unique_ptr<net::datagram_socket> Link;
 };
 
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "link_codec.h"
 #include "net/target_connection.h"
+#include "settings_watch.h"
 #include "stop_signal.h"
 
 #include <sstream>
@@ -126,6 +127,8 @@
   Knowledge = Hooks.Watch(Context, Self, Environment.Dispatch);
   const auto Executor = Context.get_executor();
   net::spawn(Executor, keepTime());
+  watchSettings(Context, Settings,
+                [this](const node_settings &Changed) { apply(Changed); });
   onStopSignal(Context, [this, Executor] { net::spawn(Executor, stop()); });
   Context.run();
   log(log_level::Info, "stopped", {});
@@ -383,6 +386,16 @@
   co_return Answer;
 }
 
+auto gateway_node::apply(const node_settings &Changed) -> void {
+  Metrics.count("settings", "reloaded");
+  const auto Options = toOptions(Changed);
+  State.Options.Retries = Options.Retries;
+  State.Options.LostGrace = Options.LostGrace;
+  State.Options.Seeds = Options.Seeds;
+  Settings.BalancerWaitMs = Changed.BalancerWaitMs;
+  Settings.StopGraceMs = Changed.StopGraceMs;
+}
+
 auto gateway_node::stop() -> awaitable<void> {
   if (std::exchange(Draining, true))
     co_return;
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -69,6 +69,9 @@
   auto takeMessage(std::string_view Bytes) -> void;
   auto keepTime() -> net::awaitable<void>;
   auto stop() -> net::awaitable<void>;
+  /// Takes over what may change while the process runs; addresses and names
+  /// need a restart.
+  auto apply(const node_settings &Changed) -> void;
   [[nodiscard]] auto limits() const -> net::connection_limits;
 
   node_settings Settings;
--- a/apps/limpetbridge/src/serving/stop_signal.cpp
+++ b/apps/limpetbridge/src/serving/stop_signal.cpp
@@ -16,16 +16,14 @@
 /// Waits for signals for as long as the process runs.
 struct signal_watch : std::enable_shared_from_this<signal_watch> {
   signal_watch(net::asio::io_context &Context, std::function<void()> OnStop)
-      : Signals(Context, SIGTERM, SIGINT, SIGHUP), Stop(std::move(OnStop)) {}
+      : Signals(Context, SIGTERM, SIGINT), Stop(std::move(OnStop)) {}
 
   auto next() -> void {
     Signals.async_wait(
-        [Self = shared_from_this()](net::error_code Error, int Signal) {
+        [Self = shared_from_this()](net::error_code Error, int /*Signal*/) {
           if (Error)
             return;
-          if (Signal == SIGHUP)
-            log(log_level::Info, "settings_kept", {{"signal", "SIGHUP"}});
-          else if (std::exchange(Self->Stopping, true))
+          if (std::exchange(Self->Stopping, true))
             std::_Exit(1);
           else
             Self->Stop();
--- a/apps/limpetbridge/src/serving/stop_signal.h
+++ b/apps/limpetbridge/src/serving/stop_signal.h
@@ -10,7 +10,6 @@
 namespace limpetbridge {
 
 /// Calls \p Stop on the first signal; a second one ends the process at once.
-/// SIGHUP is logged: settings are read at the start only.
 auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
     -> void;
 
--- a/apps/limpetctl/src/main.cpp
+++ b/apps/limpetctl/src/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// `limpetctl`: the operator's tool.
 
+#include "base/log_query.h"
 #include "base/settings.h"
 #include "core/transcript.h"
 #include "operator_session.h"
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <vector>
@@ -23,6 +25,7 @@
 struct arguments {
   session_options Session;
   note_filter Filter;
+  log_filter LogFilter;
   bool Prune = false;
   bool Help = false;
   bool Wrong = false;
@@ -139,6 +142,28 @@
   return Arguments.Words.empty() ? UsageStatus : 0;
 }
 
+/// Reads log files, or standard input without any.
+auto runLog(const arguments &Arguments) -> int {
+  log_answer Answer;
+  for (const auto &File : Arguments.Words) {
+    std::ifstream Stream(File);
+    if (!Stream)
+      return report(
+          failure(result_code::FileUnreadable, File + " cannot be opened"));
+    readLog(Stream, Arguments.LogFilter, Answer);
+  }
+  if (Arguments.Words.empty())
+    readLog(std::cin, Arguments.LogFilter, Answer);
+  mergeLogs(Answer);
+  for (const auto &Record : Answer.Records)
+    std::cout << (Arguments.Session.Json ? Record.Text : printRecord(Record))
+              << '\n';
+  if (Answer.Unreadable > 0)
+    std::cerr << "limpetctl: " << Answer.Unreadable
+              << " lines could not be read\n";
+  return 0;
+}
+
 auto commands() -> const std::vector<tool_command> & {
   static const std::vector<tool_command> All = {
       {"query", "query 'STATEMENT'",
@@ -150,6 +175,10 @@
        "declare what FILE says, in one atomic change", runApply},
       {"timeline", "timeline [--request ID] [--target NAME] [--change ID]",
        "the events of all processes in causal order", runTimeline},
+      {"log",
+       "log [--request ID] [--target NAME] [--event WORD] [--failures] "
+       "[--json] [FILE…]",
+       "the log lines of many processes, filtered and merged by time", runLog},
       {"replay", "replay FILE…",
        "replay recorded sessions and report the first difference", runReplay},
       {"check", "check FILE…", "check settings files of nodes", runCheck},
@@ -191,7 +220,9 @@
   Prune,
   Request,
   Target,
-  Change
+  Change,
+  Event,
+  Failures
 };
 
 auto takeOption(int Option, arguments &Arguments) -> void {
@@ -223,13 +254,21 @@
     return;
   case Request:
     Arguments.Filter.Request = optarg;
+    Arguments.LogFilter.Request = optarg;
     return;
   case Target:
     Arguments.Filter.Target = target_name(optarg);
+    Arguments.LogFilter.Target = optarg;
     return;
   case Change:
     Arguments.Filter.Change = optarg;
     return;
+  case Event:
+    Arguments.LogFilter.Event = optarg;
+    return;
+  case Failures:
+    Arguments.LogFilter.FailuresOnly = true;
+    return;
   case 'h':
     Arguments.Help = true;
     return;
@@ -251,6 +290,8 @@
       {"request", required_argument, nullptr, Request},
       {"target", required_argument, nullptr, Target},
       {"change", required_argument, nullptr, Change},
+      {"event", required_argument, nullptr, Event},
+      {"failures", no_argument, nullptr, Failures},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0}};
   arguments Arguments;
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -11,12 +11,14 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace limpetbridge {
 
 /// Settings of one `limpetbridge` process. Defaults stand in the table of
 /// settings, from which `--print-settings` is written.
 struct node_settings {
+  std::string File; ///< Where they were read; empty if from no file.
   std::string Role;
   std::string Name;
   std::string DataCentre;
@@ -116,6 +118,11 @@
 /// \p Settings as an INI text with the help of each key as a comment.
 [[nodiscard]] auto printSettings(const node_settings &Settings) -> std::string;
 
+/// Names of the keys, as `section.key`, that differ.
+[[nodiscard]] auto changedKeys(const node_settings &Before,
+                               const node_settings &After)
+    -> std::vector<std::string>;
+
 /// Settings with every default in place.
 [[nodiscard]] auto defaultSettings() -> node_settings;
 
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -228,6 +228,7 @@
   if (!Tree)
     return Tree.error();
   auto Settings = defaultSettings();
+  Settings.File = File;
   for (const auto &[Section, Keys] : Tree.value()) {
     if (Keys.empty())
       return failure(result_code::UnknownSetting,
@@ -259,6 +260,20 @@
   return parseSettings(Text.value(), File);
 }
 
+auto changedKeys(const node_settings &Before, const node_settings &After)
+    -> std::vector<std::string> {
+  std::vector<std::string> Names;
+  for (const auto &Row : settingsTable()) {
+    std::ostringstream Old;
+    std::ostringstream New;
+    Old << std::visit(slot_reader{Before}, Row.Slot);
+    New << std::visit(slot_reader{After}, Row.Slot);
+    if (Old.str() != New.str())
+      Names.push_back(fullName(Row));
+  }
+  return Names;
+}
+
 auto printSettings(const node_settings &Settings) -> std::string {
   std::ostringstream Out;
   std::string_view Section;
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -19,7 +19,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void table_everyRow_hasUniqueNumberAndName() {
+  auto table_everyRow_hasUniqueNumberAndName() -> void {
     std::set<result_code> Numbers;
     std::set<std::string_view> Names;
     for (const auto &Row : resultCodeTable()) {
@@ -39,10 +39,11 @@
   CPPUNIT_TEST(parse_wordOutsideChoices_namesChoices);
   CPPUNIT_TEST(parse_brokenSyntax_namesLine);
   CPPUNIT_TEST(print_defaults_parseBackToTheSame);
+  CPPUNIT_TEST(changedKeys_oneNumber_isNamed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void parse_knownKeys_areStored() {
+  auto parse_knownKeys_areStored() -> void {
     const auto Settings =
         parseSettings("[instance]\nrole = agent\n[target]\nslots=3\n", "f");
     CPPUNIT_ASSERT(Settings.has_value());
@@ -50,7 +51,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, Settings.value().TargetSlots);
   }
 
-  void parse_misspeltKey_namesLineAndNearest() {
+  auto parse_misspeltKey_namesLineAndNearest() -> void {
     const auto Settings = parseSettings("[target]\n\nslotz = 3\n", "f.ini");
     CPPUNIT_ASSERT(!Settings.has_value());
     CPPUNIT_ASSERT(Settings.error().Code == result_code::UnknownSetting);
@@ -59,7 +60,7 @@
                          Settings.error().Detail);
   }
 
-  void parse_numberOutOfRange_namesRange() {
+  auto parse_numberOutOfRange_namesRange() -> void {
     const auto Settings = parseSettings("[target]\nslots = 0\n", "f");
     CPPUNIT_ASSERT(!Settings.has_value());
     CPPUNIT_ASSERT(Settings.error().Code == result_code::InvalidSetting);
@@ -67,20 +68,30 @@
                    std::string::npos);
   }
 
-  void parse_wordOutsideChoices_namesChoices() {
+  auto parse_wordOutsideChoices_namesChoices() -> void {
     const auto Settings = parseSettings("[instance]\nrole = chief\n", "f");
     CPPUNIT_ASSERT(!Settings.has_value());
     CPPUNIT_ASSERT(Settings.error().Detail.find("entry|agent") !=
                    std::string::npos);
   }
 
-  void parse_brokenSyntax_namesLine() {
+  auto parse_brokenSyntax_namesLine() -> void {
     const auto Settings = parseSettings("[target\nslots = 1\n", "f");
     CPPUNIT_ASSERT(!Settings.has_value());
     CPPUNIT_ASSERT(Settings.error().Code == result_code::FileUnreadable);
   }
 
-  void print_defaults_parseBackToTheSame() {
+  auto changedKeys_oneNumber_isNamed() -> void {
+    const auto Before = defaultSettings();
+    CPPUNIT_ASSERT(changedKeys(Before, Before).empty());
+    auto After = Before;
+    After.RetryExtra += 1;
+    const auto Names = changedKeys(Before, After);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Names.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("retry.extra"), Names.front());
+  }
+
+  auto print_defaults_parseBackToTheSame() -> void {
     const auto Text = printSettings(defaultSettings());
     const auto Again = parseSettings(Text, "f");
     CPPUNIT_ASSERT(Again.has_value());
@@ -98,7 +109,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void clock_receivedStampAhead_nextTickIsLater() {
+  auto clock_receivedStampAhead_nextTickIsLater() -> void {
     hybrid_clock Slow([] { return std::uint64_t{100}; });
     hybrid_clock Fast([] { return std::uint64_t{500}; });
     const auto Sent = Fast.tick();
@@ -106,13 +117,13 @@
     CPPUNIT_ASSERT(Slow.tick() > Sent);
   }
 
-  void clock_stampFarAhead_isIgnored() {
+  auto clock_stampFarAhead_isIgnored() -> void {
     hybrid_clock Clock([] { return std::uint64_t{100}; });
     Clock.observe({std::uint64_t{1} << 60});
     CPPUNIT_ASSERT(Clock.tick().Value < (std::uint64_t{1} << 40));
   }
 
-  void merge_twoProcesses_ordersCauseBeforeEffect() {
+  auto merge_twoProcesses_ordersCauseBeforeEffect() -> void {
     const auto Merged = merge(
         {{{9}, instance_name("b"), {note_kind::WorkQueued, "", {}, "", ""}},
          {{4},
@@ -121,7 +132,7 @@
     CPPUNIT_ASSERT(Merged.front().Note.Kind == note_kind::AttemptStarted);
   }
 
-  void append_overLimit_dropsOldest() {
+  auto append_overLimit_dropsOldest() -> void {
     timeline Line(instance_name("a"), 2);
     for (const char *Request : {"r1", "r2", "r3"})
       Line.append({1}, {note_kind::WorkQueued, Request, {}, "", ""});
@@ -138,7 +149,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void stop_queuedJobs_allRun() {
+  auto stop_queuedJobs_allRun() -> void {
     std::atomic<int> Runs{0};
     thread_pool Pool("pool", 2, ConnectionStackBytes, 100);
     for (int I = 0; I < 50; ++I)
--- a/libs/catalogue/tests/catalogue_test.cpp
+++ b/libs/catalogue/tests/catalogue_test.cpp
@@ -54,11 +54,11 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override {
+  auto setUp() -> void override {
     Catalogue = catalogue().apply(sampleChange()).value();
   }
 
-  void apply_sample_resolvesModelVersionAdapter() {
+  auto apply_sample_resolvesModelVersionAdapter() -> void {
     CPPUNIT_ASSERT(Catalogue.currentRevision() == revision{1});
     CPPUNIT_ASSERT(Catalogue.resolve("plan")->Unit == model_name("plan"));
     CPPUNIT_ASSERT(Catalogue.resolve("plan-2")->Memory.Value == 120'000'000);
@@ -68,18 +68,18 @@
     CPPUNIT_ASSERT(!Catalogue.resolve("nothing"));
   }
 
-  void apply_serveVersion_resolvesToVersion() {
+  auto apply_serveVersion_resolvesToVersion() -> void {
     const auto Next = applySet({"serve", "plan-2"});
     CPPUNIT_ASSERT(Next.value().resolve("plan")->Unit == model_name("plan-2"));
   }
 
-  void apply_danglingReference_isRefused() {
+  auto apply_danglingReference_isRefused() -> void {
     const auto Next = applySet({"serve", "plan-9"});
     CPPUNIT_ASSERT(!Next.has_value());
     CPPUNIT_ASSERT(Next.error().Code == result_code::InvalidDeclaration);
   }
 
-  void apply_withdrawOfReferencedModel_isRefused() {
+  auto apply_withdrawOfReferencedModel_isRefused() -> void {
     const auto Next = Catalogue.apply(
         {change_id("c2"),
          {2},
@@ -87,13 +87,13 @@
     CPPUNIT_ASSERT(!Next.has_value());
   }
 
-  void apply_unknownField_namesKnownOnes() {
+  auto apply_unknownField_namesKnownOnes() -> void {
     const auto Next = applySet({"colour", "red"});
     CPPUNIT_ASSERT(!Next.has_value());
     CPPUNIT_ASSERT(Next.error().Detail.find("memory_mb") != std::string::npos);
   }
 
-  void apply_setOfUndeclared_isRefused() {
+  auto apply_setOfUndeclared_isRefused() -> void {
     const auto Next = Catalogue.apply(
         {change_id("c2"),
          {2},
@@ -102,7 +102,7 @@
     CPPUNIT_ASSERT(Next.error().Code == result_code::UnknownName);
   }
 
-  void mayUse_foreignModel_isFalse() {
+  auto mayUse_foreignModel_isFalse() -> void {
     const auto Caller = Catalogue.callerOf("desk-token");
     CPPUNIT_ASSERT(Caller == caller_name("desk"));
     CPPUNIT_ASSERT(Catalogue.mayUseModel(Caller, "plan"));
@@ -110,18 +110,18 @@
     CPPUNIT_ASSERT(Catalogue.callerOf("wrong").empty());
   }
 
-  void snapshot_appliedToNothing_givesTheSameCatalogue() {
+  auto snapshot_appliedToNothing_givesTheSameCatalogue() -> void {
     const auto Again = catalogue().apply(Catalogue.snapshot());
     CPPUNIT_ASSERT(Again.has_value());
     CPPUNIT_ASSERT(Again.value().snapshot() == Catalogue.snapshot());
   }
 
-  void plan_unchangedFile_isEmpty() {
+  auto plan_unchangedFile_isEmpty() -> void {
     const auto Wanted = parseDeclarations(Sample, "s").value();
     CPPUNIT_ASSERT(planChange(Catalogue, Wanted, true).empty());
   }
 
-  void plan_pruned_withdrawsTheUnnamed() {
+  auto plan_pruned_withdrawsTheUnnamed() -> void {
     auto Wanted = parseDeclarations(Sample, "s").value();
     std::erase_if(Wanted, [](const operation &Each) {
       return Each.Kind == declaration_kind::Caller;
@@ -131,7 +131,7 @@
     CPPUNIT_ASSERT(Steps.front().Verb == operation_verb::Withdraw);
   }
 
-  void codec_anyChange_roundTrips() {
+  auto codec_anyChange_roundTrips() -> void {
     const bool Held = rc::check([] {
       const auto Text =
           rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
@@ -148,7 +148,7 @@
     CPPUNIT_ASSERT(Held);
   }
 
-  void decode_garbage_isAnError() {
+  auto decode_garbage_isAnError() -> void {
     for (const char *Text : {"", "{", "[]", R"({"id":1})", "null"})
       CPPUNIT_ASSERT(!decodeChange(Text).has_value());
   }
--- a/libs/engine/tests/engine_test.cpp
+++ b/libs/engine/tests/engine_test.cpp
@@ -25,20 +25,20 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void run_notLoaded_isRefused() {
+  auto run_notLoaded_isRefused() -> void {
     const auto Client = clientTo(Engine.port());
     Client->execute(generation());
     CPPUNIT_ASSERT(take<target_ended>().End == target_end::Refused);
   }
 
-  void run_engineDown_isBrokenNotRefused() {
+  auto run_engineDown_isBrokenNotRefused() -> void {
     Engine.faults().Down = true;
     const auto Client = clientTo(Engine.port());
     Client->execute(generation());
     CPPUNIT_ASSERT(take<target_ended>().End == target_end::Broken);
   }
 
-  void run_resident_isWhole() {
+  auto run_resident_isWhole() -> void {
     const auto Client = clientTo(Engine.port());
     Client->execute(load(1));
     CPPUNIT_ASSERT(take<order_replied>().Status == order_status::Done);
@@ -48,14 +48,14 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, Ended.Total);
   }
 
-  void order_answerLost_isNoAnswer() {
+  auto order_answerLost_isNoAnswer() -> void {
     Engine.faults().LoseAnswers = 1;
     const auto Client = clientTo(Engine.port());
     Client->execute(load(1));
     CPPUNIT_ASSERT(take<order_replied>().Status == order_status::NoAnswer);
   }
 
-  void order_oldToken_isStale() {
+  auto order_oldToken_isStale() -> void {
     const auto Client = clientTo(Engine.port());
     Client->execute(load(9));
     CPPUNIT_ASSERT(take<order_replied>().Status == order_status::Done);
@@ -65,7 +65,7 @@
     CPPUNIT_ASSERT(Reply.Highest == fencing_token{9});
   }
 
-  void call_answerLost_isBrokenAndBookedOnce() {
+  auto call_answerLost_isBrokenAndBookedOnce() -> void {
     service_stand_in Service(0);
     Service.faults().LoseAnswers = 1;
     const auto Client = clientTo(Service.port());
@@ -74,7 +74,7 @@
     CPPUNIT_ASSERT_EQUAL(1, Service.bookings("payment"));
   }
 
-  void call_noListener_isUnsent() {
+  auto call_noListener_isUnsent() -> void {
     std::uint16_t Port = 0;
     {
       const service_stand_in Gone(0);
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -1,8 +1,12 @@
 #include "net/server.h"
 #include "net/target_connection.h"
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 namespace {
 
 using namespace limpetbridge;
@@ -15,6 +19,8 @@
   CPPUNIT_TEST_SUITE(exchange_test);
   CPPUNIT_TEST(fetch_wholeAnswer_returnsIt);
   CPPUNIT_TEST(fetch_closedPort_returnsNone);
+  CPPUNIT_TEST(fetch_answerBeforeTheBodyIsRead_returnsIt);
+  CPPUNIT_TEST(write_peerDoesNotRead_waits);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,7 +58,67 @@
     CPPUNIT_ASSERT(!run({}).has_value());
   }
 
+  auto fetch_answerBeforeTheBodyIsRead_returnsIt() -> void {
+    // Answers at the header and reads nothing of the body, which is more than
+    // the buffers of both sides hold.
+    tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
+    tcp::socket Peer(*Context);
+    std::string Head;
+    const std::string Early =
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly";
+    Acceptor.async_accept(Peer, [&](error_code Error) {
+      if (Error)
+        return;
+      asio::async_read_until(Peer, asio::dynamic_buffer(Head), "\r\n\r\n",
+                             [&](error_code Failed, std::size_t) {
+                               if (!Failed)
+                                 asio::async_write(
+                                     Peer, asio::buffer(Early),
+                                     [](error_code, std::size_t) {});
+                             });
+    });
+    Address = "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    http_request Request;
+    Request.Method = "POST";
+    Request.Target = "/a";
+    Request.Fields.push_back({"Host", Address});
+    Request.Body = std::string(LongBody, 'x');
+    const auto Answer = run(Request);
+    CPPUNIT_ASSERT(Answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("early"), Answer->Body);
+  }
+
+  auto write_peerDoesNotRead_waits() -> void {
+    tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
+    tcp::socket Reader(*Context);
+    Reader.connect(Acceptor.local_endpoint());
+    const auto Writer = std::make_shared<caller_connection>(Acceptor.accept());
+    bool Written = false;
+    const auto Task = [&]() -> awaitable<void> {
+      std::string Bytes(LongBody, 'x');
+      Written = co_await Writer->write(std::move(Bytes));
+    };
+    spawn(Context->get_executor(), Task());
+    Context->run_for(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(!Written);
+    std::size_t Count = 0;
+    std::array<char, 65536> Part{};
+    Reader.non_blocking(true);
+    const auto Until = process_clock::now() + Patience;
+    while (Count < LongBody && process_clock::now() < Until) {
+      error_code Error;
+      Count += Reader.read_some(asio::buffer(Part), Error);
+      Context->restart();
+      Context->poll();
+    }
+    CPPUNIT_ASSERT(Written);
+    CPPUNIT_ASSERT_EQUAL(LongBody, Count);
+  }
+
 private:
+  /// More than the kernel keeps for a connection, bytes.
+  static constexpr std::size_t LongBody = std::size_t{24} << 20U;
+
   static auto echo(http_request Request) -> awaitable<http_answer> {
     http_answer Answer;
     Answer.Head.Status = 200;
--- a/libs/query/tests/query_test.cpp
+++ b/libs/query/tests/query_test.cpp
@@ -24,7 +24,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void parse_showWithClauses_keepsAll() {
+  auto parse_showWithClauses_keepsAll() -> void {
     const auto Parsed = parseStatement(
         "show resident where model = notes and mb > 10 by mb limit 3");
     const auto &Query = std::get<show_query>(Parsed.value());
@@ -35,7 +35,7 @@
     CPPUNIT_ASSERT(Query.Limit == 3U);
   }
 
-  void parse_severalCommands_formOneChange() {
+  auto parse_severalCommands_formOneChange() -> void {
     const auto Parsed = parseStatement(
         "declare model notes memory_mb=10; set caller desk models=notes,plan");
     const auto &Change = std::get<change_command>(Parsed.value());
@@ -45,7 +45,7 @@
                          Change.Operations[1].Fields[0].Value);
   }
 
-  void parse_drain_declaresTheTarget() {
+  auto parse_drain_declaresTheTarget() -> void {
     const auto Parsed = parseStatement("drain target gpu-1");
     const auto &Change = std::get<change_command>(Parsed.value());
     CPPUNIT_ASSERT(Change.Operations[0].Kind == declaration_kind::Target);
@@ -53,7 +53,7 @@
                          Change.Operations[0].Fields[0].Value);
   }
 
-  void parse_wrongWord_namesColumnAndExpected() {
+  auto parse_wrongWord_namesColumnAndExpected() -> void {
     expectError("show residents", "column 6: found 'residents', expected "
                                   "resident, waiting");
     expectError("declare modle x", "column 9: found 'modle', expected "
@@ -64,11 +64,11 @@
     expectError("set model x memory_mb 3", "expected = after the field");
   }
 
-  void parse_openQuote_namesColumn() {
+  auto parse_openQuote_namesColumn() -> void {
     expectError("set model x serve=\"a", "column 19: the quote is not closed");
   }
 
-  void parse_anyBytes_neverCrashes() {
+  auto parse_anyBytes_neverCrashes() -> void {
     const bool Held = rc::check([](const std::string &Text) {
       const auto Parsed = parseStatement(Text);
       RC_ASSERT(Parsed.has_value() ||
@@ -77,7 +77,7 @@
     CPPUNIT_ASSERT(Held);
   }
 
-  void print_parsedAgain_isTheSame() {
+  auto print_parsedAgain_isTheSame() -> void {
     for (const char *Text :
          {"show models where name ~ no by memory_mb limit 2", "show change c-1",
           "withdraw adapter a",
@@ -87,7 +87,7 @@
     }
   }
 
-  void refine_whereByLimit_selects() {
+  auto refine_whereByLimit_selects() -> void {
     const report Report{{"name", "mb"},
                         {{"a", "100"}, {"b", "20"}, {"c", "3"}}};
     const auto Query = std::get<show_query>(
@@ -97,7 +97,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), Refined.Rows[0][0]);
   }
 
-  void refine_unknownColumn_namesKnownOnes() {
+  auto refine_unknownColumn_namesKnownOnes() -> void {
     const auto Query =
         std::get<show_query>(parseStatement("show models by colour").value());
     const auto Refined = refine({{"name"}, {}}, Query);
@@ -106,7 +106,7 @@
                          Refined.error().Detail);
   }
 
-  void inspect_everySubject_isKnown() {
+  auto inspect_everySubject_isKnown() -> void {
     const auto State = makeNode({}, 1);
     for (const auto &Row : subjectTable())
       CPPUNIT_ASSERT(inspect(State, {std::string(Row.Name), ""}, time_point())
--- a/libs/wire/src/peer_server.cpp
+++ b/libs/wire/src/peer_server.cpp
@@ -66,13 +66,13 @@
       finish();
   }
 
-  void OnCancel() override { // NOLINT
+  auto OnCancel() -> void override { // NOLINT
     const std::lock_guard Lock(Table.Mutex);
     if (!Writing)
       finish();
   }
 
-  void OnDone() override { // NOLINT
+  auto OnDone() -> void override { // NOLINT
     bool Cut = false;
     {
       const std::lock_guard Lock(Table.Mutex);
@@ -128,7 +128,7 @@
 class refused_stream : public grpc::ServerWriteReactor<wire::WorkReply> {
 public:
   explicit refused_stream(const grpc::Status &Status) { Finish(Status); }
-  void OnDone() override { delete this; } // NOLINT
+  auto OnDone() -> void override { delete this; } // NOLINT
 };
 
 /// What the services share.
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -71,7 +71,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void offer_overTheWire_keepsEveryField() {
+  auto offer_overTheWire_keepsEveryField() -> void {
     const auto Now = process_clock::now();
     auto Offer = sampleOffer();
     Offer.Work.Adapter = adapter_name("a");
@@ -92,7 +92,7 @@
     CPPUNIT_ASSERT(Back.HomeRank == 1 && Back.Revision == revision{12});
   }
 
-  void deadline_overTheWire_isTheTimeThatRemains() {
+  auto deadline_overTheWire_isTheTimeThatRemains() -> void {
     const time_point Sent(seconds(100));
     const time_point Received(seconds(900));
     auto Offer = sampleOffer();
@@ -103,7 +103,7 @@
     CPPUNIT_ASSERT(Back.Work.Deadline == Received + seconds(5));
   }
 
-  void stream_framesAndEnd_arriveInOrder() {
+  auto stream_framesAndEnd_arriveInOrder() -> void {
     auto Server = makeServer("");
     peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
     Client.execute(offerTo(*Server));
@@ -124,7 +124,7 @@
     CPPUNIT_ASSERT(EntryBox.take<attempt_ended>().Total == 100);
   }
 
-  void stream_serverGone_endsAsUnknown() {
+  auto stream_serverGone_endsAsUnknown() -> void {
     auto Server = makeServer("");
     peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
     Client.execute(offerTo(*Server));
@@ -134,7 +134,7 @@
     CPPUNIT_ASSERT(End.Outcome == run_outcome::Unknown);
   }
 
-  void offer_noListener_endsAsNotRun() {
+  auto offer_noListener_endsAsNotRun() -> void {
     auto Server = makeServer("");
     const auto Offer = offerTo(*Server);
     Server.reset();
@@ -145,7 +145,7 @@
     CPPUNIT_ASSERT(End.Code == result_code::TargetUnreachable);
   }
 
-  void offer_wrongToken_endsAsUnknown() {
+  auto offer_wrongToken_endsAsUnknown() -> void {
     auto Server = makeServer("secret");
     peer_client Client({instance_name("e"), "wrong"}, Clock, EntryBox.sink());
     Client.execute(offerTo(*Server));
@@ -153,7 +153,7 @@
                    run_outcome::Unknown);
   }
 
-  void cancel_openStream_reachesTheAgent() {
+  auto cancel_openStream_reachesTheAgent() -> void {
     auto Server = makeServer("");
     peer_client Client({instance_name("e"), ""}, Clock, EntryBox.sink());
     Client.execute(offerTo(*Server));
--- a/testing/emulator/tests/controller_path_test.cpp
+++ b/testing/emulator/tests/controller_path_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(controller_path_test);
   CPPUNIT_TEST(load_missingModel_isOrderedAndServed);
   CPPUNIT_TEST(load_noRoom_unloadsAnotherModelFirst);
+  CPPUNIT_TEST(metrics_afterOrders_countThem);
   CPPUNIT_TEST(restart_fencingToken_rises);
   CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,17 @@
     }));
   }
 
+  auto metrics_afterOrders_countThem() -> void {
+    CPPUNIT_ASSERT(served("b"));
+    const auto Page =
+        Fleet->get(Fleet->Controller->metricsAddress(), "/metrics");
+    CPPUNIT_ASSERT(Page.has_value());
+    for (const auto *Line :
+         {"orders{kind=\"load\"} 1\n", "ready 1\n", "target_models 2\n",
+          "model_job_count{kind=\"held\"} 1\n"})
+      CPPUNIT_ASSERT_MESSAGE(Line, Page->Body.find(Line) != std::string::npos);
+  }
+
   auto restart_fencingToken_rises() -> void {
     CPPUNIT_ASSERT(served("b"));
     const auto Before = firstOrder().at("fencing_token").get<std::uint64_t>();
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -2,6 +2,11 @@
 
 #include "base/log.h"
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
 namespace limpetbridge::emulator {
 
 namespace {
@@ -47,11 +52,16 @@
 } // namespace
 
 fleet::fleet() {
+  SettingsFile = (std::filesystem::temp_directory_path() /
+                  ("fleet-" + std::to_string(getpid()) + ".ini"))
+                     .string();
+  writeSettings("");
   Store = Outside.call(
       [this] { return std::make_unique<store_emulator>(Outside.Context); });
 }
 
 fleet::~fleet() {
+  std::filesystem::remove(SettingsFile);
   if (Gateway)
     Gateway->requestStop();
   if (CutOff)
@@ -87,8 +97,13 @@
   });
 }
 
+auto fleet::writeSettings(const std::string &Text) -> void {
+  std::ofstream(SettingsFile) << Text;
+}
+
 auto fleet::startGateway() -> void {
-  const auto Settings = makeSettings(Store->address(), "gateway");
+  auto Settings = makeSettings(Store->address(), "gateway");
+  Settings.File = SettingsFile;
   Gateway = std::make_unique<gateway_node>(Settings,
                                            adapter::makeGatewayHooks(Settings));
   GatewayThread = std::make_unique<thread>("gateway", LoopStackBytes,
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -83,6 +83,8 @@
   auto startCutOffGateway() -> void;
   [[nodiscard]] auto isCutOffReady() -> bool;
   auto startController(const char *WorkerId) -> void;
+  /// Replaces the gateway's settings file.
+  auto writeSettings(const std::string &Text) -> void;
   /// Waits until the gateway is ready.
   auto awaitReady() -> bool;
   [[nodiscard]] auto isReady() -> bool;
@@ -114,6 +116,7 @@
                    net::header_fields More) -> net::http_request;
 
   std::uint64_t LastId = 0;
+  std::string SettingsFile;
   std::unique_ptr<thread> GatewayThread;
   std::unique_ptr<thread> CutOffThread;
   std::unique_ptr<thread> ControllerThread;
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(plain_request_comesBackSigned);
   CPPUNIT_TEST(plain_chunkedBody_isForwardedWhole);
   CPPUNIT_TEST(plain_ambiguousFraming_isRejectedAndNotForwarded);
+  CPPUNIT_TEST(plain_expectContinue_isAskedForTheBody);
   CPPUNIT_TEST(plain_bodyTooLarge_isRejected);
   CPPUNIT_TEST(plain_slowHeader_isEnded);
   CPPUNIT_TEST(plain_unknownRoute_isNotFound);
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
   CPPUNIT_TEST(start_storeTurnsAway_servesByWhatAnotherGatewayKnows);
   CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
+  CPPUNIT_TEST(settings_changedFile_isTakenOver);
   CPPUNIT_TEST(metrics_afterRequests_countThem);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +91,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, seen(*First).size());
   }
 
+  auto plain_expectContinue_isAskedForTheBody() -> void {
+    start();
+    const auto Text = Fleet->sendRaw(
+        "POST /read/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "X-Limpetbridge-Attempt-Id: 9\r\nContent-Length: 3\r\n"
+        "Expect: 100-continue\r\n\r\nabc");
+    CPPUNIT_ASSERT(
+        Text.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"));
+    CPPUNIT_ASSERT(Text.ends_with("POST /read/x abc"));
+    CPPUNIT_ASSERT(!net::hasField(seen(*First)[0].Request.Fields, "Expect"));
+  }
+
   auto plain_bodyTooLarge_isRejected() -> void {
     start();
     const auto Text = Fleet->sendRaw("POST /read/x HTTP/1.1\r\nHost: h\r\n"
@@ -273,6 +287,22 @@
     CPPUNIT_ASSERT(seen(Second).size() >= 5);
   }
 
+  auto settings_changedFile_isTakenOver() -> void {
+    start();
+    const auto Reloads = [&] {
+      const auto Page =
+          Fleet->get(Fleet->Gateway->metricsAddress(), "/metrics");
+      return Page && Page->Body.find("settings{kind=\"reloaded\"} 1\n") !=
+                         std::string::npos;
+    };
+    Fleet->writeSettings("[retry]\nextra = many\n");
+    CPPUNIT_ASSERT(!eventually(Reloads, seconds(3)));
+    Fleet->writeSettings("[retry]\nextra = 77\n");
+    CPPUNIT_ASSERT(eventually(Reloads));
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                         Fleet->send("/read/x").Head.Status);
+  }
+
   auto metrics_afterRequests_countThem() -> void {
     start();
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
@@ -327,8 +357,9 @@
     Fleet->Outside.call([&] { return Fleet->Store->Faults.Down = Down; });
   }
 
-  static auto eventually(const std::function<bool()> &Holds) -> bool {
-    const auto Until = process_clock::now() + Patience;
+  static auto eventually(const std::function<bool()> &Holds,
+                         duration Span = Patience) -> bool {
+    const auto Until = process_clock::now() + Span;
     while (process_clock::now() < Until) {
       if (Holds())
         return true;
--- a/testing/pages/tests/pages_test.cpp
+++ b/testing/pages/tests/pages_test.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <filesystem>
+#include <set>
 #include <sstream>
 
 using namespace limpetbridge;
@@ -18,15 +19,16 @@
   CPPUNIT_TEST(errorsPage_comparedWithTable_isTheSame);
   CPPUNIT_TEST(languagePage_everyExample_parses);
   CPPUNIT_TEST(samples_everyFile_loads);
+  CPPUNIT_TEST(operationsPage_everySetting_isListed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void errorsPage_comparedWithTable_isTheSame() {
+  auto errorsPage_comparedWithTable_isTheSame() -> void {
     CPPUNIT_ASSERT_EQUAL(errorsPage(), pageText("docs/errors.md"));
   }
 
   /// Every line of an indented block is a statement; `!` marks a wrong one.
-  void languagePage_everyExample_parses() {
+  auto languagePage_everyExample_parses() -> void {
     std::istringstream Lines(pageText("docs/operators/language.md"));
     std::string Line;
     int Examples = 0;
@@ -44,7 +46,7 @@
     CPPUNIT_ASSERT(Examples >= 10);
   }
 
-  void samples_everyFile_loads() {
+  auto samples_everyFile_loads() -> void {
     int Files = 0;
     for (const auto &Each : std::filesystem::recursive_directory_iterator(
              std::string(SOURCE_FOLDER) + "/samples")) {
@@ -60,13 +62,30 @@
     CPPUNIT_ASSERT(Files >= 3);
   }
 
+  auto operationsPage_everySetting_isListed() -> void {
+    const auto Page = pageText("docs/OPERATIONS.md");
+    for (const auto &Row : settingsTable()) {
+      static const std::set<std::string_view> Sections = {
+          "instance", "gateway", "link",  "metrics", "store",
+          "retry",    "loads",   "drain", "log",     "controller"};
+      if (!Sections.contains(Row.Section))
+        continue;
+      const auto Cell =
+          "| `" + std::string(Row.Section) + "." + std::string(Row.Key) +
+          "` | " +
+          (Row.Default.empty() ? std::string()
+                               : "`" + std::string(Row.Default) + "`");
+      CPPUNIT_ASSERT_MESSAGE(Cell, Page.find(Cell) != std::string::npos);
+    }
+  }
+
 private:
   static auto pageText(const std::string &Page) -> std::string {
     return readFile(std::string(SOURCE_FOLDER) + "/" + Page).value();
   }
 
-  static void checkDeclarations(const std::string &Text,
-                                const std::string &File) {
+  static auto checkDeclarations(const std::string &Text,
+                                const std::string &File) -> void {
     auto Operations = parseDeclarations(Text, File);
     CPPUNIT_ASSERT_MESSAGE(File, Operations.has_value());
     const auto Applied =
@@ -76,8 +95,8 @@
                            Applied.has_value());
   }
 
-  static void checkSettingsFile(const std::string &Text,
-                                const std::string &File) {
+  static auto checkSettingsFile(const std::string &Text,
+                                const std::string &File) -> void {
     const auto Settings = parseSettings(Text, File);
     CPPUNIT_ASSERT_MESSAGE(File +
                                (Settings ? "" : ": " + Settings.error().Detail),
--- a/testing/stand_ins/stand_in_server.cpp
+++ b/testing/stand_ins/stand_in_server.cpp
@@ -19,7 +19,7 @@
   void enqueue(std::function<void()> Job) override { // NOLINT
     (void)Pool.submit(std::move(Job));
   }
-  void shutdown() override { Pool.stop(); } // NOLINT
+  auto shutdown() -> void override { Pool.stop(); } // NOLINT
 
 private:
   thread_pool Pool;
--- a/testing/world/tests/golden_test.cpp
+++ b/testing/world/tests/golden_test.cpp
@@ -18,7 +18,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void sessions_replayed_showNoDifference() {
+  auto sessions_replayed_showNoDifference() -> void {
     for (const auto &Scenario : allScenarios()) {
       const auto Result = replaySession(goldenText(Scenario));
       CPPUNIT_ASSERT_MESSAGE(
@@ -28,7 +28,7 @@
     }
   }
 
-  void sessions_recordedAgain_areTheSame() {
+  auto sessions_recordedAgain_areTheSame() -> void {
     for (const auto &Scenario : allScenarios()) {
       std::vector<std::string> Broken;
       const auto Text = recordScenario(Scenario, Broken);
@@ -37,7 +37,7 @@
     }
   }
 
-  void replay_changedEffect_namesItsLine() {
+  auto replay_changedEffect_namesItsLine() -> void {
     auto Text = goldenText(allScenarios().front());
     const auto At = Text.find("attempt_started");
     CPPUNIT_ASSERT(At != std::string::npos);
--- a/testing/world/tests/world_test.cpp
+++ b/testing/world/tests/world_test.cpp
@@ -40,7 +40,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void reducers_underAnyFaults_keepEveryPromise() {
+  auto reducers_underAnyFaults_keepEveryPromise() -> void {
     const bool Held = rc::check([] {
       const auto Steps = *anyScript();
       const auto Broken = runScript(Steps, mutation::None);
@@ -66,28 +66,28 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void releaseOnTimeout_isCaughtAsMemory() {
+  auto releaseOnTimeout_isCaughtAsMemory() -> void {
     expectCaught(mutation::ReleaseOnTimeout, "memory:");
   }
-  void skipLoadOnDemand_isCaughtAsReachable() {
+  auto skipLoadOnDemand_isCaughtAsReachable() -> void {
     expectCaught(mutation::SkipLoadOnDemand, "reachable:");
   }
-  void acceptAnyFrame_isCaughtAsWholeAnswer() {
+  auto acceptAnyFrame_isCaughtAsWholeAnswer() -> void {
     expectCaught(mutation::AcceptAnyFrame, "whole answer:");
   }
-  void notRunAfterDispatch_isCaughtAsNotRun() {
+  auto notRunAfterDispatch_isCaughtAsNotRun() -> void {
     expectCaught(mutation::NotRunAfterDispatch, "not run:");
   }
-  void resendCalls_isCaughtAsAtMostOnce() {
+  auto resendCalls_isCaughtAsAtMostOnce() -> void {
     expectCaught(mutation::ResendCalls, "at most once:");
   }
-  void ignoreLeaving_isCaughtAsLeaving() {
+  auto ignoreLeaving_isCaughtAsLeaving() -> void {
     expectCaught(mutation::IgnoreLeaving, "leaving:");
   }
-  void cutAtDrain_isCaughtAsShutdown() {
+  auto cutAtDrain_isCaughtAsShutdown() -> void {
     expectCaught(mutation::CutAtDrain, "shutdown:");
   }
-  void revertRevision_isCaughtAsConfiguration() {
+  auto revertRevision_isCaughtAsConfiguration() -> void {
     expectCaught(mutation::RevertRevision, "configuration:");
   }
 
