--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -1,14 +1,15 @@
 #include "caller_server.h"
 
+#include "answer_queue.h"
 #include "base/thread.h"
 #include "caller_protocol.h"
+#include "listener_pool.h"
 
 #include <httplib.h>
 
 #include <algorithm>
 #include <atomic>
 #include <charconv>
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -24,71 +25,12 @@
 constexpr const char *DeadlineHeader = "X-Request-Deadline-Ms";
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 constexpr std::size_t SpareThreads = 16; ///< To refuse politely when full.
-constexpr std::size_t AcceptQueue = 1024;
 constexpr auto KeepAliveInterval = seconds(5);
 constexpr auto EndSlack = seconds(2); ///< Beyond the deadline, for the end.
 constexpr int StatusTooLarge = 413;
 constexpr int StatusNotFound = 404;
 constexpr int StatusMalformed = 400;
 
-/// The way of one answer from the reducer to its connection.
-class answer_queue {
-public:
-  /// What is there to be written.
-  struct portion {
-    std::string Text;
-    std::uint32_t Pieces = 0;
-    std::optional<answer_end> End;
-  };
-
-  auto push(const answer_frame &Frame) -> void {
-    const std::lock_guard Lock(Mutex);
-    for (const auto &Piece : Frame.Frame.Pieces)
-      Waiting.Text += Piece;
-    Waiting.Pieces += static_cast<std::uint32_t>(Frame.Frame.Pieces.size());
-    Changed.notify_one();
-  }
-
-  auto push(answer_end End) -> void {
-    const std::lock_guard Lock(Mutex);
-    Waiting.End = std::move(End);
-    Changed.notify_one();
-  }
-
-  /// Takes all that waits; empty when nothing came before \p Until.
-  auto take(time_point Until) -> portion {
-    std::unique_lock Lock(Mutex);
-    Changed.wait_for(Lock, remaining(Until, process_clock::now()), [this] {
-      return Waiting.Pieces > 0 || Waiting.End.has_value();
-    });
-    return std::exchange(Waiting, {});
-  }
-
-private:
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  portion Waiting;
-};
-
-using answer_handle = std::shared_ptr<answer_queue>;
-
-/// Threads of the listener: named, with bounded stacks.
-class listener_pool : public httplib::TaskQueue {
-public:
-  explicit listener_pool(std::size_t Threads)
-      : Pool("caller", Threads, ConnectionStackBytes, AcceptQueue) {}
-
-  void enqueue(std::function<void()> Job) override { // NOLINT
-    // The queue holds more than the kernel's backlog; a job is never lost
-    // while the listener runs.
-    (void)Pool.submit(std::move(Job));
-  }
-  auto shutdown() -> void override { Pool.stop(); } // NOLINT
-
-private:
-  thread_pool Pool;
-};
-
 auto bearerToken(const httplib::Request &Request) -> std::string {
   constexpr std::string_view Scheme = "Bearer ";
   const auto Header = Request.get_header_value("Authorization");
