No work at a gateway grows with gateways times targets; faults of tests leave shipped programs

Cause: a gateway summed what every other gateway has under way for each target that it considered, for each request, and went through all targets at each digest.

Change: the sum is kept with the target and changed by what a digest names. Controllers are found by their target's address, lists are compared by a set.

Also: the deliberate faults by which the world's tests show that their checks can fail are compiled in only where tests are built (core/mutation.h).

--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -7,6 +7,7 @@
 #include "core/configuration.h"
 #include "core/ledger.h"
 #include "core/membership.h"
+#include "core/mutation.h"
 #include "core/requests.h"
 #include "core/routing.h"
 
@@ -48,20 +49,6 @@
   std::uint32_t MaxOrders = 4; ///< Orders under way at once.
 };
 
-/// Deliberate faults, by which the tests show that the checks can fail.
-/// Never set outside tests.
-enum class mutation : std::uint8_t {
-  None,
-  ReleaseOnTimeout,    ///< Frees memory when an order goes unanswered.
-  SkipLoadOnDemand,    ///< Never loads what is not resident.
-  AcceptAnyFrame,      ///< Takes frames of abandoned attempts.
-  NotRunAfterDispatch, ///< Calls an unknown outcome not run.
-  ResendCalls,         ///< Repeats non-idempotent calls without a claim.
-  IgnoreLeaving,       ///< Keeps offering work to leaving targets.
-  CutAtDrain,          ///< Stops at once when drained.
-  RevertRevision       ///< Takes any revision that a peer sends.
-};
-
 /// Options of a node.
 struct node_options {
   instance_record Self;
@@ -73,9 +60,23 @@
   duration DrainTimeout = seconds(60);
   picker_hook Picker;     ///< Null: two random choices.
   distance_hook Distance; ///< Null: 0 within, 7 ms between data centres.
+#ifdef LIMPETBRIDGE_MUTATIONS
   mutation Mutation = mutation::None;
+#endif
 };
 
+/// True if a test has put \p Fault into this node. Programs that are built
+/// without tests contain no such fault.
+[[nodiscard]] inline auto
+isMutated([[maybe_unused]] const node_options &Options,
+          [[maybe_unused]] mutation Fault) -> bool {
+#ifdef LIMPETBRIDGE_MUTATIONS
+  return Options.Mutation == Fault;
+#else
+  return false;
+#endif
+}
+
 /// State of a graceful shutdown.
 struct drain_state {
   bool Draining = false;
--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -68,7 +68,7 @@
 
 auto endUnknown(const context &Ctx, const request_id &Id,
                 const request_state &Request, std::string Detail) -> void {
-  if (Ctx.State.Options.Mutation == mutation::NotRunAfterDispatch) {
+  if (isMutated(Ctx.State.Options, mutation::NotRunAfterDispatch)) {
     endNotRun(Ctx, Id, Request);
     return;
   }
@@ -239,7 +239,7 @@
   Request.Tried.insert(Target);
   const bool Repeatable = !Request.Work.runsAtMostOnce() ||
                           Request.Work.isClaimed() ||
-                          Ctx.State.Options.Mutation == mutation::ResendCalls;
+                          isMutated(Ctx.State.Options, mutation::ResendCalls);
   if (!Repeatable) {
     endUnknown(Ctx, Id, Request, Event.Detail);
     return;
--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -143,7 +143,7 @@
 auto applyOne(const context &Ctx, const change &Change) -> bool {
   auto &Configuration = Ctx.State.Configuration;
   const auto Current = Configuration.Current->currentRevision();
-  const bool Reverts = Ctx.State.Options.Mutation == mutation::RevertRevision;
+  const bool Reverts = isMutated(Ctx.State.Options, mutation::RevertRevision);
   if (Change.Revision <= Current && !Reverts)
     return false;
   const bool Whole = isSnapshot(Change);
--- a/libs/core/src/drain.cpp
+++ b/libs/core/src/drain.cpp
@@ -44,7 +44,7 @@
   Ctx.note(note_kind::DrainStarted, "", {}, "", "");
   if (!Ctx.State.isEntry())
     returnQueued(Ctx);
-  if (Ctx.State.Options.Mutation == mutation::CutAtDrain)
+  if (isMutated(Ctx.State.Options, mutation::CutAtDrain))
     stop(Ctx, result_code::Ok);
 }
 
--- a/libs/core/src/ledger.cpp
+++ b/libs/core/src/ledger.cpp
@@ -121,7 +121,7 @@
     Entry.State = unit_state::Uncertain;
     Entry.LateLoads.insert(Event.Token);
     Entry.CheckAt = Ctx.Now + OrderRetry;
-    if (Ctx.State.Options.Mutation == mutation::ReleaseOnTimeout) {
+    if (isMutated(Ctx.State.Options, mutation::ReleaseOnTimeout)) {
       Entry.LateLoads.clear();
       becomeAbsent(Ctx, Entry);
     }
@@ -144,7 +144,7 @@
   case order_status::NoAnswer:
     Entry.State = unit_state::Uncertain;
     Entry.CheckAt = Ctx.Now + OrderRetry;
-    if (Ctx.State.Options.Mutation == mutation::ReleaseOnTimeout)
+    if (isMutated(Ctx.State.Options, mutation::ReleaseOnTimeout))
       becomeAbsent(Ctx, Entry);
     break;
   }
--- a/libs/core/src/loads.cpp
+++ b/libs/core/src/loads.cpp
@@ -217,7 +217,7 @@
 auto planLoads(const context &Ctx) -> void {
   auto &State = Ctx.State;
   if (State.Ledger.Phase != authority_phase::Held ||
-      State.Options.Mutation == mutation::SkipLoadOnDemand)
+      isMutated(State.Options, mutation::SkipLoadOnDemand))
     return;
   keepUnneededEvictions(Ctx);
   unloadIdleEvictions(Ctx);
--- a/libs/core/src/membership.cpp
+++ b/libs/core/src/membership.cpp
@@ -101,7 +101,7 @@
 }
 
 auto isUsable(const node_state &State, const target_view &View) -> bool {
-  if (State.Options.Mutation == mutation::IgnoreLeaving)
+  if (isMutated(State.Options, mutation::IgnoreLeaving))
     return true;
   const auto Found = State.Membership.Members.find(View.Record.Name);
   if (Found == State.Membership.Members.end())
--- a/libs/core/src/requests.cpp
+++ b/libs/core/src/requests.cpp
@@ -221,7 +221,7 @@
 
 /// Under the mutation, frames of abandoned attempts are taken as well.
 auto mutantFrame(const context &Ctx, const attempt_progressed &Event) -> void {
-  if (Ctx.State.Options.Mutation != mutation::AcceptAnyFrame)
+  if (!isMutated(Ctx.State.Options, mutation::AcceptAnyFrame))
     return;
   const auto Found = Ctx.State.Requests.Open.find(Event.Attempt.Request);
   if (Found == Ctx.State.Requests.Open.end() || Event.Frame.Pieces.empty())
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -62,6 +62,8 @@
   std::map<service_name, retry_budget> Budgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
+  /// Addresses of controllers by those of their targets.
+  std::map<std::string, std::string> Controllers;
   /// Loads that this gateway has asked for; the time is when it gives up.
   struct pending_load {
     model_name Model;
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -30,6 +30,9 @@
   std::array<double, Ranks> PendingMs{};
   std::uint32_t Active = 0; ///< Requests sent and not ended.
 
+  auto operator+=(const target_load &Other) -> target_load &;
+  /// Takes off what was added before; never below nothing.
+  auto operator-=(const target_load &Other) -> target_load &;
   /// What a request of \p Rank waits for, ms.
   [[nodiscard]] auto pendingMs(std::size_t Rank) const -> double;
 };
@@ -43,8 +46,9 @@
 /// One target and the beliefs about it.
 struct target_entry {
   target Target;
-  target_load Own;                           ///< Sent by this gateway.
-  std::map<instance_name, target_load> Peer; ///< Told by other gateways.
+  target_load Own;    ///< Sent by this gateway.
+  target_load Others; ///< Sent by the other gateways: the sum of Peers.
+  std::map<instance_name, target_load> Peers; ///< Told by each of them.
   prefix_memory Cache;
   std::string ControllerAddress; ///< ip:port; empty if none is known.
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
@@ -101,6 +105,11 @@
   /// Number of targets that serve \p Model and take work.
   [[nodiscard]] auto holders(const model_name &Model) const -> std::size_t;
 
+  /// What \p Peer has under way, in place of what it told before. Touches
+  /// only the targets of the two.
+  auto setPeerLoads(const instance_name &Peer,
+                    const std::map<target_name, target_load> &Loads) -> void;
+
   /// An attempt left for \p Name; reading its prompt takes \p ReadMs.
   auto noteSent(const target_name &Name, std::size_t Rank, double ReadMs)
       -> void;
@@ -117,6 +126,7 @@
 
   std::map<target_name, target_entry> Entries;
   std::map<std::string, std::set<target_name>> AtAddress;
+  std::map<instance_name, std::vector<target_name>> ToldByPeer;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -40,10 +40,9 @@
   if (!State.Book.update(Target, cacheTokens(State, Target.Service), Step.Now))
     return;
   auto &Entry = *State.Book.find(Target.Name);
-  if (Entry.ControllerAddress.empty())
-    for (const auto &[Name, Instance] : State.Instances)
-      if (Instance.TargetAddress == Entry.Target.Address)
-        Entry.ControllerAddress = Instance.Address;
+  if (const auto Found = State.Controllers.find(Entry.Target.Address);
+      Found != State.Controllers.end())
+    Entry.ControllerAddress = Found->second;
   if (!WasKnown || WasLeaving != Entry.Target.Leaving)
     note(Step, log_level::Info, "target_changed",
          {{"target", Target.Name.Text},
@@ -84,8 +83,7 @@
     State.PeerLoads.erase(Peer);
     State.PeerViews.erase(Peer);
     State.Demand.removePeer(Peer);
-    for (auto &[Name, Entry] : State.Book.all())
-      Entry.Peer.erase(Peer);
+    State.Book.setPeerLoads(Peer, {});
     note(Step, log_level::Warning, "peer_silent", {{"peer", Peer.Text}});
   }
   if (!Silent.empty())
@@ -140,16 +138,14 @@
 }
 
 auto handle(const gateway_step &Step, const targets_listed &Event) -> void {
-  for (const auto &Target : Event.Targets)
+  std::set<target_name> Listed;
+  for (const auto &Target : Event.Targets) {
+    Listed.insert(Target.Name);
     takeIn(Step, Target);
-  for (auto &[Name, Entry] : Step.State.Book.all()) {
-    const bool Listed = std::any_of(Event.Targets.begin(), Event.Targets.end(),
-                                    [&, &Sought = Name](const target &Each) {
-                                      return Each.Name == Sought;
-                                    });
-    if (!Listed && Entry.LostSince == NoDeadline)
-      Entry.LostSince = Step.Now;
   }
+  for (auto &[Name, Entry] : Step.State.Book.all())
+    if (!Listed.contains(Name) && Entry.LostSince == NoDeadline)
+      Entry.LostSince = Step.Now;
 }
 
 auto handle(const gateway_step &Step, const instances_listed &Event) -> void {
@@ -160,11 +156,12 @@
       note(Step, log_level::Info, "instance_changed",
            {{"peer", Instance.Name.Text}, {"address", Instance.Address}});
     Known = Instance;
+    if (Instance.TargetAddress.empty())
+      continue;
+    State.Controllers[Instance.TargetAddress] = Instance.Address;
+    if (auto *Entry = State.Book.findAddress(Instance.TargetAddress))
+      Entry->ControllerAddress = Instance.Address;
   }
-  for (auto &[Name, Entry] : State.Book.all())
-    for (const auto &[Other, Instance] : State.Instances)
-      if (Instance.TargetAddress == Entry.Target.Address)
-        Entry.ControllerAddress = Instance.Address;
 }
 
 auto handle(const gateway_step &Step, const holdings_told &Event) -> void {
@@ -186,16 +183,13 @@
   auto &State = Step.State;
   if (Event.From == State.Options.Self)
     return;
-  for (auto &[Name, Entry] : State.Book.all()) {
-    const auto Found = Event.Loads.find(Name);
-    if (Found == Event.Loads.end())
-      Entry.Peer.erase(Event.From);
-    else
-      Entry.Peer[Event.From] = Found->second;
-  }
+  State.Book.setPeerLoads(Event.From, Event.Loads);
   State.Demand.setPeer(Event.From, Event.Demand);
-  State.PeerLoads[Event.From] = Event.Loading;
-  markChanges(State);
+  auto &Loading = State.PeerLoads[Event.From];
+  const bool Unchanged = Loading.empty() && Event.Loading.empty();
+  Loading = Event.Loading;
+  if (!Unchanged)
+    markChanges(State);
   // It may be one that the store does not let write its record.
   if (!State.Instances.contains(Event.From) && !Event.Address.empty()) {
     instance_record Peer;
--- a/libs/serving/src/order_plan.cpp
+++ b/libs/serving/src/order_plan.cpp
@@ -88,12 +88,12 @@
 auto planModel(const engine_spec &Engine, const engine_report &Report,
                const load_job &Job) -> order_step {
   if (Report.Holds.Models.contains(Job.Model))
-    return {step_kind::Held, Job.Model};
+    return {step_kind::Held, Job.Model, {}};
   if (Report.Busy)
-    return {step_kind::Wait, Job.Model};
+    return {step_kind::Wait, Job.Model, {}};
   const auto Spec = Engine.Models.find(Job.Model);
   if (Spec == Engine.Models.end())
-    return {step_kind::Impossible, Job.Model};
+    return {step_kind::Impossible, Job.Model, {}};
   if (freeMb(Engine, Report) >= Spec->second.WeightsMb) {
     const bool FromStore = !Report.Holds.InMemory.contains(Job.Model) &&
                            !Report.Holds.OnDisk.contains(Job.Model);
@@ -104,8 +104,8 @@
                                      return Report.Holds.Models.contains(Each);
                                    });
   if (Victim == Job.Victims.end())
-    return {step_kind::Impossible, Job.Model};
-  return {step_kind::Unload, *Victim};
+    return {step_kind::Impossible, Job.Model, {}};
+  return {step_kind::Unload, *Victim, {}};
 }
 
 } // namespace
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -39,13 +39,23 @@
   return Sum;
 }
 
+auto target_load::operator+=(const target_load &Other) -> target_load & {
+  for (std::size_t I = 0; I < Ranks; ++I)
+    PendingMs[I] += Other.PendingMs[I];
+  Active += Other.Active;
+  return *this;
+}
+
+auto target_load::operator-=(const target_load &Other) -> target_load & {
+  for (std::size_t I = 0; I < Ranks; ++I)
+    takeOff(PendingMs[I], Other.PendingMs[I]);
+  takeOff(Active, Other.Active);
+  return *this;
+}
+
 auto target_entry::load() const -> target_load {
   auto Sum = Own;
-  for (const auto &[Name, Each] : Peer) {
-    for (std::size_t I = 0; I < Ranks; ++I)
-      Sum.PendingMs[I] += Each.PendingMs[I];
-    Sum.Active += Each.Active;
-  }
+  Sum += Others;
   return Sum;
 }
 
@@ -169,6 +179,38 @@
       }));
 }
 
+auto target_book::setPeerLoads(const instance_name &Peer,
+                               const std::map<target_name, target_load> &Loads)
+    -> void {
+  for (const auto &Name : ToldByPeer[Peer]) {
+    auto *Entry = find(Name);
+    if (Entry == nullptr)
+      continue;
+    const auto Told = Entry->Peers.find(Peer);
+    if (Told == Entry->Peers.end())
+      continue;
+    Entry->Others -= Told->second;
+    Entry->Peers.erase(Told);
+    // Rounding does not add up over days.
+    if (Entry->Peers.empty())
+      Entry->Others = {};
+  }
+  if (Loads.empty()) {
+    ToldByPeer.erase(Peer);
+    return;
+  }
+  auto &Names = ToldByPeer[Peer];
+  Names.clear();
+  for (const auto &[Name, Load] : Loads) {
+    auto *Entry = find(Name);
+    if (Entry == nullptr)
+      continue;
+    Entry->Peers[Peer] = Load;
+    Entry->Others += Load;
+    Names.push_back(Name);
+  }
+}
+
 auto target_book::noteSent(const target_name &Name, std::size_t Rank,
                            double ReadMs) -> void {
   if (auto *Entry = find(Name)) {
