--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -48,7 +48,7 @@
                                 NodeSettings.ControllerTarget)) {
   const auto Executor = Context.get_executor();
   const auto Listen = [&](const std::string &Address,
-                          net::call_handler Handler) {
+                          const net::call_handler &Handler) {
     return std::make_unique<net::listener>(
         Context, Address,
         [Handler, Executor](std::shared_ptr<net::caller_connection> Accepted) {
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -88,7 +88,7 @@
 }
 
 auto gateway_node::listenForCalls(const std::string &Address,
-                                  net::call_handler Handler)
+                                  const net::call_handler &Handler)
     -> std::unique_ptr<net::listener> {
   const auto Executor = Context.get_executor();
   return std::make_unique<net::listener>(
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -64,7 +64,8 @@
   auto askController(serving::ask_load Effect) -> net::awaitable<void>;
   auto askPeer(std::string PeerAddress) -> net::awaitable<void>;
   /// Serves whole-message calls at \p Address.
-  auto listenForCalls(const std::string &Address, net::call_handler Handler)
+  auto listenForCalls(const std::string &Address,
+                      const net::call_handler &Handler)
       -> std::unique_ptr<net::listener>;
   auto takeMessage(std::string_view Bytes) -> void;
   auto keepTime() -> net::awaitable<void>;
--- a/libs/base/src/log_query.cpp
+++ b/libs/base/src/log_query.cpp
@@ -87,7 +87,7 @@
                      " " + Record.Event;
   for (const auto &[Key, Value] : Record.Fields)
     if (!Value.empty())
-      Text += " " + Key + "=" + Value;
+      Text.append(" ").append(Key).append("=").append(Value);
   return Text;
 }
 
