A connection that has a request on it is not closed as idle

Cause: a gateway that stops shuts down connections that wait for a request. Bytes that had arrived, but were not looked at yet, were still read afterwards: the request was passed on and its answer had no way back.

Ruled out: the reading itself; the test without a close passes.

Change: a connection with bytes in the kernel is not idle; what crosses the close all the same is not taken as a request, so its caller may repeat it.

--- a/libs/net/include/net/caller_connection.h
+++ b/libs/net/include/net/caller_connection.h
@@ -78,6 +78,7 @@
   std::uint64_t TimerGeneration = 0;
   bool Expired = false;
   bool Idle = false;
+  bool IdleClosed = false; ///< Closed while idle; takes no request any more.
 };
 
 } // namespace limpetbridge::net
--- a/libs/net/src/caller_connection.cpp
+++ b/libs/net/src/caller_connection.cpp
@@ -83,7 +83,8 @@
       co_await Socket.async_read_some(Buffer.prepare(ReadBytes), into(Error));
   Idle = false;
   Buffer.commit(Count);
-  co_return !Error && Count > 0;
+  // Bytes that crossed the close belong to a request that could get no answer.
+  co_return !Error && Count > 0 && !IdleClosed;
 }
 
 auto caller_connection::readRequest(connection_limits Limits)
@@ -199,6 +200,11 @@
 auto caller_connection::closeIfIdle() -> void {
   if (!Idle)
     return;
+  // What has arrived but was not looked at yet is a request in progress.
+  error_code Error;
+  if (Socket.available(Error) > 0)
+    return;
+  IdleClosed = true;
   error_code Ignored; // Already closed is as good.
   Socket.shutdown(tcp::socket::shutdown_both, Ignored);
 }
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(fetch_closedPort_returnsNone);
   CPPUNIT_TEST(fetch_answerBeforeTheBodyIsRead_returnsIt);
   CPPUNIT_TEST(write_peerDoesNotRead_waits);
+  CPPUNIT_TEST(closeIfIdle_requestHasArrived_isServed);
+  CPPUNIT_TEST(closeIfIdle_nothingHasArrived_closes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +39,10 @@
 
   auto tearDown() -> void override {
     Server.reset();
+    Reader.reset();
+    Idle.reset();
+    Outcome.reset();
+    Answered = false;
     Context.reset();
   }
 
@@ -115,7 +121,44 @@
     CPPUNIT_ASSERT_EQUAL(LongBody, Count);
   }
 
+  auto closeIfIdle_requestHasArrived_isServed() -> void {
+    startReading();
+    asio::write(*Reader,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    // The bytes are there, and the connection has not looked yet.
+    Idle->closeIfIdle();
+    Context->restart();
+    Context->run_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT(Outcome->End == read_end::Request);
+    CPPUNIT_ASSERT(Answered);
+  }
+
+  auto closeIfIdle_nothingHasArrived_closes() -> void {
+    startReading();
+    Idle->closeIfIdle();
+    Context->restart();
+    Context->run_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT(Outcome->End == read_end::Closed);
+  }
+
 private:
+  /// A connection that waits for its first request.
+  auto startReading() -> void {
+    tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
+    Reader = std::make_unique<tcp::socket>(*Context);
+    Reader->connect(Acceptor.local_endpoint());
+    Idle = std::make_shared<caller_connection>(Acceptor.accept());
+    spawn(Context->get_executor(), readAndAnswer());
+    Context->run_for(std::chrono::milliseconds(20));
+  }
+
+  auto readAndAnswer() -> awaitable<void> {
+    const connection_limits Limits;
+    Outcome = co_await Idle->readRequest(Limits);
+    std::string Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    Answered = co_await Idle->write(std::move(Bytes));
+  }
+
   /// More than the kernel keeps for a connection, bytes.
   static constexpr std::size_t LongBody = std::size_t{24} << 20U;
 
@@ -142,6 +185,10 @@
 
   std::unique_ptr<asio::io_context> Context;
   std::unique_ptr<listener> Server;
+  std::unique_ptr<tcp::socket> Reader;
+  std::shared_ptr<caller_connection> Idle;
+  std::optional<read_outcome> Outcome;
+  bool Answered = false;
   std::string Address;
 };
 
