A gateway that stops waits for connections that still read a request

Cause: the end of a stop was reached when no request was in progress. A request is counted only when it has been read whole, so one whose body was on its way was dropped: its caller saw the end of the process.

Ruled out: the time of the balancer; the test sends the first part before the stop and the rest 300 ms later, within the grace period.

The raw client of the fixture gives up after the tests' patience, so that such a fault fails a test and does not hang it.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -411,7 +411,8 @@
   while (process_clock::now() < Last) {
     for (const auto &Connection : Connections)
       Connection->closeIfIdle();
-    if (Requests.empty())
+    // A connection without a request may be in the middle of reading one.
+    if (Connections.empty())
       break;
     co_await net::sleepFor(DrainLook);
   }
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace limpetbridge::emulator {
 
@@ -217,19 +218,36 @@
 }
 
 auto fleet::sendRaw(const std::string &Bytes) -> std::string {
+  return sendInParts(
+      Bytes, [] {}, duration::zero(), "");
+}
+
+auto fleet::sendInParts(const std::string &First,
+                        const std::function<void()> &Meanwhile, duration Wait,
+                        const std::string &Rest) -> std::string {
   const auto Endpoint = *net::parseEndpoint<net::tcp>(Gateway->callerAddress());
   net::asio::io_context Context;
   net::tcp::socket Socket(Context);
   Socket.connect(Endpoint);
   net::error_code Error;
-  net::asio::write(Socket, net::asio::buffer(Bytes), Error);
+  net::asio::write(Socket, net::asio::buffer(First), Error);
+  Meanwhile();
+  std::this_thread::sleep_for(Wait);
+  if (!Error && !Rest.empty())
+    net::asio::write(Socket, net::asio::buffer(Rest), Error);
+  // A connection that is left open without an answer must not hang the test.
+  const timeval Limit{toMilliseconds(Patience) / 1000, 0};
+  setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+             sizeof(Limit));
   std::string Answer;
   std::array<char, 4096> Part{};
-  while (!Error) {
-    const auto Count = Socket.read_some(net::asio::buffer(Part), Error);
-    Answer.append(Part.data(), Count);
+  for (;;) {
+    const auto Count =
+        recv(Socket.native_handle(), Part.data(), Part.size(), 0);
+    if (Count <= 0)
+      return Answer;
+    Answer.append(Part.data(), static_cast<std::size_t>(Count));
   }
-  return Answer;
 }
 
 auto fleet::sendAndLeave(const std::string &Path, duration Wait) -> void {
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -12,6 +12,7 @@
 #include "gateway_node.h"
 #include "net/target_connection.h"
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
@@ -99,6 +100,10 @@
   auto sendToCutOff(const std::string &Path) -> client_answer;
   /// Sends \p Bytes as they are. \returns all that comes back.
   auto sendRaw(const std::string &Bytes) -> std::string;
+  /// Sends \p First, does \p Meanwhile, waits, and sends \p Rest.
+  auto sendInParts(const std::string &First,
+                   const std::function<void()> &Meanwhile, duration Wait,
+                   const std::string &Rest) -> std::string;
   /// Sends a request and closes after \p Wait without reading.
   auto sendAndLeave(const std::string &Path, duration Wait) -> void;
 
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(stream_cut_doesNotLookComplete);
   CPPUNIT_TEST(stream_cutButResumable_goesOnElsewhere);
   CPPUNIT_TEST(stop_streamInProgress_isFinished);
+  CPPUNIT_TEST(stop_requestStillBeingSent_isAnswered);
   CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
   CPPUNIT_TEST(start_storeTurnsAway_servesByWhatAnotherGatewayKnows);
   CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
@@ -242,6 +243,17 @@
     CPPUNIT_ASSERT(!Fleet->isReady());
   }
 
+  auto stop_requestStillBeingSent_isAnswered() -> void {
+    start();
+    // The rest comes after idle connections were closed.
+    const auto Text = Fleet->sendInParts(
+        "POST /read/x HTTP/1.1\r\nHost: h\r\nX-Limpetbridge-Attempt-Id: 9\r\n"
+        "Content-Length: 6\r\n\r\nabc",
+        [&] { Fleet->Gateway->requestStop(); }, milliseconds(300), "def");
+    CPPUNIT_ASSERT(Text.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Text.ends_with("POST /read/x abcdef"));
+  }
+
   auto start_storeDown_servesWhenItIsBack() -> void {
     setDown(true);
     Fleet->startGateway();
