Settings: an empty or cut-off file is refused

Change: a text without a section, or whose last line has no end, is refused as FileUnreadable; the settings in force stay.

--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -107,7 +107,8 @@
 
 /// Parses the settings in \p Text. Error messages name \p File as its source.
 /// \returns UnknownSetting, InvalidSetting or FileUnreadable with file, line
-/// and key in the detail.
+/// and key in the detail. A text without a section or without a line end at its
+/// end is refused as FileUnreadable: the file is empty or was cut off.
 [[nodiscard]] auto parseSettings(std::string_view Text, const std::string &File)
     -> result<node_settings>;
 
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -186,6 +186,19 @@
   return boost::outcome_v2::success();
 }
 
+/// A file that is being written, or was cut off, must not replace settings by
+/// their defaults.
+auto checkComplete(std::string_view Text, const std::string &File)
+    -> result<void> {
+  if (Text.find('[') == std::string_view::npos)
+    return failure(result_code::FileUnreadable,
+                   File + " has no section; it is empty or was cut off");
+  if (Text.back() != '\n')
+    return failure(result_code::FileUnreadable,
+                   File + " ends within a line; it was cut off");
+  return boost::outcome_v2::success();
+}
+
 auto parseTree(std::string_view Text, const std::string &File)
     -> result<pt::ptree> {
   std::istringstream Stream{std::string(Text)};
@@ -226,6 +239,8 @@
 
 auto parseSettings(std::string_view Text, const std::string &File)
     -> result<node_settings> {
+  if (const auto Complete = checkComplete(Text, File); !Complete)
+    return Complete.error();
   auto Tree = parseTree(Text, File);
   if (!Tree)
     return Tree.error();
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -35,6 +35,7 @@
 class settings_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(settings_test);
   CPPUNIT_TEST(parse_knownKeys_areStored);
+  CPPUNIT_TEST(parse_emptyOrCutOff_isRefused);
   CPPUNIT_TEST(parse_misspeltKey_namesLineAndNearest);
   CPPUNIT_TEST(parse_numberOutOfRange_namesRange);
   CPPUNIT_TEST(parse_wordOutsideChoices_namesChoices);
@@ -52,6 +53,15 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, Settings.value().TargetSlots);
   }
 
+  auto parse_emptyOrCutOff_isRefused() -> void {
+    for (const auto *Text : {"", "\n", "; a comment\n", "[target]\nslots=3",
+                             "[target]\nslots=3\n[dra"}) {
+      const auto Settings = parseSettings(Text, "f");
+      CPPUNIT_ASSERT_MESSAGE(Text, !Settings);
+      CPPUNIT_ASSERT(Settings.error().Code == result_code::FileUnreadable);
+    }
+  }
+
   auto parse_misspeltKey_namesLineAndNearest() -> void {
     const auto Settings = parseSettings("[target]\n\nslotz = 3\n", "f.ini");
     CPPUNIT_ASSERT(!Settings.has_value());
