Messages between processes: nesting is bounded

Cause: the MessagePack parser recurses for each level. One datagram of 59,000 nested arrays exhausted the stack and ended the whole gateway (segmentation fault in containment_test datagram_deeplyNested_isRefused); the same held for controllers and for queries between gateways. Measured: the process ended before; now the message is counted as unreadable and the next request is served.

--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -1,5 +1,7 @@
 #include "link_codec.h"
 
+#include "base/message_pack.h"
+
 #include <nlohmann/json.hpp>
 
 namespace limpetbridge {
@@ -124,14 +126,15 @@
 auto encodeLink(const link_message &Message) -> std::string {
   const auto Json =
       std::visit([](const auto &Item) { return toJson(Item); }, Message);
-  std::string Bytes;
-  json::to_msgpack(Json, Bytes);
-  return Bytes;
+  return toMessagePack(Json);
 }
 
 auto decodeLink(std::string_view Bytes) -> result<link_message> {
+  const auto Parsed = parseMessagePack(Bytes);
+  if (!Parsed)
+    return Parsed.error();
+  const auto &Object = Parsed.value();
   try {
-    const auto Object = json::from_msgpack(Bytes.begin(), Bytes.end());
     const auto Kind = Object.at(KindKey).get<std::string>();
     if (Kind == "digest")
       return link_message(decodeDigest(Object));
