Connections: endless bytes, second copies, stalled readers, idle closes

Change: read buffers are bounded; a persistent connection is used again only if nothing has arrived and the peer has not closed it, and orders have a connection of their own; a write without progress for five seconds gives the caller up; an idle close reads no byte any more, and a request that is there by then is served. Calls of other processes run in tasks that end alone.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -45,13 +45,12 @@
                                     NodeSettings.ControllerTarget)),
       Adapters(net::persistent_client(Context.get_executor(),
                                       NodeSettings.ControllerTarget)) {
-  const auto Executor = Context.get_executor();
   const auto Listen = [&](const std::string &Address,
                           const net::call_handler &Handler) {
     return std::make_unique<net::listener>(
         Context, Address,
-        [Handler, Executor](std::shared_ptr<net::caller_connection> Accepted) {
-          net::spawn(Executor, net::serveCalls(std::move(Accepted), Handler));
+        [this, Handler](std::shared_ptr<net::caller_connection> Accepted) {
+          net::spawnServeCalls(Context, std::move(Accepted), Handler);
         });
   };
   CallListener =
@@ -280,8 +279,8 @@
       static_cast<std::size_t>(std::max(1.0, PermitsPerWindow)));
 }
 
-auto controller_node::sendOrder(job_queue &Queue, const job_state &Job,
-                                const order_step &Step, std::uint64_t Sequence)
+auto controller_node::sendOrder(const job_state &Job, const order_step &Step,
+                                std::uint64_t Sequence)
     -> awaitable<order_end> {
   order_facts Facts;
   Facts.Kind = Step.Kind;
@@ -292,8 +291,12 @@
   Facts.Holder = instance_name(Settings.Name);
   Facts.FencingToken = FencingToken;
   const auto Request = Hooks.BuildOrderRequest(Facts);
+  // A connection of its own: a late second copy of a report must not be taken
+  // for the answer to an order.
+  const net::asio::any_io_executor Executor = Context.get_executor();
   const auto Response =
-      co_await Queue.Client.fetch(Request, process_clock::now() + OrderTimeout);
+      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
+                          process_clock::now() + OrderTimeout);
   const auto Outcome = Response ? Hooks.ParseOrderStatus(Response->Head.Status)
                                 : order_end::Unknown;
   Metrics.count("orders", nameOf(Step.Kind));
@@ -356,8 +359,7 @@
       co_await net::sleepFor(PermitRetryDelay);
       continue;
     }
-    const auto Outcome =
-        co_await sendOrder(Queue, *Job, Step, Report->Sequence);
+    const auto Outcome = co_await sendOrder(*Job, Step, Report->Sequence);
     if (Outcome == order_end::WrongTarget)
       co_return false;
     if (Outcome == order_end::Accepted)
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -32,6 +32,10 @@
 
   /// Address of the metrics with its actual port; empty without metrics.
   [[nodiscard]] auto metricsAddress() const -> std::string;
+  /// Address of load calls and datagrams with its actual port.
+  [[nodiscard]] auto linkAddress() const -> std::string {
+    return Settings.LinkAddress;
+  }
 
 private:
   /// A load job; load requests for the same model or adapter share it.
@@ -49,7 +53,8 @@
   auto handleLoadCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto findOrCreateJob(const load_request &Request) -> job;
-  /// Jobs for models or for adapters, with their connection to the target.
+  /// Jobs for models or for adapters, with the connection on which the target's
+  /// report is read.
   struct job_queue {
     explicit job_queue(net::persistent_client QueueClient)
         : Client(std::move(QueueClient)) {}
@@ -64,9 +69,8 @@
       -> net::awaitable<std::optional<serving::engine_report>>;
   /// Sends the order of \p Step; the target refuses it if its sequence is not
   /// \p Sequence.
-  auto sendOrder(job_queue &Queue, const job_state &Job,
-                 const serving::order_step &Step, std::uint64_t Sequence)
-      -> net::awaitable<order_end>;
+  auto sendOrder(const job_state &Job, const serving::order_step &Step,
+                 std::uint64_t Sequence) -> net::awaitable<order_end>;
   /// Removes what \p Step unloads from the holdings that gateways receive, so
   /// that no more requests for it arrive.
   auto recordUnloadOrder(const serving::order_step &Step,
--- a/libs/net/include/net/asio.h
+++ b/libs/net/include/net/asio.h
@@ -20,6 +20,8 @@
 
 #include "base/time.h"
 
+#include <exception>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -36,8 +38,8 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
-/// Starts \p Task detached. An exception that leaves it terminates the process:
-/// no task is meant to throw, and the state after it is unknown.
+/// Starts \p Task, which the process needs, detached. An exception that leaves
+/// it terminates the process, so that it is started again.
 template <typename executor>
 auto spawn(const executor &Executor, awaitable<void> Task) -> void {
   asio::co_spawn(Executor, std::move(Task),
@@ -47,6 +49,24 @@
                  });
 }
 
+/// Starts \p Task, which serves one peer, detached. An exception that leaves it
+/// ends only this task and is reported to \p OnError.
+template <typename executor>
+auto spawnContained(const executor &Executor, awaitable<void> Task,
+                    std::function<void(const std::string &)> OnError) -> void {
+  asio::co_spawn(
+      Executor, std::move(Task),
+      [OnError = std::move(OnError)](const std::exception_ptr &Exception) {
+        if (!Exception)
+          return;
+        try {
+          std::rethrow_exception(Exception);
+        } catch (const std::exception &Error) {
+          OnError(Error.what());
+        }
+      });
+}
+
 /// Suspends the calling task.
 inline auto sleepFor(duration Delay) -> awaitable<void> {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
--- a/libs/net/include/net/caller_connection.h
+++ b/libs/net/include/net/caller_connection.h
@@ -53,7 +53,7 @@
   auto stopDisconnectWatch() -> void;
 
   /// Writes \p Bytes.
-  /// \returns false if the peer has disconnected.
+  /// \returns false if the peer has disconnected or reads nothing for a while.
   auto write(std::string Bytes) -> awaitable<bool>;
 
   /// Resets the connection, so that the peer cannot take a partial response for
@@ -62,8 +62,15 @@
   /// Shuts down sending and closes once the peer has closed, or after a
   /// timeout, so that the peer can read what was written.
   auto closeGracefully() -> awaitable<void>;
-  /// Closes the connection if it waits for a request and none has arrived.
+  /// Closes the connection if it waits for a request and none has arrived. No
+  /// byte is read after that, so a caller whose request crosses the close can
+  /// tell that it was not read.
   auto closeIfIdle() -> void;
+  /// When the first request of a connection that has carried none is given up
+  /// at the latest; in the past once a byte of a request was read.
+  [[nodiscard]] auto firstRequestDeadline() const -> time_point {
+    return FirstRequestDeadline;
+  }
 
   [[nodiscard]] auto isOpen() const -> bool { return Socket.is_open(); }
 
@@ -71,16 +78,19 @@
   auto startTimer(duration Timeout) -> void;
   auto watchNextRead(std::uint64_t Generation) -> void;
   auto waitForFirstByte(duration IdleTimeout) -> awaitable<bool>;
+  /// Waits until the peer has read something.
+  auto waitForWritable() -> awaitable<bool>;
 
   tcp::socket Socket;
   asio::steady_timer Timer;
+  asio::steady_timer WriteTimer;
   boost::beast::flat_buffer Buffer;
   std::function<void()> OnDisconnect;
   std::uint64_t WatchGeneration = 0;
   std::uint64_t TimerGeneration = 0;
   bool TimedOut = false;
-  bool Idle = false;            ///< Waits for the first byte of a request.
-  bool ClosedWhileIdle = false; ///< Reads no further request.
+  time_point FirstRequestDeadline;
+  bool Idle = false; ///< Waits for the first byte of a request.
 };
 
 } // namespace limpetbridge::net
--- a/libs/net/include/net/server.h
+++ b/libs/net/include/net/server.h
@@ -24,7 +24,8 @@
   /// \throws boost::system::system_error if \p Address cannot be bound.
   listener(asio::io_context &Context, const std::string &Address,
            accept_handler OnAccepted);
-  /// Accepts no more connections; open ones stay.
+  /// Accepts the connections that wait in the backlog and no more; open ones
+  /// stay.
   auto stop() -> void;
   /// The port that is listened on.
   [[nodiscard]] auto port() const -> std::uint16_t;
@@ -47,6 +48,12 @@
 auto serveCalls(std::shared_ptr<caller_connection> Connection,
                 call_handler Handler) -> awaitable<void>;
 
+/// Starts serveCalls on \p Connection. An exception that leaves \p Handler is
+/// logged and ends only this connection.
+auto spawnServeCalls(asio::io_context &Context,
+                     std::shared_ptr<caller_connection> Connection,
+                     const call_handler &Handler) -> void;
+
 /// Sends datagrams, and receives them up to 60,000 bytes.
 class datagram_socket {
 public:
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -54,9 +54,9 @@
   /// the connection does.
   [[nodiscard]] auto endsWithConnection() const -> bool;
 
-  /// True if the last response was read completely and the connection may carry
-  /// another request.
-  [[nodiscard]] auto isReusable() const -> bool;
+  /// True if the last response was read completely, nothing has arrived since
+  /// and the peer has not closed the connection.
+  [[nodiscard]] auto isReusable() -> bool;
 
   /// Closes the connection; pending calls fail.
   auto close() -> void;
@@ -65,15 +65,23 @@
   using parser_type =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// Bytes that are read and not parsed yet: the largest head, and what was
+  /// read with it. The parser has no limit of its own on the extension of a
+  /// chunk or on a trailer.
+  static constexpr std::size_t MaxUnparsedBytes = std::size_t{192} * 1024;
+
   tcp::socket Socket;
   asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<parser_type> Parser;
   std::string RequestBytes;
   std::vector<char> ReadBuffer;
 };
 
-/// Sends requests to one peer over a persistent connection, one at a time.
+/// Sends requests to one peer over a persistent connection, one at a time. Only
+/// for requests whose responses are interchangeable: a second copy of a
+/// response that arrives while the next request is under way is taken for its
+/// response.
 class persistent_client {
 public:
   persistent_client(asio::any_io_executor ClientExecutor,
--- a/libs/net/src/caller_connection.cpp
+++ b/libs/net/src/caller_connection.cpp
@@ -13,8 +13,15 @@
 
 /// Limit of bytes that are read ahead while a request is in progress.
 constexpr std::size_t MaxReadAhead = std::size_t{64} * 1024;
+/// Limit of bytes that are read and not parsed yet, besides the header: the
+/// read-ahead and one read of the parser.
+constexpr std::size_t MaxUnparsedBytes = 3 * MaxReadAhead;
 /// Largest single read, bytes.
 constexpr std::size_t ReadBytes = std::size_t{8} * 1024;
+/// Time without progress after which a peer that does not read is given up.
+constexpr duration WriteStallTimeout = seconds(5);
+/// Time in which a new connection is expected to carry its first request.
+constexpr duration FirstRequestTime = seconds(1);
 /// Longest wait for the peer to close after sending was shut down.
 constexpr duration LingerTimeout = milliseconds(500);
 /// Timeout of a body after its header, per started megabyte of the limit.
@@ -54,7 +61,9 @@
 } // namespace
 
 caller_connection::caller_connection(tcp::socket Accepted)
-    : Socket(std::move(Accepted)), Timer(Socket.get_executor()) {
+    : Socket(std::move(Accepted)), Timer(Socket.get_executor()),
+      WriteTimer(Socket.get_executor()),
+      FirstRequestDeadline(process_clock::now() + FirstRequestTime) {
   error_code Ignored; // Only tuning; a broken socket fails at a read.
   Socket.set_option(tcp::no_delay(true), Ignored);
   Socket.non_blocking(true, Ignored);
@@ -79,15 +88,26 @@
   if (Buffer.size() > 0)
     co_return true;
   Idle = true;
-  startTimer(IdleTimeout);
   error_code Error;
-  const auto Count = co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
-                                                     storeError(Error));
+  std::size_t Count = 0;
+  for (;;) {
+    startTimer(IdleTimeout);
+    Count = co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
+                                            storeError(Error));
+    if (Error != asio::error::operation_aborted)
+      break;
+    // The timer or closeIfIdle ended the wait; a request that has arrived by
+    // now is served.
+    error_code Ignored; // A broken socket has nothing to read.
+    if (Socket.available(Ignored) > 0)
+      continue;
+    Socket.close(Ignored);
+    break;
+  }
   Idle = false;
   Buffer.commit(Count);
-  // Bytes that arrived after closeIfIdle belong to a request that cannot be
-  // answered any more.
-  co_return !Error && Count > 0 && !ClosedWhileIdle;
+  FirstRequestDeadline = {};
+  co_return !Error && Count > 0;
 }
 
 auto caller_connection::readRequest(connection_limits Limits)
@@ -96,6 +116,8 @@
   if (!co_await waitForFirstByte(milliseconds(Limits.IdleTimeoutMs)))
     co_return makeErrorOutcome({});
   const auto FirstByte = process_clock::now();
+  // The parser has no limit of its own on the extension of a chunk.
+  Buffer.max_size(MaxUnparsedBytes + Limits.HeaderBytes);
   startTimer(milliseconds(Limits.HeaderTimeoutMs));
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits.HeaderBytes);
@@ -176,9 +198,29 @@
 
 auto caller_connection::write(std::string Bytes) -> awaitable<bool> {
   const auto Self = shared_from_this();
+  std::size_t Sent = 0;
+  while (Sent < Bytes.size()) {
+    error_code Error;
+    Sent += Socket.write_some(asio::buffer(Bytes) + Sent, Error);
+    bool Writable = !Error;
+    if (Error == asio::error::would_block || Error == asio::error::try_again)
+      Writable = co_await waitForWritable();
+    if (!Writable)
+      co_return false;
+  }
+  co_return true;
+}
+
+auto caller_connection::waitForWritable() -> awaitable<bool> {
+  WriteTimer.expires_after(WriteStallTimeout);
+  WriteTimer.async_wait([Weak = weak_from_this()](error_code Error) {
+    if (const auto This = Weak.lock(); This && !Error)
+      This->abort();
+  });
   error_code Error;
-  co_await asio::async_write(Socket, asio::buffer(Bytes), storeError(Error));
-  co_return !Error;
+  co_await Socket.async_wait(tcp::socket::wait_write, storeError(Error));
+  WriteTimer.cancel();
+  co_return !Error && Socket.is_open();
 }
 
 auto caller_connection::abort() -> void {
@@ -193,7 +235,7 @@
   error_code Error;
   Socket.shutdown(tcp::socket::shutdown_send, Error);
   startTimer(LingerTimeout);
-  while (!Error) {
+  while (!Error && !TimedOut) {
     Buffer.consume(Buffer.size());
     co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
                                     storeError(Error));
@@ -210,9 +252,7 @@
   error_code Error;
   if (Socket.available(Error) > 0)
     return;
-  ClosedWhileIdle = true;
-  error_code Ignored; // The socket may be closed already.
-  Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+  Socket.cancel(Error); // waitForFirstByte closes the connection.
 }
 
 } // namespace limpetbridge::net
--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -1,5 +1,7 @@
 #include "net/server.h"
 
+#include "base/log.h"
+
 #include <stdexcept>
 
 namespace limpetbridge::net {
@@ -52,6 +54,16 @@
 }
 
 auto listener::stop() -> void {
+  // Connections in the backlog are established for their callers; closing the
+  // listener would reset them.
+  error_code Error;
+  Acceptor.non_blocking(true, Error);
+  for (int Count = 0; Count < Backlog && !Error; ++Count) {
+    tcp::socket Socket(Acceptor.get_executor());
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      OnAccepted(std::make_shared<caller_connection>(std::move(Socket)));
+  }
   error_code Ignored; // The socket may be closed already.
   Acceptor.close(Ignored);
   RetryTimer.cancel();
@@ -87,6 +99,16 @@
   co_await Connection->closeGracefully();
 }
 
+auto spawnServeCalls(asio::io_context &Context,
+                     std::shared_ptr<caller_connection> Connection,
+                     const call_handler &Handler) -> void {
+  spawnContained(Context.get_executor(),
+                 serveCalls(std::move(Connection), Handler),
+                 [](const std::string &Error) {
+                   log(log_level::Error, "call_failed", {{"error", Error}});
+                 });
+}
+
 datagram_socket::datagram_socket(asio::io_context &Context,
                                  const std::string &Address,
                                  receive_handler DatagramHandler)
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <array>
 #include <limits>
 
 namespace limpetbridge::net {
@@ -113,9 +114,17 @@
   Socket.close(Ignored);
 }
 
-auto target_connection::isReusable() const -> bool {
-  return Socket.is_open() && Parser && Parser->is_done() &&
-         Parser->keep_alive() && !Parser->need_eof() && Buffer.size() == 0;
+auto target_connection::isReusable() -> bool {
+  if (!Socket.is_open() || !Parser || !Parser->is_done() ||
+      !Parser->keep_alive() || Parser->need_eof() || Buffer.size() > 0)
+    return false;
+  // A second copy of the response, or the end of the connection, may have
+  // arrived meanwhile.
+  std::array<char, 1> Byte{};
+  error_code Error;
+  Socket.non_blocking(true, Error);
+  Socket.receive(asio::buffer(Byte), tcp::socket::message_peek, Error);
+  return Error == asio::error::would_block;
 }
 
 namespace {
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
 #include <array>
 
 namespace {
@@ -21,6 +23,10 @@
   CPPUNIT_TEST(fetch_closedPort_returnsNone);
   CPPUNIT_TEST(fetch_answerBeforeTheBodyIsRead_returnsIt);
   CPPUNIT_TEST(write_peerDoesNotRead_waits);
+  CPPUNIT_TEST(persistentFetch_secondCopyOfAnAnswer_isNotTakenForTheNext);
+  CPPUNIT_TEST(readRequest_endlessChunkExtension_isRejected);
+  CPPUNIT_TEST(readRequest_idleTimeoutAndRequestMeet_requestIsServed);
+  CPPUNIT_TEST(write_peerNeverReads_fails);
   CPPUNIT_TEST(closeIfIdle_requestHasArrived_requestIsServed);
   CPPUNIT_TEST(closeIfIdle_nothingHasArrived_connectionCloses);
   CPPUNIT_TEST_SUITE_END();
@@ -121,6 +127,86 @@
     CPPUNIT_ASSERT_EQUAL(LongBodyBytes, Count);
   }
 
+  auto persistentFetch_secondCopyOfAnAnswer_isNotTakenForTheNext() -> void {
+    // Every answer is sent again 20 ms later on the same connection.
+    tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
+    spawn(Context->get_executor(), answerTwice(Acceptor));
+    spawn(Context->get_executor(), answerTwice(Acceptor));
+    spawn(Context->get_executor(), answerTwice(Acceptor));
+    persistent_client Peer(
+        Context->get_executor(),
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port()));
+    int Done = 0;
+    std::vector<std::string> Bodies;
+    const auto RunTask = [&]() -> awaitable<void> {
+      for (const auto *Target : {"/first", "/second", "/third"}) {
+        http_request Request;
+        Request.Target = Target;
+        Request.Fields.push_back({"Host", "h"});
+        const auto Response =
+            co_await Peer.fetch(Request, process_clock::now() + seconds(1));
+        Bodies.push_back(Response ? Response->Body : "none");
+        co_await sleepFor(milliseconds(60));
+      }
+      ++Done;
+    };
+    spawn(Context->get_executor(), RunTask());
+    while (Done == 0)
+      Context->run_one_for(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(Bodies ==
+                   std::vector<std::string>({"/first", "/second", "/third"}));
+  }
+
+  auto readRequest_endlessChunkExtension_isRejected() -> void {
+    startReading();
+    asio::write(*Client,
+                asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                         "5;a=")));
+    const std::string Filler(std::size_t{64} * 1024, 'x');
+    std::size_t Written = 0;
+    Client->non_blocking(true);
+    const auto Deadline = process_clock::now() + TestTimeout;
+    while (!Outcome && process_clock::now() < Deadline) {
+      error_code Error;
+      Written += Client->write_some(asio::buffer(Filler), Error);
+      Context->restart();
+      Context->poll();
+    }
+    CPPUNIT_ASSERT(Outcome.has_value());
+    CPPUNIT_ASSERT(Outcome->End == read_end::Rejected);
+    // What was read, and what the kernel buffers.
+    CPPUNIT_ASSERT(Written < LongBodyBytes);
+  }
+
+  auto readRequest_idleTimeoutAndRequestMeet_requestIsServed() -> void {
+    startReading(milliseconds(50));
+    // The request arrives before the expired timer is handled.
+    usleep(60'000);
+    asio::write(*Client,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    Context->restart();
+    Context->run_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT(Outcome->End == read_end::Request);
+    CPPUNIT_ASSERT(Answered);
+  }
+
+  auto write_peerNeverReads_fails() -> void {
+    tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
+    tcp::socket Reader(*Context);
+    Reader.connect(Acceptor.local_endpoint());
+    const auto Writer = std::make_shared<caller_connection>(Acceptor.accept());
+    std::optional<bool> Written;
+    const auto RunTask = [&]() -> awaitable<void> {
+      std::string Bytes(LongBodyBytes, 'x');
+      Written = co_await Writer->write(std::move(Bytes));
+    };
+    spawn(Context->get_executor(), RunTask());
+    Context->run_for(std::chrono::seconds(8));
+    CPPUNIT_ASSERT(Written.has_value());
+    CPPUNIT_ASSERT(!*Written);
+  }
+
   auto closeIfIdle_requestHasArrived_requestIsServed() -> void {
     startReading();
     asio::write(*Client,
@@ -143,22 +229,46 @@
 
 private:
   /// Opens a connection that waits for its first request.
-  auto startReading() -> void {
+  auto startReading(duration IdleTimeout = seconds(15)) -> void {
     tcp::acceptor Acceptor(*Context, tcp::endpoint(tcp::v4(), 0));
     Client = std::make_unique<tcp::socket>(*Context);
     Client->connect(Acceptor.local_endpoint());
     Idle = std::make_shared<caller_connection>(Acceptor.accept());
-    spawn(Context->get_executor(), readAndAnswer());
+    spawn(Context->get_executor(), readAndAnswer(IdleTimeout));
     Context->run_for(std::chrono::milliseconds(20));
   }
 
-  auto readAndAnswer() -> awaitable<void> {
-    const connection_limits Limits;
+  auto readAndAnswer(duration IdleTimeout) -> awaitable<void> {
+    connection_limits Limits;
+    Limits.IdleTimeoutMs = toMilliseconds(IdleTimeout);
     Outcome = co_await Idle->readRequest(Limits);
     std::string Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     Answered = co_await Idle->write(std::move(Bytes));
   }
 
+  /// Accepts one connection and answers its requests with their targets, each
+  /// answer twice.
+  static auto answerTwice(tcp::acceptor &Acceptor) -> awaitable<void> {
+    error_code Error;
+    auto Socket = co_await Acceptor.async_accept(storeError(Error));
+    std::string Text;
+    while (!Error) {
+      const auto Length = co_await asio::async_read_until(
+          Socket, asio::dynamic_buffer(Text), "\r\n\r\n", storeError(Error));
+      if (Error)
+        break;
+      const auto Target = Text.substr(4, Text.find(' ', 4) - 4);
+      Text.erase(0, Length);
+      const auto Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::to_string(Target.size()) + "\r\n\r\n" + Target;
+      for (int Copy = 0; Copy < 2 && !Error; ++Copy) {
+        co_await asio::async_write(Socket, asio::buffer(Answer),
+                                   storeError(Error));
+        co_await sleepFor(milliseconds(20));
+      }
+    }
+  }
+
   /// More than the kernel buffers for a connection.
   static constexpr std::size_t LongBodyBytes = std::size_t{24} << 20U;
 
