Gateway: planned stop, endless answers, contained errors, late connects

Cause, each shown by a test that failed first: - Planned stop: connections in the backlog were reset and those just accepted were closed without their request being read or answered; a stream that had promised to keep its connection open closed it, and a request that followed was read and dropped (planned_stop_test, 2 of 3 failed). Change: the listener stays open until the last connection has ended, new connections have a second for their first request, and a kept connection is closed only while idle; answers that are skipped and single events are bounded; the target is checked again after connecting; errors end the request that they belong to, are logged and counted.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -56,6 +56,10 @@
     dispatch(std::move(Event));
   };
   Environment.IsDraining = [this] { return Draining; };
+  Environment.AcceptsWork = [this](const target_name &Target) {
+    const auto *Entry = State.Book.find(Target);
+    return Entry != nullptr && Entry->acceptsWork();
+  };
   const auto Executor = Context.get_executor();
   CallerListener = std::make_unique<net::listener>(
       Context, Settings.GatewayCallers, [this, Executor](connection Accepted) {
@@ -89,10 +93,9 @@
 auto gateway_node::listenForCalls(const std::string &Address,
                                   const net::call_handler &Handler)
     -> std::unique_ptr<net::listener> {
-  const auto Executor = Context.get_executor();
   return std::make_unique<net::listener>(
-      Context, Address, [Handler, Executor](connection Accepted) {
-        net::spawn(Executor, net::serveCalls(std::move(Accepted), Handler));
+      Context, Address, [this, Handler](connection Accepted) {
+        net::spawnServeCalls(Context, std::move(Accepted), Handler);
       });
 }
 
@@ -143,15 +146,26 @@
   while (!Events.empty()) {
     const auto NextEvent = std::move(Events.front());
     Events.pop_front();
-    if (const auto *Ended = std::get_if<attempt_ended>(&NextEvent))
-      Metrics.count("attempts", nameOf(Ended->End));
-    for (const auto &Effect : reduce(State, NextEvent, process_clock::now()))
-      std::visit([this](const auto &TypedEffect) { execute(TypedEffect); },
-                 Effect);
+    // An unexpected error costs at most the request that the event is about,
+    // which its deadline ends.
+    try {
+      apply(NextEvent);
+    } catch (const std::exception &Error) {
+      Metrics.count("unexpected_errors", "event");
+      log(log_level::Error, "event_failed", {{"error", Error.what()}});
+    }
   }
   Reducing = false;
 }
 
+auto gateway_node::apply(const gateway_event &Event) -> void {
+  if (const auto *Ended = std::get_if<attempt_ended>(&Event))
+    Metrics.count("attempts", nameOf(Ended->End));
+  for (const auto &Effect : reduce(State, Event, process_clock::now()))
+    std::visit([this](const auto &TypedEffect) { execute(TypedEffect); },
+               Effect);
+}
+
 auto gateway_node::sendCommand(request_number Number,
                                gateway_request::command Command) -> void {
   const auto Found = Requests.find(Number);
@@ -216,6 +230,8 @@
   Metrics.set("ready", !Draining && State.Configuration.Version > 0 ? 1 : 0);
   Metrics.set("requests_in_progress",
               static_cast<std::int64_t>(State.Requests.size()));
+  Metrics.set("caller_connections",
+              static_cast<std::int64_t>(Connections.size()));
   Metrics.set("configuration_version",
               static_cast<std::int64_t>(State.Configuration.Version));
   Metrics.set("gateways_heard",
@@ -311,6 +327,7 @@
 auto gateway_node::handleLinkMessage(std::string_view Bytes) -> void {
   auto Message = decodeLink(Bytes);
   if (!Message) {
+    Metrics.count("messages_unreadable", "datagram");
     log(log_level::Warning, "datagram_unreadable",
         {{"error", toString(Message.error())}});
     return;
@@ -336,8 +353,19 @@
 
 auto gateway_node::serveCaller(connection Connection) -> awaitable<void> {
   Connections.insert(Connection);
+  try {
+    co_await serveRequests(Connection);
+  } catch (const std::exception &Error) {
+    Metrics.count("unexpected_errors", "connection");
+    log(log_level::Error, "connection_failed", {{"error", Error.what()}});
+    Connection->abort();
+  }
+  Connections.erase(Connection);
+}
+
+auto gateway_node::serveRequests(connection Connection) -> awaitable<void> {
   bool KeepOpen = true;
-  while (KeepOpen && !Closing) {
+  while (KeepOpen) {
     const auto Limits = connectionLimits();
     auto Outcome = co_await Connection->readRequest(Limits);
     if (Outcome.End == net::read_end::Closed)
@@ -357,7 +385,6 @@
   }
   if (Connection->isOpen())
     co_await Connection->closeGracefully();
-  Connections.erase(Connection);
 }
 
 auto gateway_node::serveRequest(connection Connection,
@@ -376,7 +403,17 @@
       Number, Connection, std::move(Outcome.Request), std::move(Call.value()),
       Environment, Context.get_executor());
   Requests[Number] = Request;
-  const bool KeepOpen = co_await Request->run();
+  bool KeepOpen = false;
+  try {
+    KeepOpen = co_await Request->run();
+  } catch (const std::exception &Error) {
+    Metrics.count("unexpected_errors", "request");
+    log(log_level::Error, "request_failed",
+        {{"number", std::to_string(Number)}, {"error", Error.what()}});
+    Connection->abort();
+    // The reducer forgets the request as if its caller had gone.
+    dispatch(caller_left{Number});
+  }
   Requests.erase(Number);
   co_return KeepOpen;
 }
@@ -408,21 +445,23 @@
        {"connections", std::to_string(Connections.size())}});
   // Callers may send requests until the load balancer stops routing here.
   co_await net::sleepFor(milliseconds(Settings.BalancerWaitMs));
-  Closing = true;
-  CallerListener->stop();
   const auto Deadline =
       StartedAt + milliseconds(Settings.StopGraceMs) - ShutdownMargin;
+  // The listener stays open: a connection that the load balancer still opens
+  // is served, and closing the listener would reset one that is being opened.
   while (process_clock::now() < Deadline) {
+    const auto Now = process_clock::now();
     for (const auto &Connection : Connections)
-      Connection->closeIfIdle();
+      if (Connection->firstRequestDeadline() <= Now)
+        Connection->closeIfIdle();
+    const bool WasEmpty = Connections.empty();
+    // Leaves the callers time to read the last responses.
+    co_await net::sleepFor(DrainPollInterval);
     // A connection without a request may be reading one, so Requests being
     // empty is not enough.
-    if (Connections.empty())
+    if (WasEmpty && Connections.empty())
       break;
-    co_await net::sleepFor(DrainPollInterval);
   }
-  // Leaves the callers time to read the last responses.
-  co_await net::sleepFor(DrainPollInterval);
   Context.stop();
 }
 
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -57,6 +57,9 @@
                    gateway_request::command Command) -> void;
 
   auto serveCaller(connection Connection) -> net::awaitable<void>;
+  auto serveRequests(connection Connection) -> net::awaitable<void>;
+  /// Executes the effects of \p Event.
+  auto apply(const serving::gateway_event &Event) -> void;
   auto serveRequest(connection Connection, net::read_outcome Outcome)
       -> net::awaitable<bool>;
   auto handleReadinessCall(net::http_request Request)
@@ -89,7 +92,6 @@
   std::deque<serving::gateway_event> Events;
   bool Reducing = false; ///< dispatch is running.
   bool Draining = false; ///< Not ready; responses close the connection.
-  bool Closing = false;  ///< Accepts no connections or further requests.
   serving::request_number LastRequestNumber = 0;
   std::map<serving::request_number, std::shared_ptr<gateway_request>> Requests;
   std::set<connection> Connections;
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -19,6 +19,10 @@
 constexpr int MaxResponsesRead = 4;
 /// Largest response that is buffered before it is relayed, bytes.
 constexpr std::size_t MaxBufferedBytes = std::size_t{8} * 1024 * 1024;
+/// Largest response to another request that is skipped, bytes.
+constexpr std::size_t MaxSkippedBytes = std::size_t{256} * 1024;
+/// Largest single event of a stream, bytes.
+constexpr std::size_t MaxEventBytes = std::size_t{1} * 1024 * 1024;
 constexpr std::uint16_t FirstRedirectStatus = 300;
 constexpr std::uint16_t FirstServerErrorStatus = 500;
 
@@ -119,7 +123,9 @@
   Caller->stopDisconnectWatch();
   if (!Complete)
     Caller->abort();
-  co_return Complete && !CloseAfterResponse && !shouldClose();
+  // A head that was sent before the gateway began to stop has promised the
+  // caller that the connection stays open.
+  co_return Complete && !CloseAfterResponse;
 }
 
 auto gateway_request::shouldClose() const -> bool {
@@ -142,7 +148,9 @@
           Send.Address,
           std::min(Send.Deadline, process_clock::now() + ConnectTimeout)))
     co_return makeResult(attempt_end::NotSent);
-  if (CallerDisconnected || !Commands.empty())
+  // Connecting may take a second, in which the target may have begun to drain.
+  if (CallerDisconnected || !Commands.empty() ||
+      !Environment.AcceptsWork(Send.Target))
     co_return makeResult(attempt_end::NotSent);
   attempt_metadata Facts;
   Facts.Target = Send.Target;
@@ -164,12 +172,12 @@
       co_return makeResult(attempt_end::Unknown);
     const auto Facts = Environment.Hooks->ParseResponseHead(*Head, Call.Id);
     if (Facts.CallIdDiffers) {
-      std::string DiscardedBody;
+      std::string SkippedBody;
       auto ReadResult = net::body_read::Data;
-      while (ReadResult == net::body_read::Data)
-        ReadResult = co_await Connection->readBody(DiscardedBody);
-      if (ReadResult == net::body_read::Broken ||
-          Connection->endsWithConnection())
+      while (ReadResult == net::body_read::Data &&
+             SkippedBody.size() < MaxSkippedBytes)
+        ReadResult = co_await Connection->readBody(SkippedBody);
+      if (ReadResult != net::body_read::End || Connection->endsWithConnection())
         co_return makeResult(attempt_end::Unknown);
       continue;
     }
@@ -255,7 +263,7 @@
   LongestGap = duration::zero();
   for (;;) {
     std::string Bytes;
-    const auto ReadResult = co_await Connection->readBody(Bytes);
+    auto ReadResult = co_await Connection->readBody(Bytes);
     const auto Now = process_clock::now();
     if (!AwaitingFirstOutput)
       LongestGap = std::max(LongestGap, Now - LastReadAt);
@@ -266,6 +274,8 @@
       Environment.Dispatch(first_output{Number});
     if (Send.Resumable) {
       Bytes = Events.feed(Bytes);
+      if (Events.incompleteEvent().size() > MaxEventBytes)
+        ReadResult = net::body_read::Broken;
       // An event without its final empty line is part of the complete body.
       if (ReadResult == net::body_read::End)
         Bytes += Events.incompleteEvent();
--- a/apps/limpetbridge/src/serving/gateway_request.h
+++ b/apps/limpetbridge/src/serving/gateway_request.h
@@ -22,6 +22,8 @@
   const gateway_hooks *Hooks = nullptr;
   std::function<void(serving::gateway_event)> Dispatch;
   std::function<bool()> IsDraining; ///< True: responses close the connection.
+  /// True if new work may be sent to the target.
+  std::function<bool(const target_name &)> AcceptsWork;
 };
 
 /// A request in progress.
--- a/libs/serving/src/event_stream.cpp
+++ b/libs/serving/src/event_stream.cpp
@@ -1,17 +1,20 @@
 #include "serving/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace limpetbridge::serving {
 
 namespace {
 
 /// Length of the first event in \p Text with its empty line; 0 if incomplete.
-auto eventLength(std::string_view Text) -> std::size_t {
-  const auto Lf = Text.find("\n\n");
-  const auto Crlf = Text.find("\r\n\r\n");
+/// \param Start the empty line does not begin before it.
+auto eventLength(std::string_view Text, std::size_t Start) -> std::size_t {
+  const auto Lf = Text.find("\n\n", Start);
+  const auto Crlf = Text.find("\r\n\r\n", Start);
   if (Lf == std::string_view::npos && Crlf == std::string_view::npos)
     return 0;
   constexpr std::size_t LfEnd = 2;
@@ -48,12 +51,15 @@
 } // namespace
 
 auto event_stream::feed(std::string_view Bytes) -> std::string {
+  // The part before was searched already; an empty line may span the two.
+  constexpr std::size_t LongestOverlap = 3;
+  auto SearchFrom = Pending.size() - std::min(Pending.size(), LongestOverlap);
   Pending += Bytes;
   std::string Complete;
   std::size_t Start = 0;
   for (;;) {
     const auto Unread = std::string_view(Pending).substr(Start);
-    const auto Length = eventLength(Unread);
+    const auto Length = eventLength(Unread, std::exchange(SearchFrom, 0));
     if (Length == 0)
       break;
     const auto Event = Unread.substr(0, Length);
--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -31,6 +31,15 @@
   UnframedCut,   ///< The same, with a reset.
   ForeignFirst,  ///< A late answer to another request comes before its own.
   Encoded,       ///< Claims a content encoding.
+  // Answers that never end, until the peer closes the connection:
+  EndlessHead,      ///< Header fields.
+  EndlessInterim,   ///< Informational heads.
+  EndlessBody,      ///< A chunked body.
+  EndlessForeign,   ///< The same of an answer to another request.
+  EndlessExtension, ///< The extension of a chunk.
+  EndlessTrailer,   ///< The trailer after the last chunk.
+  EndlessEvent,     ///< An event without its final empty line.
+  Stalled,          ///< Comment lines now and then, and no further event.
 };
 
 /// One request or order as the worker saw it.
@@ -56,6 +65,8 @@
   std::set<std::string> Models;
   std::vector<std::shared_ptr<seen_request>> Requests;
   std::vector<nlohmann::json> Orders;
+  std::size_t EndlessBytes = 0; ///< Written by the endless behaviours.
+  int OpenRequests = 0;         ///< Requests in progress.
 
 private:
   auto serve(std::shared_ptr<net::caller_connection> Connection)
@@ -66,6 +77,12 @@
            std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
   auto stream(std::shared_ptr<net::caller_connection> Connection,
               std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
+  /// Writes \p Start, and then \p Part until the peer closes.
+  auto writeEndlessly(std::shared_ptr<net::caller_connection> Connection,
+                      std::string Start, std::string Part, duration Gap)
+      -> net::awaitable<bool>;
+  auto runEndless(std::shared_ptr<net::caller_connection> Connection,
+                  const net::http_request &Request) -> net::awaitable<bool>;
   auto takeOrder(const net::http_request &Request) -> net::http_response;
   [[nodiscard]] auto report() const -> nlohmann::json;
   [[nodiscard]] auto signedHead(const net::http_request &Request) const
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -10,6 +10,10 @@
 constexpr int Events = 6;
 constexpr int CutAt = 3;
 constexpr std::uint64_t Born = 1000;
+/// Ends an endless answer that no peer closes, so that a failing test ends.
+constexpr std::size_t MaxEndlessBytes = std::size_t{1} << 30U;
+/// Size of one write of an endless answer.
+constexpr std::size_t EndlessPartBytes = std::size_t{16} * 1024;
 
 auto eventText(int Number) -> std::string {
   return "id: " + std::to_string(Number) + "\ndata: event " +
@@ -103,7 +107,9 @@
   Seen->Request = std::move(Request);
   Requests.push_back(Seen);
   Connection->startDisconnectWatch([Seen] { Seen->ClosedEarly = true; });
+  ++OpenRequests;
   const bool Open = co_await run(Connection, Seen);
+  --OpenRequests;
   Connection->stopDisconnectWatch();
   co_return Open;
 }
@@ -198,10 +204,74 @@
     Answer.Head.Fields.push_back({"Content-Encoding", "gzip"});
     Bytes = serializeResponse(Answer, false);
     break;
+  default:
+    co_return co_await runEndless(Connection, Request);
   }
   co_return co_await Connection->write(std::move(Bytes));
 }
 
+auto worker_emulator::writeEndlessly(
+    std::shared_ptr<net::caller_connection> Connection, std::string Start,
+    std::string Part, duration Gap) -> awaitable<bool> {
+  bool Written = co_await Connection->write(std::move(Start));
+  while (Written && EndlessBytes < MaxEndlessBytes) {
+    EndlessBytes += Part.size();
+    std::string Bytes = Part;
+    Written = co_await Connection->write(std::move(Bytes));
+    if (Gap > duration::zero())
+      co_await net::sleepFor(Gap);
+  }
+  Connection->abort();
+  co_return false;
+}
+
+auto worker_emulator::runEndless(
+    std::shared_ptr<net::caller_connection> Connection,
+    const net::http_request &Request) -> awaitable<bool> {
+  auto Head = signedHead(Request);
+  if (Behaviour == behaviour::EndlessForeign)
+    Head.Fields[0].Value = "another";
+  Head.Fields.push_back({"Content-Type", "text/event-stream"});
+  if (Behaviour != behaviour::EndlessHead)
+    Head.Fields.push_back({"Transfer-Encoding", "chunked"});
+  auto Start = serializeResponseHead(Head);
+  const std::string Filler(EndlessPartBytes, 'x');
+  auto Part = Filler;
+  auto Gap = duration::zero();
+  switch (Behaviour) {
+  case behaviour::EndlessHead:
+    Part = "X-Field: " + Filler + "\r\n";
+    break;
+  case behaviour::EndlessInterim:
+    Start.clear();
+    Part = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    break;
+  case behaviour::EndlessBody:
+  case behaviour::EndlessForeign:
+    Start += "\r\n";
+    Part = net::serializeChunk(Filler);
+    break;
+  case behaviour::EndlessExtension:
+    Start += "\r\n5;a=";
+    break;
+  case behaviour::EndlessTrailer:
+    Start += "\r\n0\r\n";
+    Part = "X-Field: " + Filler + "\r\n";
+    break;
+  case behaviour::EndlessEvent:
+    Start += "\r\n" + net::serializeChunk("id: 1\ndata: ");
+    Part = net::serializeChunk(Filler);
+    break;
+  default: // Stalled
+    Start += "\r\n" + net::serializeChunk(eventText(1));
+    Part = net::serializeChunk(":\n");
+    Gap = milliseconds(50);
+    break;
+  }
+  co_return co_await writeEndlessly(Connection, std::move(Start),
+                                    std::move(Part), Gap);
+}
+
 auto worker_emulator::stream(std::shared_ptr<net::caller_connection> Connection,
                              std::shared_ptr<seen_request> Seen)
     -> awaitable<bool> {
--- /dev/null
+++ b/testing/emulator/tests/containment_test.cpp
@@ -0,0 +1,165 @@
+#include "fleet_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <stdexcept>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::emulator;
+
+/// Messages and errors that must end at most the request that they belong to.
+class containment_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(containment_test);
+  CPPUNIT_TEST(datagram_deeplyNested_isRefused);
+  CPPUNIT_TEST(datagram_anyBytes_processGoesOn);
+  CPPUNIT_TEST(peerCall_deeplyNested_isRefused);
+  CPPUNIT_TEST(controllerDatagram_deeplyNested_isRefused);
+  CPPUNIT_TEST(attempt_unexpectedError_endsOnlyItsRequest);
+  CPPUNIT_TEST(event_unexpectedError_endsOnlyItsRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto setUp() -> void override {
+    Fleet = std::make_unique<fleet>();
+    Fleet->publishConfiguration();
+    Fleet->addWorker("w1", "ledger");
+  }
+
+  auto tearDown() -> void override { Fleet.reset(); }
+
+  auto datagram_deeplyNested_isRefused() -> void {
+    start();
+    sendDatagram(Fleet->Gateway->peersAddress(), nested());
+    CPPUNIT_ASSERT(eventually([&] {
+      return Fleet->metric("messages_unreadable{kind=\"datagram\"}") == 1;
+    }));
+    checkServing();
+  }
+
+  auto datagram_anyBytes_processGoesOn() -> void {
+    start();
+    std::uint32_t Random = 20261204;
+    for (int I = 0; I < 2000; ++I) {
+      std::string Bytes(I % 97, '\0');
+      for (auto &Byte : Bytes) {
+        Random = Random * 1664525U + 1013904223U;
+        Byte = static_cast<char>(Random >> 24U);
+      }
+      sendDatagram(Fleet->Gateway->peersAddress(), Bytes);
+    }
+    checkServing();
+  }
+
+  auto peerCall_deeplyNested_isRefused() -> void {
+    start();
+    const net::asio::any_io_executor Executor =
+        Fleet->Outside.Context.get_executor();
+    net::http_request Request;
+    Request.Method = "POST";
+    Request.Target = "/knowledge";
+    Request.Fields.push_back({"Host", "h"});
+    Request.Body = nested();
+    const auto Address = Fleet->Gateway->peersAddress();
+    const auto Answer =
+        Fleet->Outside.await<std::optional<net::http_response>>([&] {
+          return net::fetch(Executor, Address, Request,
+                            process_clock::now() + seconds(2));
+        });
+    CPPUNIT_ASSERT(Answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{400}, Answer->Head.Status);
+    checkServing();
+  }
+
+  auto controllerDatagram_deeplyNested_isRefused() -> void {
+    auto &Engine = Fleet->addWorker("e1", "models");
+    Fleet->Outside.call([&] { return Engine.Behaviour = behaviour::Stream; });
+    Fleet->startController("e1");
+    start();
+    sendDatagram(Fleet->Controller->linkAddress(), nested());
+    CPPUNIT_ASSERT(eventually([&] {
+      return Fleet
+                 ->send("/chat/x", "prompt",
+                        {{"X-Limpetbridge-Model", "b"},
+                         {"X-Limpetbridge-Token-Usage", "100,20"}})
+                 .Body == wholeStream();
+    }));
+  }
+
+  auto attempt_unexpectedError_endsOnlyItsRequest() -> void {
+    const auto Failing = std::make_shared<std::atomic<bool>>(false);
+    Fleet->ChangeHooks = [Failing](gateway_hooks &Hooks) {
+      Hooks.ParseResponseHead = [Failing, Inner = Hooks.ParseResponseHead](
+                                    const net::response_head &Head,
+                                    const std::string &Id) {
+        if (*Failing)
+          throw std::runtime_error("unexpected");
+        return Inner(Head, Id);
+      };
+    };
+    start();
+    *Failing = true;
+    // The target has run it, so nothing may say that it has not.
+    const auto Status = Fleet->send("/pay/x", "b").Head.Status;
+    CPPUNIT_ASSERT(Status == 0 || Status == 502);
+    *Failing = false;
+    checkServing();
+    CPPUNIT_ASSERT(
+        eventually([&] { return Fleet->metric("requests_in_progress") == 0; }));
+  }
+
+  auto event_unexpectedError_endsOnlyItsRequest() -> void {
+    const auto Failing = std::make_shared<std::atomic<bool>>(false);
+    Fleet->ChangeHooks = [Failing](gateway_hooks &Hooks) {
+      Hooks.ParseCall =
+          [Failing, Inner = Hooks.ParseCall](const net::http_request &Request,
+                                             time_point Arrived) {
+            if (*Failing)
+              throw std::runtime_error("unexpected");
+            return Inner(Request, Arrived);
+          };
+    };
+    start();
+    *Failing = true;
+    const auto Status = Fleet->send("/pay/x", "b").Head.Status;
+    CPPUNIT_ASSERT(Status == 0 || Status >= 500);
+    *Failing = false;
+    checkServing();
+  }
+
+private:
+  auto start() -> void {
+    Fleet->startGateway();
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    usleep(100'000);
+  }
+
+  auto checkServing() -> void {
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                         Fleet->send("/read/x").Head.Status);
+  }
+
+  /// Arrays within arrays, as many as a datagram holds.
+  static auto nested() -> std::string {
+    constexpr std::size_t Depth = 59'000;
+    constexpr char ArrayOfOne = '\x91';
+    constexpr char Nil = '\xc0';
+    return std::string(Depth, ArrayOfOne) + Nil;
+  }
+
+  static auto sendDatagram(const std::string &Address, const std::string &Bytes)
+      -> void {
+    net::asio::io_context Context;
+    net::udp::socket Socket(Context, net::udp::v4());
+    Socket.send_to(net::asio::buffer(Bytes),
+                   *net::parseEndpoint<net::udp>(Address));
+  }
+
+  std::unique_ptr<fleet> Fleet;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(containment_test);
+
+} // namespace
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -21,6 +21,8 @@
   "attempts":2,"sticky":true,"resumable":true},
  {"name":"pay","host":"h","prefix":"/pay/","kind":"non_idempotent",
   "timeout_ms":600,"priority":2,"service":"ledger","attempts":2},
+ {"name":"slow","host":"h","prefix":"/slow/","kind":"non_idempotent",
+  "timeout_ms":4000,"priority":2,"service":"ledger","attempts":2},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent",
   "timeout_ms":600,"priority":2,"service":"ledger","attempts":2}],
  "services":[{"name":"ledger"},{"name":"models","inference_engine":{
@@ -105,8 +107,9 @@
 auto fleet::startGateway() -> void {
   auto Settings = makeSettings(Store->address(), "gateway");
   Settings.File = SettingsFile;
-  Gateway = std::make_unique<gateway_node>(Settings,
-                                           adapter::makeGatewayHooks(Settings));
+  auto Hooks = adapter::makeGatewayHooks(Settings);
+  ChangeHooks(Hooks);
+  Gateway = std::make_unique<gateway_node>(Settings, std::move(Hooks));
   GatewayThread = std::make_unique<thread>("gateway", LoopStackBytes,
                                            [this] { Gateway->run(); });
 }
@@ -167,6 +170,15 @@
   return false;
 }
 
+auto fleet::metric(const std::string &Name) -> std::int64_t {
+  const auto Page = get(Gateway->metricsAddress(), "/metrics");
+  const auto Start =
+      Page ? ("\n" + Page->Body).find("\n" + Name + " ") : std::string::npos;
+  if (Start == std::string::npos)
+    return -1;
+  return std::atoll(Page->Body.c_str() + Start + Name.size());
+}
+
 auto fleet::makeRequest(const std::string &Path, const std::string &Body,
                         net::header_fields More) -> net::http_request {
   net::http_request Request;
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -12,6 +12,8 @@
 #include "gateway_node.h"
 #include "net/target_connection.h"
 
+#include <unistd.h>
+
 #include <functional>
 #include <future>
 #include <memory>
@@ -23,6 +25,19 @@
 /// Longest wait for anything that must happen.
 inline constexpr duration Patience = seconds(8);
 
+/// Waits until \p Holds returns true.
+/// \returns false if it does not within \p Span.
+inline auto eventually(const std::function<bool()> &Holds,
+                       duration Span = Patience) -> bool {
+  const auto Deadline = process_clock::now() + Span;
+  while (process_clock::now() < Deadline) {
+    if (Holds())
+      return true;
+    usleep(10'000);
+  }
+  return false;
+}
+
 /// Runs an io_context in a thread for as long as it lives.
 class emulator_thread {
 public:
@@ -88,6 +103,8 @@
   auto writeSettings(const std::string &Text) -> void;
   /// Waits until the gateway is ready.
   auto awaitReady() -> bool;
+  /// Value of a line of the gateway's metrics; below 0 if there is none.
+  [[nodiscard]] auto metric(const std::string &Name) -> std::int64_t;
   [[nodiscard]] auto isReady() -> bool;
   /// Reads a page of one of the processes.
   auto get(const std::string &Address, const std::string &Path)
@@ -107,6 +124,9 @@
   /// Sends a request and closes after \p Wait without reading.
   auto sendAndLeave(const std::string &Path, duration Wait) -> void;
 
+  /// Changes the hooks of the gateways that are started from then on.
+  std::function<void(gateway_hooks &)> ChangeHooks = [](gateway_hooks &) {};
+
   emulator_thread Outside;
   std::unique_ptr<store_emulator> Store;
   std::map<std::string, std::unique_ptr<worker_emulator>> Workers;
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(start_storeDown_servesWhenItIsBack);
   CPPUNIT_TEST(start_storeTurnsAway_servesByWhatAnotherGatewayKnows);
   CPPUNIT_TEST(drain_leavingWorker_getsNoMore);
+  CPPUNIT_TEST(drain_whileConnecting_requestGoesElsewhere);
   CPPUNIT_TEST(settings_changedFile_isTakenOver);
   CPPUNIT_TEST(metrics_afterRequests_countThem);
   CPPUNIT_TEST_SUITE_END();
@@ -299,6 +300,56 @@
     CPPUNIT_ASSERT(seen(Second).size() >= 5);
   }
 
+  auto drain_whileConnecting_requestGoesElsewhere() -> void {
+    // A target whose backlog is full: the opening packet of the next connection
+    // is lost and sent again after a second.
+    net::asio::io_context Context;
+    net::tcp::acceptor Full(Context, net::tcp::endpoint(net::tcp::v4(), 0));
+    Full.listen(0);
+    const net::tcp::endpoint Endpoint(net::asio::ip::address_v4::loopback(),
+                                      Full.local_endpoint().port());
+    std::vector<net::tcp::socket> Fillers;
+    for (int I = 0; I < 4; ++I) {
+      Fillers.emplace_back(Context);
+      Fillers.back().async_connect(Endpoint, [](net::error_code) {});
+    }
+    Context.run_for(milliseconds(50));
+    const auto Publish = [&](const char *State) {
+      auto Row = nlohmann::json::parse(First->row());
+      Row["address"] = "127.0.0.1:" + std::to_string(Endpoint.port());
+      Row["state"] = State;
+      Fleet->Outside.call([&] {
+        Fleet->Store->put("servers", "w1", Row.dump());
+        return 0;
+      });
+    };
+    Publish("ready");
+    start();
+    auto Sending = std::async(std::launch::async,
+                              [&] { return Fleet->send("/slow/x", "b"); });
+    usleep(100'000);
+    auto &Second = Fleet->addWorker("w2", "ledger");
+    Publish("draining");
+    usleep(500'000);
+    // Room in the backlog: the connection is established at the next try.
+    std::vector<net::tcp::socket> Accepted;
+    Full.non_blocking(true);
+    const auto Deadline = process_clock::now() + seconds(2);
+    while (process_clock::now() < Deadline) {
+      net::error_code Error;
+      net::tcp::socket Socket(Context);
+      Full.accept(Socket, Error);
+      if (!Error)
+        Accepted.push_back(std::move(Socket));
+      usleep(5000);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200}, Sending.get().Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen(Second).size());
+    CPPUNIT_ASSERT(!Accepted.empty());
+    for (auto &Socket : Accepted)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Socket.available());
+  }
+
   auto settings_changedFile_isTakenOver() -> void {
     start();
     const auto Reloads = [&] {
@@ -309,6 +360,10 @@
     };
     Fleet->writeSettings("[retry]\nextra = many\n");
     CPPUNIT_ASSERT(!eventually(Reloads, seconds(3)));
+    Fleet->writeSettings("[retry]\nextra = 7");
+    CPPUNIT_ASSERT(!eventually(Reloads, seconds(3)));
+    Fleet->writeSettings("");
+    CPPUNIT_ASSERT(!eventually(Reloads, seconds(3)));
     Fleet->writeSettings("[retry]\nextra = 77\n");
     CPPUNIT_ASSERT(eventually(Reloads));
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
@@ -369,17 +424,6 @@
     Fleet->Outside.call([&] { return Fleet->Store->Faults.Down = Down; });
   }
 
-  static auto eventually(const std::function<bool()> &Holds,
-                         duration Span = Patience) -> bool {
-    const auto Until = process_clock::now() + Span;
-    while (process_clock::now() < Until) {
-      if (Holds())
-        return true;
-      usleep(10'000);
-    }
-    return false;
-  }
-
   std::unique_ptr<fleet> Fleet;
   worker_emulator *First = nullptr;
 };
--- /dev/null
+++ b/testing/emulator/tests/planned_stop_test.cpp
@@ -0,0 +1,140 @@
+#include "fleet_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <thread>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::emulator;
+
+const std::string PlainRequest =
+    "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Limpetbridge-Attempt-Id: 9\r\n\r\n";
+
+/// A caller's connection with blocking reads and writes.
+class caller_socket {
+public:
+  explicit caller_socket(const std::string &Address) : Socket(Context) {
+    Socket.connect(*net::parseEndpoint<net::tcp>(Address), Error);
+    const timeval Limit{toMilliseconds(Patience) / 1000, 0};
+    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+               sizeof(Limit));
+  }
+
+  [[nodiscard]] auto isConnected() const -> bool { return !Error; }
+
+  auto write(const std::string &Bytes) -> void {
+    net::error_code Ignored; // The answer shows whether it arrived.
+    net::asio::write(Socket, net::asio::buffer(Bytes), Ignored);
+  }
+
+  /// Reads until \p End was received or the connection closes.
+  auto readUntil(const std::string &End) -> std::string {
+    std::string Text;
+    std::array<char, 4096> Part{};
+    while (Text.find(End) == std::string::npos) {
+      const auto Count =
+          recv(Socket.native_handle(), Part.data(), Part.size(), 0);
+      if (Count <= 0)
+        break;
+      Text.append(Part.data(), static_cast<std::size_t>(Count));
+    }
+    return Text;
+  }
+
+private:
+  net::asio::io_context Context;
+  net::tcp::socket Socket;
+  net::error_code Error;
+};
+
+/// A gateway that stops while callers still send.
+class planned_stop_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(planned_stop_test);
+  CPPUNIT_TEST(stop_connectionsJustAccepted_getAnswers);
+  CPPUNIT_TEST(stop_streamBegunBefore_nextRequestOnItsConnectionIsAnswered);
+  CPPUNIT_TEST(stop_idleConnection_isClosedAndTheProcessEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto setUp() -> void override {
+    Fleet = std::make_unique<fleet>();
+    Fleet->publishConfiguration();
+    Fleet->addWorker("w1", "ledger");
+    Engine = &Fleet->addWorker("e1", "models");
+    Fleet->Outside.call([&] {
+      Engine->Behaviour = behaviour::Stream;
+      return Engine->Models.insert("a").second;
+    });
+    Fleet->publish("e1");
+    Fleet->startGateway();
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    usleep(100'000);
+  }
+
+  auto tearDown() -> void override { Fleet.reset(); }
+
+  auto stop_connectionsJustAccepted_getAnswers() -> void {
+    // The gateway stops accepting 50 ms after the signal; connections are
+    // opened around that moment and send their request a little later.
+    const auto Address = Fleet->Gateway->callerAddress();
+    std::vector<std::unique_ptr<caller_socket>> Callers;
+    Fleet->Gateway->requestStop();
+    for (int I = 0; I < 70; ++I) {
+      auto Caller = std::make_unique<caller_socket>(Address);
+      if (Caller->isConnected())
+        Callers.push_back(std::move(Caller));
+      usleep(1000);
+    }
+    usleep(80'000);
+    CPPUNIT_ASSERT(Callers.size() >= 20);
+    for (const auto &Caller : Callers)
+      Caller->write(PlainRequest);
+    std::string Unanswered;
+    for (std::size_t I = 0; I < Callers.size(); ++I)
+      if (!Callers[I]->readUntil("GET /read/x ").starts_with("HTTP/1.1 200"))
+        Unanswered += " " + std::to_string(I);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Unanswered);
+  }
+
+  auto stop_streamBegunBefore_nextRequestOnItsConnectionIsAnswered() -> void {
+    Fleet->Outside.call([&] { return Engine->EventGapMs = 60; });
+    caller_socket Caller(Fleet->Gateway->callerAddress());
+    Caller.write("POST /chat/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                 "X-Limpetbridge-Attempt-Id: 7\r\nX-Limpetbridge-Model: a\r\n"
+                 "X-Limpetbridge-Token-Usage: 100,20\r\n\r\nx");
+    const auto Head = Caller.readUntil("id: 1\n");
+    CPPUNIT_ASSERT(Head.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Head.find("Connection: close") == std::string::npos);
+    Fleet->Gateway->requestStop();
+    const auto Rest = Caller.readUntil("0\r\n\r\n");
+    CPPUNIT_ASSERT(Rest.ends_with("0\r\n\r\n"));
+    // The head of the stream said that the connection stays open.
+    Caller.write(PlainRequest);
+    const auto Next = Caller.readUntil("GET /read/x ");
+    CPPUNIT_ASSERT(Next.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(Next.find("Connection: close") != std::string::npos);
+  }
+
+  auto stop_idleConnection_isClosedAndTheProcessEnds() -> void {
+    caller_socket Used(Fleet->Gateway->callerAddress());
+    Used.write(PlainRequest);
+    CPPUNIT_ASSERT(Used.readUntil("GET /read/x ").starts_with("HTTP/1.1 200"));
+    caller_socket Unused(Fleet->Gateway->callerAddress());
+    const auto Began = process_clock::now();
+    Fleet->Gateway->requestStop();
+    CPPUNIT_ASSERT_EQUAL(std::string(), Used.readUntil("HTTP"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Unused.readUntil("HTTP"));
+    CPPUNIT_ASSERT(process_clock::now() - Began < seconds(3));
+  }
+
+private:
+  std::unique_ptr<fleet> Fleet;
+  worker_emulator *Engine = nullptr;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(planned_stop_test);
+
+} // namespace
--- a/testing/main/test_main.cpp
+++ b/testing/main/test_main.cpp
@@ -7,9 +7,12 @@
 
 #include <iostream>
 
-auto main() -> int {
+/// With an argument, only the suite or test of that name runs, for example
+/// `(anonymous namespace)::exchange_test`.
+auto main(int Count, char **Arguments) -> int {
   CppUnit::TextUi::TestRunner Runner;
-  Runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  auto *All = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+  Runner.addTest(Count > 1 ? All->findTest(Arguments[1]) : All);
   Runner.setOutputter(
       new CppUnit::CompilerOutputter(&Runner.result(), std::cerr));
   return Runner.run() ? 0 : 1;
