Serving: slots of the engines count in placing and picking

Cause: at the engraving desk requests have short prompts and long outputs, so the engines' 24 slots fill long before their prefill time does. Change: gateways learn the time that an output token holds a slot; the work of a request is its prefill or, if more, its share of the slots. Load is counted by rank, and the wait for a slot decides between targets.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -239,7 +239,7 @@
   for (const auto &[Name, Entry] : State.Book.all()) {
     const auto Label = "{target=\"" + Name.Text + "\"}";
     const auto Load = Entry.load();
-    Metrics.set("target_active" + Label, Load.Active);
+    Metrics.set("target_active" + Label, Load.activeCount());
     Metrics.set("target_pending_ms" + Label,
                 static_cast<std::int64_t>(Load.pendingMs(RankCount - 1)));
     if (Entry.ReportedAt != time_point())
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -76,7 +76,7 @@
   for (const auto &Item : Object.at("l"))
     Digest.Loads[target_name(Item.at(0).get<std::string>())] = {
         Item.at(1).get<std::array<double, RankCount>>(),
-        Item.at(2).get<std::uint32_t>()};
+        Item.at(2).get<std::array<std::uint32_t, RankCount>>()};
   for (const auto &Item : Object.at("d"))
     Digest.Demand[model_name(Item.at(0).get<std::string>())] = {
         Item.at(1).get<double>(), Item.at(2).get<double>()};
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -64,6 +64,9 @@
   demand Demand;
   /// Moving average of the observed prefill time per token, by model, ms.
   std::map<model_name, double> PrefillMsPerToken;
+  /// Moving average of the observed time in a slot per requested output token,
+  /// by model, ms.
+  std::map<model_name, double> DecodeMsPerToken;
   std::map<service_name, retry_budget> RetryBudgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -30,9 +30,18 @@
   bool NeedsAdapter = false; ///< The adapter must be loaded first.
   double PrefillMs = 0;      ///< Prefill of what is not in its cache.
   double ExpectedMs = 0;     ///< Time to the first output.
-  double CostMs = 0; ///< ExpectedMs plus delays of others and penalties.
+  /// ExpectedMs plus the wait for a slot, delays of others, and penalties.
+  double CostMs = 0;
 };
 
+/// Wait for a slot at \p Entry, ms, while requests of the same rank and of more
+/// urgent ones hold all of them: for bursts and shifted demand on engines whose
+/// slots fill before their prefill time does. It decides between targets and
+/// does not count as expected time: an urgent request may take the slot of
+/// another one, and a late answer is better than a refusal.
+[[nodiscard]] auto slotWaitMs(const target_entry &Entry,
+                              const pick_request &Request) -> double;
+
 /// Expected time to the first output at \p Entry, ms.
 [[nodiscard]] auto expectedMs(const target_entry &Entry,
                               const pick_request &Request, double PrefillMs)
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -28,7 +28,8 @@
 struct target_load {
   /// Expected time of the outstanding prefills, by rank, ms.
   std::array<double, RankCount> PendingMs{};
-  std::uint32_t Active = 0; ///< Requests in progress.
+  /// Requests in progress, by rank.
+  std::array<std::uint32_t, RankCount> Active{};
 
   auto operator+=(const target_load &Other) -> target_load &;
   /// Subtracts a load that was added before; the result is never negative.
@@ -36,6 +37,9 @@
   /// Expected time of the outstanding prefills of \p Rank and of more urgent
   /// ranks, ms.
   [[nodiscard]] auto pendingMs(std::size_t Rank) const -> double;
+  /// Requests in progress of \p Rank and of more urgent ranks.
+  [[nodiscard]] auto activeCount(std::size_t Rank = RankCount - 1) const
+      -> std::uint32_t;
 };
 
 /// A requested change of the models of a target.
@@ -56,6 +60,9 @@
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
   /// Moving average of observed over expected time to the first output.
   double Slowness = 1;
+  /// Moving average of the time that a request holds its slot after its first
+  /// output, ms; 0 until one was observed.
+  double DecodeMs = 0;
   /// When models were first seen loaded.
   std::map<model_name, time_point> LoadedAt;
   /// Last use of adapters by any gateway, as far as this one knows.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -74,6 +74,11 @@
 auto prefillMsPerToken(const gateway_state &State, const model_name &Model)
     -> double;
 
+/// Expected time of a target that \p Prompt takes at \p Service, ms: its
+/// prefill or, if more, its share of the slots for as long as it holds one.
+auto expectedWorkMs(const gateway_state &State, const service_name &Service,
+                    const prompt &Prompt) -> double;
+
 /// Number of known gateways, including this one.
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -51,6 +51,20 @@
                                                 : Found->second;
 }
 
+auto expectedWorkMs(const gateway_state &State, const service_name &Service,
+                    const prompt &Prompt) -> double {
+  const double PrefillMs =
+      prefillMsPerToken(State, Prompt.Model) * Prompt.InputTokens;
+  const auto Spec = State.Configuration.Services.find(Service);
+  const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
+  if (Spec == State.Configuration.Services.end() ||
+      Spec->second.Engine.Slots == 0 ||
+      PerToken == State.DecodeMsPerToken.end())
+    return PrefillMs;
+  const double SlotMs = PrefillMs + PerToken->second * Prompt.MaxOutputTokens;
+  return std::max(PrefillMs, SlotMs / Spec->second.Engine.Slots);
+}
+
 auto addLogEntry(const gateway_step &Step, log_level Level, std::string Event,
                  std::vector<std::pair<std::string, std::string>> Fields)
     -> void {
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -252,7 +252,7 @@
   Digest.Configuration = State.Configuration.Version;
   Digest.StoreReachable = State.StoreReachable;
   for (const auto &[Name, Entry] : State.Book.all())
-    if (Entry.OwnLoad.Active > 0)
+    if (Entry.OwnLoad.activeCount() > 0)
       Digest.Loads[Name] = Entry.OwnLoad;
   Digest.Demand = State.Demand.ownRates(Step.Now);
   Digest.Prefixes = std::exchange(State.UnsentPrefixes, {});
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -265,6 +265,26 @@
   }
 }
 
+/// Updates the averages of the time that requests hold a slot.
+auto recordDecodeTime(const gateway_step &Step, const request_state &Request)
+    -> void {
+  const auto Tokens = Request.Call.Prompt.MaxOutputTokens;
+  if (!Request.Call.HasPrompt || Tokens == 0 || Request.FirstOutputMs < 0)
+    return;
+  const auto FirstOutputAt =
+      Request.SentAt + milliseconds(Request.FirstOutputMs);
+  const double DecodeMs =
+      std::chrono::duration<double, std::milli>(Step.Now - FirstOutputAt)
+          .count();
+  const auto Update = [](double &Average, double Value) {
+    Average += Average > 0 ? ObservationWeight * (Value - Average) : Value;
+  };
+  Update(Step.State.DecodeMsPerToken[Request.Call.Prompt.Model],
+         DecodeMs / Tokens);
+  if (auto *Entry = Step.State.Book.find(Request.CurrentTarget))
+    Update(Entry->DecodeMs, DecodeMs);
+}
+
 /// True if \p End counts as a failure of the target.
 auto isFailure(attempt_end End) -> bool {
   return End == attempt_end::NotSent || End == attempt_end::Failed ||
@@ -301,8 +321,7 @@
     const auto &Prompt = Event.Call.Prompt;
     Request.PrefixKeys = prefixKeys(Prompt);
     State.Demand.recordRequest(
-        Prompt.Model,
-        prefillMsPerToken(State, Prompt.Model) * Prompt.InputTokens, Step.Now);
+        Prompt.Model, expectedWorkMs(State, Request.Service, Prompt), Step.Now);
   }
   State.RetryBudgets[Request.Service].recordRequest(Step.Now);
   Step.Effects.push_back(set_deadline{Event.Number, Request.Deadline});
@@ -340,6 +359,8 @@
     return;
   auto &Request = Found->second;
   applyAttemptOutcome(Step, Request, Event);
+  if (Event.End == attempt_end::Answered)
+    recordDecodeTime(Step, Request);
   const auto Target = Request.CurrentTarget;
   releaseTarget(Step, Request, isFailure(Event.End));
   addLogEntry(
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -8,6 +8,8 @@
 
 /// Delay of the first output by each request in the batch, ms.
 constexpr double MsPerActive = 0.5;
+/// Cost of taking the slot of a less urgent request, whose work is lost, ms.
+constexpr double PreemptionMs = 100;
 /// Wait of a request without a prompt for each request in progress, ms.
 constexpr double PlainMsPerActive = 12;
 /// Round trip to another data centre plus a charge for its traffic, ms.
@@ -28,6 +30,15 @@
 
 } // namespace
 
+auto slotWaitMs(const target_entry &Entry, const pick_request &Request)
+    -> double {
+  const auto Slots = Entry.Target.Slots;
+  const auto Ahead = Entry.load().activeCount(Request.Rank);
+  if (Request.Prompt == nullptr || Slots == 0 || Ahead < Slots)
+    return 0;
+  return (Ahead - Slots + 1) * Entry.DecodeMs / Slots;
+}
+
 auto expectedMs(const target_entry &Entry, const pick_request &Request,
                 double PrefillMs) -> double {
   const auto Load = Entry.load();
@@ -35,9 +46,9 @@
   if (Request.Prompt != nullptr) {
     Expected += std::max(Entry.Slowness, 1.0) *
                     (Load.pendingMs(Request.Rank) + PrefillMs) +
-                MsPerActive * Load.Active;
+                MsPerActive * Load.activeCount();
   } else {
-    Expected += PlainMsPerActive * Load.Active;
+    Expected += PlainMsPerActive * Load.activeCount();
   }
   if (Entry.Target.DataCentre != Request.DataCentre)
     Expected += OtherDataCentreMs;
@@ -49,9 +60,13 @@
   if (Request.Prompt == nullptr)
     return 0;
   const auto Load = Entry.load();
-  return StreamDelay * Load.Active * PrefillMs +
+  const auto Slots = Entry.Target.Slots;
+  const bool Preempts = Slots > 0 && Load.activeCount() >= Slots &&
+                        Load.activeCount(Request.Rank) < Slots;
+  return StreamDelay * Load.activeCount() * PrefillMs +
          LessUrgentDelay *
-             (Load.pendingMs(RankCount - 1) - Load.pendingMs(Request.Rank));
+             (Load.pendingMs(RankCount - 1) - Load.pendingMs(Request.Rank)) +
+         (Preempts ? PreemptionMs : 0);
 }
 
 auto pickTarget(const target_book &Book, const pick_request &Request)
@@ -82,7 +97,7 @@
                               std::min(Prompt.InputTokens, Cached));
     }
     Candidate.ExpectedMs += expectedMs(Entry, Request, Candidate.PrefillMs);
-    Candidate.CostMs = Candidate.ExpectedMs +
+    Candidate.CostMs = Candidate.ExpectedMs + slotWaitMs(Entry, Request) +
                        interferenceMs(Entry, Request, Candidate.PrefillMs) +
                        (Request.Now < Entry.AvoidUntil ? BackoffPenaltyMs : 0);
     if (!Best || Candidate.CostMs < Best->CostMs)
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -175,7 +175,8 @@
     double FreeMb = Engine.WeightsMb;
     for (const auto &[LoadedName, Loaded] : Target.Holdings.Models)
       FreeMb -= weightsMb(Engine, LoadedName, Loaded);
-    double Cost = Plan.LoadMs + ActiveRequestCostMs * Entry.load().Active;
+    double Cost =
+        Plan.LoadMs + ActiveRequestCostMs * Entry.load().activeCount();
     for (const auto &Victim :
          evictionCandidates(Entry, Book, Engine, Demand, Now)) {
       if (FreeMb >= Spec->second.WeightsMb)
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -40,17 +40,26 @@
   return Sum;
 }
 
+auto target_load::activeCount(std::size_t Rank) const -> std::uint32_t {
+  std::uint32_t Sum = 0;
+  for (std::size_t I = 0; I <= Rank; ++I)
+    Sum += Active[I];
+  return Sum;
+}
+
 auto target_load::operator+=(const target_load &Other) -> target_load & {
-  for (std::size_t I = 0; I < RankCount; ++I)
+  for (std::size_t I = 0; I < RankCount; ++I) {
     PendingMs[I] += Other.PendingMs[I];
-  Active += Other.Active;
+    Active[I] += Other.Active[I];
+  }
   return *this;
 }
 
 auto target_load::operator-=(const target_load &Other) -> target_load & {
-  for (std::size_t I = 0; I < RankCount; ++I)
+  for (std::size_t I = 0; I < RankCount; ++I) {
     subtractClamped(PendingMs[I], Other.PendingMs[I]);
-  subtractClamped(Active, Other.Active);
+    subtractClamped(Active[I], Other.Active[I]);
+  }
   return *this;
 }
 
@@ -86,6 +95,7 @@
     Entry.Cache.clear();
     Entry.FailureShare = 0;
     Entry.Slowness = 1;
+    Entry.DecodeMs = 0;
     Entry.AvoidUntil = {};
     Entry.ReportedAt = {};
     Entry.LoadedAt.clear();
@@ -219,7 +229,7 @@
                                     double PrefillMs) -> void {
   if (auto *Entry = find(Name)) {
     Entry->OwnLoad.PendingMs[Rank] += PrefillMs;
-    ++Entry->OwnLoad.Active;
+    ++Entry->OwnLoad.Active[Rank];
   }
 }
 
@@ -235,7 +245,7 @@
   if (Entry == nullptr)
     return;
   subtractClamped(Entry->OwnLoad.PendingMs[Rank], PrefillMs);
-  subtractClamped(Entry->OwnLoad.Active, 1U);
+  subtractClamped(Entry->OwnLoad.Active[Rank], 1U);
   Entry->FailureShare +=
       FailureWeight * ((Failed ? 1.0 : 0.0) - Entry->FailureShare);
 }
--- a/libs/serving/tests/target_book_test.cpp
+++ b/libs/serving/tests/target_book_test.cpp
@@ -31,9 +31,9 @@
     Book.update(makeTarget("a"), 0, {});
     Book.setPeerLoads(instance_name("g2"),
                       {{target_name("a"), {{5, 0, 0}, 3}}});
-    CPPUNIT_ASSERT_EQUAL(3U, Book.find(target_name("a"))->load().Active);
+    CPPUNIT_ASSERT_EQUAL(3U, Book.find(target_name("a"))->load().activeCount());
     Book.setPeerLoads(instance_name("g2"), {});
-    CPPUNIT_ASSERT_EQUAL(0U, Book.find(target_name("a"))->load().Active);
+    CPPUNIT_ASSERT_EQUAL(0U, Book.find(target_name("a"))->load().activeCount());
     CPPUNIT_ASSERT_EQUAL(0.0, Book.find(target_name("a"))->load().pendingMs(2));
   }
 
@@ -49,7 +49,8 @@
             for (const auto &Name : Names)
               if (*rc::gen::arbitrary<bool>()) {
                 auto &Load = Loads[target_name(Name)];
-                Load.Active = *rc::gen::inRange(0U, 9U);
+                for (auto &Count : Load.Active)
+                  Count = *rc::gen::inRange(0U, 9U);
                 Load.PendingMs[1] = *rc::gen::inRange(0, 1000) / 7.0;
               }
             const auto Peer = std::string(1, *rc::gen::inRange('p', 's'));
