Gateways: one of a data centre reads the targets; digests slow with numbers

Cause: each gateway read the targets' table up to three times a second and the configuration once a second, and sent a digest to each other gateway ten times a second. Change: of the gateways of a data centre that have read the targets recently, the one with the highest hash goes on reading; the others ask it when its digest names a newer row, and read themselves if its reads are older than 1.3 s and one interval of the digests. Nobody is appointed: each decides from the digests it has, and one that hears nobody reads. With more than ten gateways the digests of each one are rarer, so that what a gateway receives stays at a hundred a second; a prompt part is named once in a digest.

--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -26,6 +26,8 @@
   std::function<result<std::string>(std::string_view Query)> AnswerQuery;
   /// Merges another gateway's answer. \returns the number of newer rows.
   std::function<result<std::size_t>(std::string_view Answer)> MergeAnswer;
+  /// Version of the newest row of a target that is known.
+  std::function<std::uint64_t()> TargetsVersion;
 };
 
 /// Hooks of the adapter.
@@ -39,10 +41,11 @@
                                          const std::string &CallId)>
       ParseResponseHead;
   /// Writes the record of this instance, then watches configuration, targets
-  /// and instances.
+  /// and instances; the targets only while \p ReadsTargets returns true.
   std::function<knowledge_sync(net::asio::io_context &,
                                serving::instance_record Self,
-                               std::function<void(serving::gateway_event)>)>
+                               std::function<void(serving::gateway_event)>,
+                               std::function<bool()> ReadsTargets)>
       Watch;
 };
 
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -127,7 +127,8 @@
   instance_record Self;
   Self.Name = instance_name(Settings.Name);
   Self.Address = Settings.LinkAddress;
-  KnowledgeSync = Hooks.Watch(Context, Self, Environment.Dispatch);
+  KnowledgeSync = Hooks.Watch(Context, Self, Environment.Dispatch,
+                              [this] { return State.ReadsTargets; });
   const auto Executor = Context.get_executor();
   net::spawn(Executor, runTicks());
   watchSettings(Context, Settings, [this](const node_settings &Changed) {
@@ -234,6 +235,7 @@
               static_cast<std::int64_t>(Connections.size()));
   Metrics.set("configuration_version",
               static_cast<std::int64_t>(State.Configuration.Version));
+  Metrics.set("reads_targets", State.ReadsTargets ? 1 : 0);
   Metrics.set("gateways_heard",
               static_cast<std::int64_t>(State.PeerDigestTimes.size()));
   for (const auto &[Name, Entry] : State.Book.all()) {
@@ -341,7 +343,7 @@
 auto gateway_node::runTicks() -> awaitable<void> {
   for (;;) {
     co_await net::sleepFor(TickInterval);
-    dispatch(tick{});
+    dispatch(tick{KnowledgeSync.TargetsVersion()});
   }
 }
 
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -47,7 +47,10 @@
           {"m", Loading},
           {"u", Adapters},
           {"c", Digest.Configuration},
-          {"s", Digest.StoreReachable}};
+          {"s", Digest.StoreReachable},
+          {"z", Digest.DataCentre.Text},
+          {"ta", Digest.TargetsReadAgeMs},
+          {"tv", Digest.TargetsVersion}};
 }
 
 auto toJson(const greeting &Greeting) -> json {
@@ -92,6 +95,9 @@
   }
   Digest.Configuration = Object.at("c").get<std::uint64_t>();
   Digest.StoreReachable = Object.at("s").get<bool>();
+  Digest.DataCentre = data_centre_name(Object.at("z").get<std::string>());
+  Digest.TargetsReadAgeMs = Object.at("ta").get<std::int64_t>();
+  Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
   for (const auto &Item : Object.at("u"))
     Digest.AdapterUse.emplace(
         target_name(Item.at(0).get<std::string>()),
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -26,6 +26,7 @@
   /// Grace period in which a missing row may return before its target is
   /// removed.
   duration LostGrace = seconds(0);
+  /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
   /// Gateways to query when this one starts while the store is unreachable,
   /// ip:port.
@@ -84,8 +85,7 @@
   std::map<instance_name, std::map<target_name, model_change>> PeerPendingLoads;
   std::map<instance_name, time_point> PeerDigestTimes; ///< Of the last one.
   /// Prompt parts and adapter uses that are not in a digest yet.
-  std::vector<std::tuple<target_name, prefix_key, std::uint32_t>>
-      UnsentPrefixes;
+  std::map<std::pair<target_name, prefix_key>, std::uint32_t> UnsentPrefixes;
   std::set<std::pair<target_name, adapter_key>> UnsentAdapterUse;
   /// Rows that expired while the store was unreachable may return until then.
   time_point RowGraceUntil;
@@ -94,11 +94,21 @@
   struct peer_status {
     std::uint64_t Configuration = 0; ///< Version in force.
     bool StoreReachable = false;
+    data_centre_name DataCentre;
+    /// When it last read the targets from the store; the epoch if it does not
+    /// read them.
+    time_point TargetsReadAt;
+    std::uint64_t TargetsVersion = 0; ///< Newest row that it knows.
   };
   std::map<instance_name, peer_status> PeerStatuses;
   /// Start of the time in which this gateway has no configuration or a peer
   /// has a newer one; NoDeadline if neither is so.
   time_point ConfigurationStaleSince = NoDeadline;
+  /// This gateway reads the targets from the store; the others of its data
+  /// centre get them from it.
+  bool ReadsTargets = true;
+  time_point TargetsReadAt;         ///< Last read of the targets.
+  std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
   time_point NextPeerQuery;
   std::size_t PeerQueryCount = 0; ///< Selects the next peer, round-robin.
   time_point NextDigest;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -143,17 +143,27 @@
   std::map<target_name, model_change> Loading;
   std::uint64_t Configuration = 0; ///< Version in force.
   bool StoreReachable = true;      ///< The sender can read the store.
+  data_centre_name DataCentre;     ///< Of the sender.
+  /// Time since the sender last read the targets from the store, ms; below 0 if
+  /// it does not read them.
+  std::int64_t TargetsReadAgeMs = -1;
+  std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
 };
 
 /// Periodic timer event.
-struct tick {};
+struct tick {
+  std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
+};
+
+/// The targets were read from the store, changed or not.
+struct targets_read {};
 
 using gateway_event =
     std::variant<request_arrived, first_output, attempt_ended, caller_left,
                  deadline_passed, configuration_read, target_updated,
                  target_lost, store_reachability_changed, targets_listed,
                  instances_listed, load_answered, holdings_report,
-                 gateway_digest, tick>;
+                 gateway_digest, targets_read, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -25,9 +25,12 @@
 /// Refuses waiting requests whose deadline for the first output is near.
 auto refuseLateLoadWaits(const gateway_step &Step) -> void;
 
-/// A gateway without a digest for this long counts as dead; digests are sent
-/// ten times a second.
-inline constexpr duration PeerTimeout = milliseconds(1500);
+/// Interval of the digests of one gateway. It grows with the number of
+/// gateways, so that what each one receives does not.
+auto digestInterval(const gateway_state &State) -> duration;
+
+/// A gateway without a digest for this long counts as dead.
+auto peerTimeout(const gateway_state &State) -> duration;
 
 /// Dispatches the requests that wait for \p Model or one of its adapters.
 auto dispatchWaiting(const gateway_step &Step, const model_name &Model) -> void;
@@ -68,6 +71,7 @@
 auto handle(const gateway_step &Step, const instances_listed &Event) -> void;
 auto handle(const gateway_step &Step, const holdings_report &Event) -> void;
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void;
+auto handle(const gateway_step &Step, const targets_read &Event) -> void;
 auto handle(const gateway_step &Step, const tick &Event) -> void;
 
 /// Expected prefill time of \p Model, ms per token.
@@ -83,6 +87,10 @@
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
 // gateway_relay.cpp
+/// Decides whether this gateway reads the targets from the store or gets them
+/// from a gateway of its data centre.
+auto chooseTargetReader(const gateway_step &Step) -> void;
+
 /// Queries another gateway for configuration, targets and instances if this one
 /// cannot read the store or has an older configuration than a peer.
 auto queryPeers(const gateway_step &Step) -> void;
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -41,6 +41,19 @@
   return static_cast<std::size_t>(Others) + 1;
 }
 
+auto digestInterval(const gateway_state &State) -> duration {
+  /// Gateways whose digests arrive at the least interval.
+  constexpr std::size_t FullRateGateways = 10;
+  const auto Count = std::max(gatewayCount(State), FullRateGateways);
+  return State.Options.DigestInterval * Count / FullRateGateways;
+}
+
+auto peerTimeout(const gateway_state &State) -> duration {
+  constexpr duration MinPeerTimeout = milliseconds(1500);
+  constexpr int MissedDigests = 4;
+  return std::max(MinPeerTimeout, MissedDigests * digestInterval(State));
+}
+
 auto prefillMsPerToken(const gateway_state &State, const model_name &Model)
     -> double {
   /// Used until a time was observed: engines for models of 70 billion
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -77,9 +77,10 @@
 /// reported: the loads that they requested may never complete.
 auto expirePeers(const gateway_step &Step) -> void {
   auto &State = Step.State;
+  const auto Timeout = peerTimeout(State);
   std::vector<instance_name> SilentPeers;
   for (const auto &[Peer, LastDigestAt] : State.PeerDigestTimes)
-    if (Step.Now - LastDigestAt >= PeerTimeout)
+    if (Step.Now - LastDigestAt >= Timeout)
       SilentPeers.push_back(Peer);
   for (const auto &Peer : SilentPeers) {
     State.PeerDigestTimes.erase(Peer);
@@ -210,7 +211,12 @@
     addLogEntry(Step, log_level::Info, "peer_heard",
                 {{"peer", Event.From.Text}});
   State.PeerDigestTimes[Event.From] = Step.Now;
-  State.PeerStatuses[Event.From] = {Event.Configuration, Event.StoreReachable};
+  State.PeerStatuses[Event.From] = {
+      Event.Configuration, Event.StoreReachable, Event.DataCentre,
+      Event.TargetsReadAgeMs < 0
+          ? time_point()
+          : Step.Now - milliseconds(Event.TargetsReadAgeMs),
+      Event.TargetsVersion};
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
@@ -219,9 +225,15 @@
       Entry->AdapterUse[Adapter] = Step.Now;
 }
 
-auto handle(const gateway_step &Step, const tick & /*Event*/) -> void {
+auto handle(const gateway_step &Step, const targets_read & /*Event*/) -> void {
+  Step.State.TargetsReadAt = Step.Now;
+}
+
+auto handle(const gateway_step &Step, const tick &Event) -> void {
   auto &State = Step.State;
+  State.TargetsVersion = std::max(State.TargetsVersion, Event.TargetsVersion);
   expirePeers(Step);
+  chooseTargetReader(Step);
   queryPeers(Step);
   expireLoads(Step);
   refuseLateLoadWaits(Step);
@@ -241,7 +253,7 @@
 
 auto sendDigest(const gateway_step &Step) -> void {
   auto &State = Step.State;
-  State.NextDigest = Step.Now + State.Options.DigestInterval;
+  State.NextDigest = Step.Now + digestInterval(State);
   send_digest Effect;
   for (const auto &[Name, Instance] : State.Instances)
     if (Name != State.Options.Self && Instance.Role == instance_role::Gateway)
@@ -251,11 +263,16 @@
   Digest.Address = State.Options.Address;
   Digest.Configuration = State.Configuration.Version;
   Digest.StoreReachable = State.StoreReachable;
+  Digest.DataCentre = State.Options.DataCentre;
+  if (State.ReadsTargets && State.TargetsReadAt != time_point())
+    Digest.TargetsReadAgeMs = toMilliseconds(Step.Now - State.TargetsReadAt);
+  Digest.TargetsVersion = State.TargetsVersion;
   for (const auto &[Name, Entry] : State.Book.all())
     if (Entry.OwnLoad.activeCount() > 0)
       Digest.Loads[Name] = Entry.OwnLoad;
   Digest.Demand = State.Demand.ownRates(Step.Now);
-  Digest.Prefixes = std::exchange(State.UnsentPrefixes, {});
+  for (const auto &[Key, Tokens] : std::exchange(State.UnsentPrefixes, {}))
+    Digest.Prefixes.emplace_back(Key.first, Key.second, Tokens);
   Digest.AdapterUse = std::exchange(State.UnsentAdapterUse, {});
   for (const auto &[Target, Loads] : State.PendingLoads)
     for (const auto &Load : Loads)
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -123,8 +123,8 @@
     Entry.Cache.add(Request.PrefixKeys[I], Tokens);
     // Other requests do not share the last part, so peers need not know it.
     if (I + 1 < Request.PrefixKeys.size())
-      Step.State.UnsentPrefixes.emplace_back(Entry.Target.Name,
-                                             Request.PrefixKeys[I], Tokens);
+      Step.State.UnsentPrefixes[{Entry.Target.Name, Request.PrefixKeys[I]}] =
+          Tokens;
   }
 }
 
