Gateways: no answer is cut by a planned stop; lost models are loaded again

Now a request whose expected duration, four times over, does not fit before the stop is refused as not run with a short Retry-After; short ones are served to the end. A plan now counts the memory of loads in progress; two loads were ordered to one free place. Tests: gateway_test stop_*, planned_stop_test, exchange_test stop_connectionsInTheBacklog, gateway_loads_test lostTarget_*.

--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -36,6 +36,13 @@
   Unknown      ///< It may have been accepted or may be accepted later.
 };
 
+/// Answer to a request for a permit to load from the weight store.
+enum class load_permit : std::uint8_t {
+  Granted,
+  Exhausted,  ///< None is left in this window.
+  Unavailable ///< The store that counts them was not reached.
+};
+
 /// Hooks of the adapter.
 struct controller_hooks {
   std::function<net::http_request()> BuildReportRequest;
@@ -54,8 +61,8 @@
       WatchConfiguration;
   /// Acquires a permit for one load from the weight store; all controllers
   /// together get at most \p Limit in \p WindowMs.
-  /// \returns false if none is left or the store cannot grant one.
-  std::function<net::awaitable<bool>(std::int64_t WindowMs, std::size_t Limit)>
+  std::function<net::awaitable<load_permit>(std::int64_t WindowMs,
+                                            std::size_t Limit)>
       AcquireLoadPermit;
 };
 
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -26,6 +26,9 @@
 constexpr duration ModelJobTimeout = seconds(7);
 /// Delay before another attempt to get a permit of the weight store.
 constexpr duration PermitRetryDelay = milliseconds(250);
+/// Time after which a job fails if the store that counts permits is not
+/// reached.
+constexpr duration PermitPatience = milliseconds(600);
 /// A greeting subscribes a gateway to changes for this time: it greets every
 /// two seconds, and datagrams may be lost.
 constexpr duration SubscriptionTtl = seconds(7);
@@ -270,7 +273,7 @@
       LinkSocket->send(Address, Bytes);
 }
 
-auto controller_node::acquireLoadPermit() -> awaitable<bool> {
+auto controller_node::acquireLoadPermit() -> awaitable<load_permit> {
   const double PermitsPerWindow = findEngine()->LoadsPerSecond *
                                   static_cast<double>(Settings.LoadWindowMs) /
                                   1000;
@@ -327,6 +330,7 @@
   const bool ForAdapter = !Job->Job.Adapter.empty();
   const auto Deadline =
       process_clock::now() + (ForAdapter ? AdapterJobTimeout : ModelJobTimeout);
+  const auto PermitDeadline = process_clock::now() + PermitPatience;
   const auto ReportDelay = ForAdapter ? AdapterReportDelay : ModelReportDelay;
   if (ForAdapter)
     LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
@@ -351,11 +355,18 @@
       co_await net::sleepFor(ReportDelay);
       continue;
     }
-    bool Permitted = true;
+    auto Permit = load_permit::Granted;
     if (Step.FromStore)
-      Permitted = co_await acquireLoadPermit();
-    if (!Permitted) {
+      Permit = co_await acquireLoadPermit();
+    if (Permit == load_permit::Unavailable) {
+      Metrics.count("load_permits", "unavailable");
+      // The gateway finds another target; its controller may reach the store.
+      if (process_clock::now() >= PermitDeadline)
+        co_return false;
+    } else if (Permit == load_permit::Exhausted) {
       Metrics.count("load_permits", "refused");
+    }
+    if (Permit != load_permit::Granted) {
       co_await net::sleepFor(PermitRetryDelay);
       continue;
     }
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -77,9 +77,8 @@
                          const serving::engine_report &Report) -> void;
   /// Sends the target's holdings to the subscribed gateways if they changed.
   auto publishHoldings(const serving::engine_report &Report) -> void;
-  /// \returns false if the weight store's rate limit has no permit left or was
-  /// not reached.
-  auto acquireLoadPermit() -> net::awaitable<bool>;
+  /// Acquires a permit of the weight store's rate limit.
+  auto acquireLoadPermit() -> net::awaitable<load_permit>;
   auto handleMetricsCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto handleDatagram(std::string_view Bytes) -> void;
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -441,14 +441,14 @@
 auto gateway_node::drainAndStop() -> awaitable<void> {
   if (std::exchange(Draining, true))
     co_return;
-  const auto StartedAt = process_clock::now();
+  const auto Deadline = process_clock::now() +
+                        milliseconds(Settings.StopGraceMs) - ShutdownMargin;
+  dispatch(stop_began{Deadline});
   log(log_level::Info, "stopping",
       {{"requests", std::to_string(Requests.size())},
        {"connections", std::to_string(Connections.size())}});
   // Callers may send requests until the load balancer stops routing here.
   co_await net::sleepFor(milliseconds(Settings.BalancerWaitMs));
-  const auto Deadline =
-      StartedAt + milliseconds(Settings.StopGraceMs) - ShutdownMargin;
   // The listener stays open: a connection that the load balancer still opens
   // is served, and closing the listener would reset one that is being opened.
   while (process_clock::now() < Deadline) {
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(readRequest_endlessChunkExtension_isRejected);
   CPPUNIT_TEST(readRequest_idleTimeoutAndRequestMeet_requestIsServed);
   CPPUNIT_TEST(write_peerNeverReads_fails);
+  CPPUNIT_TEST(stop_connectionsInTheBacklog_areServed);
   CPPUNIT_TEST(closeIfIdle_requestHasArrived_requestIsServed);
   CPPUNIT_TEST(closeIfIdle_nothingHasArrived_connectionCloses);
   CPPUNIT_TEST_SUITE_END();
@@ -207,6 +208,25 @@
     CPPUNIT_ASSERT(!*Written);
   }
 
+  auto stop_connectionsInTheBacklog_areServed() -> void {
+    std::vector<tcp::socket> Callers;
+    for (int I = 0; I < 5; ++I) {
+      Callers.emplace_back(*Context);
+      Callers.back().connect(*parseEndpoint<tcp>(Address));
+      asio::write(Callers.back(), asio::buffer(std::string(
+                                      "GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+    Server->stop();
+    Context->restart();
+    Context->run_for(std::chrono::milliseconds(100));
+    for (auto &Caller : Callers) {
+      std::array<char, 16> Start{};
+      error_code Error;
+      Caller.non_blocking(true);
+      CPPUNIT_ASSERT(Caller.read_some(asio::buffer(Start), Error) > 0);
+    }
+  }
+
   auto closeIfIdle_requestHasArrived_requestIsServed() -> void {
     startReading();
     asio::write(*Client,
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -68,6 +68,8 @@
   /// Moving average of the observed time in a slot per requested output token,
   /// by model, ms.
   std::map<model_name, double> DecodeMsPerToken;
+  /// End of the process; NoDeadline unless it stops.
+  time_point StopDeadline = NoDeadline;
   std::map<service_name, retry_budget> RetryBudgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
@@ -111,6 +113,9 @@
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
   time_point NextPeerQuery;
   std::size_t PeerQueryCount = 0; ///< Selects the next peer, round-robin.
+  /// Since when no target serves a model.
+  std::map<model_name, time_point> UnservedSince;
+  time_point NextRestore; ///< Next check for models without a copy.
   time_point NextDigest;
   time_point NextSubscription;
   std::minstd_rand Random;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -150,6 +150,11 @@
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
 };
 
+/// This gateway stops; answers that are not complete by the deadline are cut.
+struct stop_began {
+  time_point Deadline;
+};
+
 /// Periodic timer event.
 struct tick {
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
@@ -163,7 +168,7 @@
                  deadline_passed, configuration_read, target_updated,
                  target_lost, store_reachability_changed, targets_listed,
                  instances_listed, load_answered, holdings_report,
-                 gateway_digest, targets_read, tick>;
+                 gateway_digest, targets_read, stop_began, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -77,6 +77,8 @@
   time_point RowMissingSince = NoDeadline;
   /// Model load in progress, as far as this gateway knows.
   std::optional<model_change> Change;
+  /// Models of all loads in progress or queued there.
+  std::set<model_name> ModelsLoading;
 
   /// Load from all gateways.
   [[nodiscard]] auto load() const -> target_load;
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -21,6 +21,7 @@
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void;
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
+auto handle(const gateway_step &Step, const stop_began &Event) -> void;
 
 /// Refuses waiting requests whose deadline for the first output is near.
 auto refuseLateLoadWaits(const gateway_step &Step) -> void;
@@ -51,6 +52,10 @@
 /// Requests further copies of the models that this gateway plans copies of, if
 /// their demand requires more copies than exist.
 auto planCopies(const gateway_step &Step) -> void;
+/// Requests a copy of each model that lost its last one, if this gateway plans
+/// its copies and no other model loses its last copy for it. Answers the loss
+/// of targets: a load takes longer than most callers wait.
+auto restoreLostModels(const gateway_step &Step) -> void;
 auto handle(const gateway_step &Step, const load_answered &Event) -> void;
 /// Expected time at which the first pending load of \p Model completes.
 auto expectedLoadEnd(const gateway_step &Step, const model_name &Model)
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -238,6 +238,7 @@
   expireLoads(Step);
   refuseLateLoadWaits(Step);
   planCopies(Step);
+  restoreLostModels(Step);
   std::vector<target_name> ExpiredTargets;
   for (const auto &[Name, Entry] : State.Book.all())
     if (Entry.RowMissingSince != NoDeadline &&
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -30,6 +30,12 @@
 /// Expected time to load an adapter.
 constexpr duration ExpectedAdapterLoadTime = milliseconds(20);
 
+/// Interval of the checks for models without a copy.
+constexpr duration RestoreInterval = milliseconds(500);
+/// Time without a copy after which a model is loaded again: a target that
+/// restarts, or a report that is late, may still bring one.
+constexpr duration RestoreDelay = milliseconds(1500);
+
 using pending_load = gateway_state::pending_load;
 
 auto isLoading(const gateway_state &State, const target_name &Target,
@@ -127,13 +133,16 @@
 }
 
 auto markModelChanges(gateway_state &State) -> void {
-  for (auto &[Name, Entry] : State.Book.all())
+  for (auto &[Name, Entry] : State.Book.all()) {
     Entry.Change.reset();
+    Entry.ModelsLoading.clear();
+  }
   const auto AddChange = [&](const target_name &Target,
                              const model_change &Change) {
     auto *Entry = State.Book.find(Target);
     if (Entry == nullptr)
       return;
+    Entry->ModelsLoading.insert(Change.Model);
     if (!Entry->Change)
       Entry->Change = Change;
     else // Several loads are queued at the target: combine their victims.
@@ -231,6 +240,42 @@
         planCopiesOfModel(Step, Service, Model);
 }
 
+namespace {
+
+auto restoreModel(const gateway_step &Step, const service_spec &Service,
+                  const model_name &Model) -> void {
+  auto &State = Step.State;
+  if (State.Book.copyCount(Model) > 0 ||
+      !loadingTargets(State, Model).empty()) {
+    State.UnservedSince.erase(Model);
+    return;
+  }
+  const auto Since = State.UnservedSince.try_emplace(Model, Step.Now);
+  if (Step.Now - Since.first->second < RestoreDelay)
+    return;
+  const auto Plan = planModelLoad(Step, Service.Name, Model);
+  if (!Plan || std::any_of(Plan->Victims.begin(), Plan->Victims.end(),
+                           [&](const model_name &Victim) {
+                             return State.Book.copyCount(Victim) <= 1;
+                           }))
+    return;
+  State.UnservedSince.erase(Model);
+  requestPlannedLoad(Step, *Plan, Model, "");
+}
+
+} // namespace
+
+auto restoreLostModels(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  if (Step.Now < State.NextRestore)
+    return;
+  State.NextRestore = Step.Now + RestoreInterval;
+  for (const auto &[Name, Service] : State.Configuration.Services)
+    for (const auto &[Model, Spec] : Service.Engine.Models)
+      if (isCopyPlanner(Step, Model))
+        restoreModel(Step, Service, Model);
+}
+
 auto handle(const gateway_step &Step, const load_answered &Event) -> void {
   auto &State = Step.State;
   auto &Loads = State.PendingLoads[Event.Target];
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -53,6 +53,14 @@
 /// caller still receives the answer and can retry.
 constexpr duration LoadWaitMargin = milliseconds(400);
 
+/// Retry-after of a request that would not end before this gateway does, ms:
+/// another gateway takes it at once.
+constexpr std::int64_t StoppingRetryAfterMs = 50;
+/// Expected durations are rough, so that this multiple of one has to fit into
+/// the time until the stop, and the margin besides.
+constexpr double StopTolerance = 4;
+constexpr duration StopMargin = milliseconds(500);
+
 /// Picks a service of the route at random, by weight.
 auto chooseService(gateway_state &State, const route &Route) -> service_name {
   std::uint32_t Sum = 0;
@@ -70,6 +78,25 @@
   return Route.Shares.back().Service;
 }
 
+/// True if the answer would be cut as this gateway stops. Short requests are
+/// served until shortly before the stop, since some load balancers go on
+/// sending them.
+auto exceedsStop(const gateway_state &State, const request_state &Request,
+                 time_point Now) -> bool {
+  if (State.StopDeadline == NoDeadline)
+    return false;
+  const auto &Prompt = Request.Call.Prompt;
+  auto ExpectedMs = static_cast<double>(Request.Route.TargetLatencyMs);
+  const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
+  if (Request.Call.HasPrompt && PerToken != State.DecodeMsPerToken.end())
+    ExpectedMs += PerToken->second * Prompt.MaxOutputTokens;
+  else if (Request.Call.HasPrompt)
+    ExpectedMs = static_cast<double>(toMilliseconds(Request.Deadline - Now));
+  const auto Needed =
+      milliseconds(static_cast<std::int64_t>(StopTolerance * ExpectedMs));
+  return Now + Needed + StopMargin > State.StopDeadline;
+}
+
 /// Answers the request with \p Code, logs the refusal and forgets the request.
 auto refuseRequest(const gateway_step &Step, request_number Number,
                    result_code Code, std::int64_t RetryAfterMs,
@@ -317,6 +344,9 @@
                      Event.Call.Arrived +
                          milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
+  if (exceedsStop(State, Request, Step.Now))
+    return refuseRequest(Step, Event.Number, result_code::Draining,
+                         StoppingRetryAfterMs, "the gateway stops");
   if (Event.Call.HasPrompt) {
     const auto &Prompt = Event.Call.Prompt;
     Request.PrefixKeys = prefixKeys(Prompt);
@@ -445,11 +475,16 @@
       0, MayHaveRun ? "the target is still at work" : "it was still waiting");
 }
 
+auto handle(const gateway_step &Step, const stop_began &Event) -> void {
+  Step.State.StopDeadline = Event.Deadline;
+}
+
 auto refuseLateLoadWaits(const gateway_step &Step) -> void {
   std::vector<request_number> LateRequests;
   for (const auto &[Number, Request] : Step.State.Requests)
     if (Request.AwaitedLoad &&
-        Step.Now + LoadWaitMargin >= Request.FirstOutputDeadline)
+        Step.Now + LoadWaitMargin >=
+            std::min(Request.FirstOutputDeadline, Step.State.StopDeadline))
       LateRequests.push_back(Number);
   for (const auto Number : LateRequests) {
     const auto &Request = Step.State.Requests.at(Number);
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -54,6 +54,18 @@
          Found->second.AdapterMb * static_cast<double>(Loaded.Adapters.size());
 }
 
+/// Accelerator memory that is free once the loads in progress have ended.
+auto freeMb(const engine_spec &Engine, const target_entry &Entry) -> double {
+  double FreeMb = Engine.WeightsMb;
+  for (const auto &[Name, Loaded] : Entry.Target.Holdings.Models)
+    if (Entry.serves(Name))
+      FreeMb -= weightsMb(Engine, Name, Loaded);
+  for (const auto &Model : Entry.ModelsLoading)
+    if (!Entry.Target.Holdings.Models.contains(Model))
+      FreeMb -= weightsMb(Engine, Model, {});
+  return FreeMb;
+}
+
 auto evictionCandidates(const target_entry &Entry, const target_book &Book,
                         const engine_spec &Engine, const demand &Demand,
                         time_point Now) -> std::vector<victim> {
@@ -172,9 +184,7 @@
     load_plan Plan;
     Plan.Target = Name;
     Plan.LoadMs = loadMs(Spec->second, Target.Holdings);
-    double FreeMb = Engine.WeightsMb;
-    for (const auto &[LoadedName, Loaded] : Target.Holdings.Models)
-      FreeMb -= weightsMb(Engine, LoadedName, Loaded);
+    double FreeMb = freeMb(Engine, Entry);
     double Cost =
         Plan.LoadMs + ActiveRequestCostMs * Entry.load().activeCount();
     for (const auto &Victim :
--- a/libs/serving/tests/gateway_loads_test.cpp
+++ b/libs/serving/tests/gateway_loads_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+#include <string>
+
 namespace {
 
 using namespace limpetbridge;
@@ -25,6 +28,8 @@
   CPPUNIT_TEST(adapterLoad_usedByAnyGateway_includesLastUse);
   CPPUNIT_TEST(holdingsReport_modelUnloaded_getsNoRequests);
   CPPUNIT_TEST(target_rowOlderThanReport_isIgnored);
+  CPPUNIT_TEST(lostTarget_lastCopyOfAModel_isLoadedElsewhere);
+  CPPUNIT_TEST(lostTarget_onlyLastCopiesToEvict_nothingIsLoaded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,7 +228,45 @@
                          Harness.State.Book.copyCount(model_name("b")));
   }
 
+  auto lostTarget_lastCopyOfAModel_isLoadedElsewhere() -> void {
+    addAllModels();
+    Harness.addTarget("e3", "models", {"a", "b"});
+    CPPUNIT_ASSERT(loadsWithin(seconds(3)).empty());
+    Harness.dispatch(target_lost{target_name("e1")});
+    // Nobody asks for it; e3 has room for one more.
+    const auto Loads = loadsWithin(seconds(3));
+    CPPUNIT_ASSERT(Loads.contains("c"));
+    CPPUNIT_ASSERT(!Loads.contains("a"));
+  }
+
+  auto lostTarget_onlyLastCopiesToEvict_nothingIsLoaded() -> void {
+    addAllModels();
+    Harness.dispatch(target_lost{target_name("e1")});
+    // The target that is left has room for one more model.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loadsWithin(seconds(3)).size());
+    for (const auto &[Name, Entry] : Harness.State.Book.all())
+      CPPUNIT_ASSERT(!Entry.Change || Entry.Change->Victims.empty());
+  }
+
 private:
+  /// Each of the five models has one copy; e1 holds three of them.
+  auto addAllModels() -> void {
+    Harness.addTarget("e1", "models", {"a", "b", "c"});
+    Harness.addTarget("e2", "models", {"d", "e"});
+  }
+
+  /// Models that are loaded within \p Span without any request.
+  auto loadsWithin(duration Span) -> std::set<std::string> {
+    std::set<std::string> Loads;
+    for (const auto End = Harness.Now + Span; Harness.Now < End;
+         Harness.Now += milliseconds(100)) {
+      Harness.dispatch(tick{});
+      for (const auto &Load : Harness.effectsOf<request_load>())
+        Loads.insert(Load.Model.Text);
+    }
+    return Loads;
+  }
+
   auto receiveAdapterRequest(request_number Number, const char *Adapter)
       -> void {
     request_arrived Event;
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -10,6 +10,8 @@
 
 class gateway_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(gateway_test);
+  CPPUNIT_TEST(stop_answerWouldBeCut_isRefusedAsNotRun);
+  CPPUNIT_TEST(stop_shortRequest_isServedUntilShortlyBefore);
   CPPUNIT_TEST(request_noConfiguration_refusedNotReady);
   CPPUNIT_TEST(request_noRoute_refusedNotFound);
   CPPUNIT_TEST(request_refusedOnArrival_logsRequestId);
@@ -282,7 +284,51 @@
     CPPUNIT_ASSERT(Passed);
   }
 
+  auto stop_answerWouldBeCut_isRefusedAsNotRun() -> void {
+    Harness.addTarget("e1", "models", {"a"});
+    Harness.State.DecodeMsPerToken[model_name("a")] = 5;
+    Harness.dispatch(stop_began{Harness.Now + seconds(8)});
+    // The first output and 200 tokens take 1.6 s, and four times that has to
+    // fit.
+    receivePrompt(1, 200);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"),
+                         Harness.onlyEffect<send_attempt>().Target.Text);
+    Harness.Now += seconds(2);
+    receivePrompt(2, 200);
+    const auto Refusal = Harness.onlyEffect<refuse_request>();
+    CPPUNIT_ASSERT(Refusal.Code == result_code::Draining);
+    CPPUNIT_ASSERT(describe(Refusal.Code).Outcome == run_outcome::NotRun);
+    CPPUNIT_ASSERT(Refusal.RetryAfterMs > 0);
+  }
+
+  auto stop_shortRequest_isServedUntilShortlyBefore() -> void {
+    Harness.addTarget("l1", "ledger", {});
+    Harness.dispatch(stop_began{Harness.Now + seconds(5)});
+    Harness.Now += seconds(2);
+    Harness.receiveRequest(1, "/pay/x");
+    CPPUNIT_ASSERT(!Harness.effectsOf<send_attempt>().empty());
+    Harness.Now += seconds(2);
+    Harness.receiveRequest(2, "/pay/x");
+    CPPUNIT_ASSERT(Harness.onlyEffect<refuse_request>().Code ==
+                   result_code::Draining);
+  }
+
 private:
+  auto receivePrompt(request_number Number, std::uint32_t OutputTokens)
+      -> void {
+    request_arrived Event;
+    Event.Number = Number;
+    Event.Call.Id = std::to_string(Number);
+    Event.Call.Host = "h";
+    Event.Call.Path = "/chat/x";
+    Event.Call.Arrived = Harness.Now;
+    Event.Call.HasPrompt = true;
+    Event.Call.Prompt.Model = model_name("a");
+    Event.Call.Prompt.InputTokens = 100;
+    Event.Call.Prompt.MaxOutputTokens = OutputTokens;
+    Harness.dispatch(Event);
+  }
+
   auto expectRefusalLogged(const std::string &Id) -> void {
     const auto LogEntry = Harness.onlyEffect<write_note>();
     CPPUNIT_ASSERT_EQUAL(std::string("request_refused"), LogEntry.Event);
