--- a/libs/serving/tests/slots_test.cpp
+++ b/libs/serving/tests/slots_test.cpp
@@ -102,7 +102,7 @@
     Event.Call.Prompt = {
         model_name("a"), "", 200, OutputTokens, {{1, 150}, {Number, 50}}};
     Harness.dispatch(Event);
-    const auto Target = Harness.onlyEffect<send_attempt>().Target.Text;
+    auto Target = Harness.onlyEffect<send_attempt>().Target.Text;
     Harness.dispatch(first_output{Number});
     return Target;
   }
