Digests: only gateways that are heard slow them down

Cause: the interval of the digests grew with the records of gateways in the store, and records of gateways that were replaced stay there; found by reading. Weeks of replacements would have made digests rarer and rarer. Change: the gateways that are heard count. Measured: target_reader_test steady_replacedGatewaysInTheList (500 records of gateways that are gone, a change is still heard within two seconds) passes.

--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -44,7 +44,10 @@
 auto digestInterval(const gateway_state &State) -> duration {
   /// Gateways whose digests arrive at the least interval.
   constexpr std::size_t FullRateGateways = 10;
-  const auto Count = std::max(gatewayCount(State), FullRateGateways);
+  // Records of gateways that were replaced stay in the store, so only those
+  // that are heard count.
+  const auto Count =
+      std::max(State.PeerDigestTimes.size() + 1, FullRateGateways);
   return State.Options.DigestInterval * Count / FullRateGateways;
 }
 
--- a/libs/serving/tests/target_reader_test.cpp
+++ b/libs/serving/tests/target_reader_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(target_reader_test);
   CPPUNIT_TEST(steady_manyGateways_oneReaderADataCentre);
   CPPUNIT_TEST(steady_manyGateways_digestsArriveAtABoundedRate);
+  CPPUNIT_TEST(steady_replacedGatewaysInTheList_doNotSlowDigests);
   CPPUNIT_TEST(change_steady_allHearOfIt);
   CPPUNIT_TEST(change_readersDie_othersHearOfItInTime);
   CPPUNIT_TEST(change_readersCutFromStore_othersHearOfItInTime);
@@ -80,6 +81,17 @@
     CPPUNIT_ASSERT(Digests / GatewayCount <= 10 * 100);
   }
 
+  auto steady_replacedGatewaysInTheList_doNotSlowDigests() -> void {
+    instances_listed Replaced;
+    for (int I = 0; I < 500; ++I)
+      Replaced.Instances.push_back({instance_name("old" + std::to_string(I)),
+                                    instance_role::Gateway, "g0", ""});
+    for (auto &[Name, Process] : Processes)
+      apply(Process, Replaced, Now);
+    run(seconds(5));
+    checkChangeIsHeard(seconds(2));
+  }
+
   auto change_steady_allHearOfIt() -> void {
     run(seconds(5));
     checkChangeIsHeard(seconds(2));
