Gateway logs: what the end of a process cuts, what a close discards

Change: drained and request_unanswered at the end, bytes_discarded for a connection, the output tokens that an attempt may take. No decision changes.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -387,6 +387,12 @@
   }
   if (Connection->isOpen())
     co_await Connection->closeGracefully();
+  if (const auto Bytes = Connection->discardedBytes(); Bytes > 0) {
+    Metrics.count("connections_closed", "bytes_discarded");
+    log(log_level::Warning, "bytes_discarded",
+        {{"bytes", std::to_string(Bytes)},
+         {"draining", Draining ? "true" : "false"}});
+  }
 }
 
 auto gateway_node::serveRequest(connection Connection,
@@ -464,7 +470,24 @@
     if (WasEmpty && Connections.empty())
       break;
   }
+  logUnansweredRequests();
   Context.stop();
 }
 
+auto gateway_node::logUnansweredRequests() -> void {
+  const auto Now = process_clock::now();
+  for (const auto &[Number, Request] : State.Requests)
+    log(log_level::Error, "request_unanswered",
+        {{"request", Request.Call.Id},
+         {"route", Request.Route.Name},
+         {"target", Request.CurrentTarget.Text},
+         {"first_ms", std::to_string(Request.FirstOutputMs)},
+         {"age_ms", std::to_string(toMilliseconds(Now - Request.Call.Arrived))},
+         {"left_ms", std::to_string(toMilliseconds(Request.Deadline - Now))}});
+  log(log_level::Info, "drained",
+      {{"requests", std::to_string(Requests.size())},
+       {"connections", std::to_string(Connections.size())},
+       {"left_ms", std::to_string(toMilliseconds(State.StopDeadline - Now))}});
+}
+
 } // namespace limpetbridge
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -80,6 +80,8 @@
   /// Drains: fails the readiness check, waits for the load balancer, then
   /// closes the connections.
   auto drainAndStop() -> net::awaitable<void>;
+  /// Logs the requests and connections that the end of the process cuts.
+  auto logUnansweredRequests() -> void;
   /// Applies the settings that may change at run time; addresses and names
   /// need a restart.
   auto applySettings(const node_settings &Changed) -> void;
--- a/libs/net/include/net/caller_connection.h
+++ b/libs/net/include/net/caller_connection.h
@@ -72,6 +72,11 @@
     return FirstRequestDeadline;
   }
 
+  /// Bytes of the peer that no request was parsed from.
+  [[nodiscard]] auto discardedBytes() const -> std::size_t {
+    return DiscardedBytes;
+  }
+
   [[nodiscard]] auto isOpen() const -> bool { return Socket.is_open(); }
 
 private:
@@ -88,6 +93,7 @@
   std::function<void()> OnDisconnect;
   std::uint64_t WatchGeneration = 0;
   std::uint64_t TimerGeneration = 0;
+  std::size_t DiscardedBytes = 0;
   bool TimedOut = false;
   time_point FirstRequestDeadline;
   bool Idle = false; ///< Waits for the first byte of a request.
--- a/libs/net/src/caller_connection.cpp
+++ b/libs/net/src/caller_connection.cpp
@@ -236,10 +236,13 @@
   Socket.shutdown(tcp::socket::shutdown_send, Error);
   startTimer(LingerTimeout);
   while (!Error && !TimedOut) {
+    DiscardedBytes += Buffer.size();
     Buffer.consume(Buffer.size());
-    co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
-                                    storeError(Error));
+    const auto Count = co_await Socket.async_read_some(
+        Buffer.prepare(ReadBytes), storeError(Error));
+    Buffer.commit(Count);
   }
+  DiscardedBytes += Buffer.size();
   ++TimerGeneration;
   Timer.cancel();
   Socket.close(Error);
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -190,6 +190,7 @@
        {"adapter", Request.Call.Prompt.Adapter},
        {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
        {"read_ms", std::to_string(static_cast<int>(Pick.PrefillMs))},
+       {"output_tokens", std::to_string(Request.Call.Prompt.MaxOutputTokens)},
        {"target_sequence", std::to_string(Entry->Target.Sequence)},
        {"waited_ms",
         std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
