--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -107,6 +107,7 @@
 auto fleet::startGateway() -> void {
   auto Settings = makeSettings(Store->address(), "gateway");
   Settings.File = SettingsFile;
+  ChangeSettings(Settings);
   auto Hooks = adapter::makeGatewayHooks(Settings);
   ChangeHooks(Hooks);
   Gateway = std::make_unique<gateway_node>(Settings, std::move(Hooks));
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -126,6 +126,8 @@
 
   /// Changes the hooks of the gateways that are started from then on.
   std::function<void(gateway_hooks &)> ChangeHooks = [](gateway_hooks &) {};
+  /// Changes the settings of the gateways that are started from then on.
+  std::function<void(node_settings &)> ChangeSettings = [](node_settings &) {};
 
   emulator_thread Outside;
   std::unique_ptr<store_emulator> Store;
--- a/testing/emulator/tests/planned_stop_test.cpp
+++ b/testing/emulator/tests/planned_stop_test.cpp
@@ -1,8 +1,8 @@
+#include "caller_socket.h"
 #include "fleet_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <array>
 #include <thread>
 
 namespace {
@@ -13,43 +13,6 @@
 const std::string PlainRequest =
     "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Limpetbridge-Attempt-Id: 9\r\n\r\n";
 
-/// A caller's connection with blocking reads and writes.
-class caller_socket {
-public:
-  explicit caller_socket(const std::string &Address) : Socket(Context) {
-    Socket.connect(*net::parseEndpoint<net::tcp>(Address), Error);
-    const timeval Limit{toMilliseconds(Patience) / 1000, 0};
-    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
-               sizeof(Limit));
-  }
-
-  [[nodiscard]] auto isConnected() const -> bool { return !Error; }
-
-  auto write(const std::string &Bytes) -> void {
-    net::error_code Ignored; // The answer shows whether it arrived.
-    net::asio::write(Socket, net::asio::buffer(Bytes), Ignored);
-  }
-
-  /// Reads until \p End was received or the connection closes.
-  auto readUntil(const std::string &End) -> std::string {
-    std::string Text;
-    std::array<char, 4096> Part{};
-    while (Text.find(End) == std::string::npos) {
-      const auto Count =
-          recv(Socket.native_handle(), Part.data(), Part.size(), 0);
-      if (Count <= 0)
-        break;
-      Text.append(Part.data(), static_cast<std::size_t>(Count));
-    }
-    return Text;
-  }
-
-private:
-  net::asio::io_context Context;
-  net::tcp::socket Socket;
-  net::error_code Error;
-};
-
 /// A gateway that stops while callers still send.
 class planned_stop_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(planned_stop_test);
