Gateways: the end of a stop answers every open request

Cause: at the deadline of a planned stop, and when two looks found no connection open, the event loop was stopped whatever was in progress, half read, accepted or in the backlog. Nothing in the stop knew what the process still owed. What callers saw: a closed connection instead of an answer, with nothing said about whether the request had run. Change: the deadline is an event of the reducer: requests that no target has seen are refused as not run, the others get outcome_unknown. A request that is half read is rejected with 503. The listener closes before the process ends, the connections of its backlog are served, and a connection counts as open from its accept on, not from the start of its task. 0.3 s of the grace period are kept for these answers. Why it works: the process ends only when no connection is open or when each one has been answered or reset by decision.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -18,8 +18,10 @@
 constexpr duration TickInterval = milliseconds(100);
 /// Has to cover a load from the weight store and the loads queued before it.
 constexpr duration LoadCallTimeout = seconds(8);
+/// Part of the stop grace period reserved for answering what is still open.
+constexpr duration AnswerMargin = milliseconds(400);
 /// Part of the stop grace period reserved for ending the process.
-constexpr duration ShutdownMargin = milliseconds(400);
+constexpr duration ShutdownMargin = milliseconds(100);
 /// Interval between checks whether connections are still open.
 constexpr duration DrainPollInterval = milliseconds(50);
 /// After this time the next gateway is asked.
@@ -63,6 +65,8 @@
   const auto Executor = Context.get_executor();
   CallerListener = std::make_unique<net::listener>(
       Context, Settings.GatewayCallers, [this, Executor](connection Accepted) {
+        // Before the task starts, so that a stop does not miss it.
+        Connections.insert(Accepted);
         net::spawn(Executor, serveCaller(std::move(Accepted)));
       });
   ReadinessListener = listenForCalls(
@@ -354,7 +358,6 @@
 }
 
 auto gateway_node::serveCaller(connection Connection) -> awaitable<void> {
-  Connections.insert(Connection);
   try {
     co_await serveRequests(Connection);
   } catch (const std::exception &Error) {
@@ -447,8 +450,9 @@
 auto gateway_node::drainAndStop() -> awaitable<void> {
   if (std::exchange(Draining, true))
     co_return;
-  const auto Deadline = process_clock::now() +
-                        milliseconds(Settings.StopGraceMs) - ShutdownMargin;
+  const auto GraceEnd =
+      process_clock::now() + milliseconds(Settings.StopGraceMs);
+  const auto Deadline = GraceEnd - AnswerMargin;
   dispatch(stop_began{Deadline});
   log(log_level::Info, "stopping",
       {{"requests", std::to_string(Requests.size())},
@@ -457,23 +461,41 @@
   co_await net::sleepFor(milliseconds(Settings.BalancerWaitMs));
   // The listener stays open: a connection that the load balancer still opens
   // is served, and closing the listener would reset one that is being opened.
-  while (process_clock::now() < Deadline) {
-    const auto Now = process_clock::now();
-    for (const auto &Connection : Connections)
-      if (Connection->firstRequestDeadline() <= Now)
-        Connection->closeIfIdle();
+  bool Listening = true;
+  bool Late = false;
+  while (process_clock::now() < GraceEnd - ShutdownMargin) {
+    if (process_clock::now() >= Deadline && !std::exchange(Late, true)) {
+      Listening = false;
+      CallerListener->stop();
+      dispatch(stop_deadline_passed{});
+    }
+    closeIdleConnections(Late);
     const bool WasEmpty = Connections.empty();
     // Leaves the callers time to read the last responses.
     co_await net::sleepFor(DrainPollInterval);
     // A connection without a request may be reading one, so Requests being
     // empty is not enough.
-    if (WasEmpty && Connections.empty())
+    if (!WasEmpty || !Connections.empty())
+      continue;
+    if (std::exchange(Listening, false))
+      CallerListener->stop(); // Accepts the connections of the backlog.
+    if (Connections.empty())
       break;
   }
   logUnansweredRequests();
   Context.stop();
 }
 
+auto gateway_node::closeIdleConnections(bool Late) -> void {
+  const auto Now = process_clock::now();
+  for (const auto &Connection : Connections) {
+    if (Late || Connection->firstRequestDeadline() <= Now)
+      Connection->closeIfIdle();
+    if (Late)
+      Connection->rejectPartialRequest();
+  }
+}
+
 auto gateway_node::logUnansweredRequests() -> void {
   const auto Now = process_clock::now();
   for (const auto &[Number, Request] : State.Requests)
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -80,6 +80,10 @@
   /// Drains: fails the readiness check, waits for the load balancer, then
   /// closes the connections.
   auto drainAndStop() -> net::awaitable<void>;
+  /// Closes the connections that wait for a request; those that have carried
+  /// none are given time for it unless it is \p Late, and then a request that
+  /// has arrived in part is rejected.
+  auto closeIdleConnections(bool Late) -> void;
   /// Logs the requests and connections that the end of the process cuts.
   auto logUnansweredRequests() -> void;
   /// Applies the settings that may change at run time; addresses and names
--- a/libs/net/include/net/caller_connection.h
+++ b/libs/net/include/net/caller_connection.h
@@ -66,6 +66,9 @@
   /// byte is read after that, so a caller whose request crosses the close can
   /// tell that it was not read.
   auto closeIfIdle() -> void;
+  /// Ends the read of a request that has arrived in part: readRequest rejects
+  /// it with 503, as it has not been handled.
+  auto rejectPartialRequest() -> void;
   /// When the first request of a connection that has carried none is given up
   /// at the latest; in the past once a byte of a request was read.
   [[nodiscard]] auto firstRequestDeadline() const -> time_point {
@@ -83,6 +86,12 @@
   auto startTimer(duration Timeout) -> void;
   auto watchNextRead(std::uint64_t Generation) -> void;
   auto waitForFirstByte(duration IdleTimeout) -> awaitable<bool>;
+  /// Reads the header and the body of a request that has begun to arrive.
+  auto readRest(connection_limits Limits) -> awaitable<read_outcome>;
+  /// Outcome of a read that ended with \p Error.
+  [[nodiscard]] auto describeError(const error_code &Error,
+                                   std::string_view TimeoutReason) const
+      -> read_outcome;
   /// Waits until the peer has read something.
   auto waitForWritable() -> awaitable<bool>;
 
@@ -96,7 +105,14 @@
   std::size_t DiscardedBytes = 0;
   bool TimedOut = false;
   time_point FirstRequestDeadline;
-  bool Idle = false; ///< Waits for the first byte of a request.
+  /// What readRequest waits for.
+  enum class read_phase : std::uint8_t {
+    None,      ///< It is not called.
+    FirstByte, ///< The first byte of a request.
+    Rest       ///< The rest of a request.
+  };
+  read_phase Phase = read_phase::None;
+  bool RejectsPartialRequest = false;
 };
 
 } // namespace limpetbridge::net
--- a/libs/net/src/caller_connection.cpp
+++ b/libs/net/src/caller_connection.cpp
@@ -87,7 +87,7 @@
     -> awaitable<bool> {
   if (Buffer.size() > 0)
     co_return true;
-  Idle = true;
+  Phase = read_phase::FirstByte;
   error_code Error;
   std::size_t Count = 0;
   for (;;) {
@@ -104,7 +104,7 @@
     Socket.close(Ignored);
     break;
   }
-  Idle = false;
+  Phase = read_phase::None;
   Buffer.commit(Count);
   FirstRequestDeadline = {};
   co_return !Error && Count > 0;
@@ -115,6 +115,23 @@
   const auto Self = shared_from_this();
   if (!co_await waitForFirstByte(milliseconds(Limits.IdleTimeoutMs)))
     co_return makeErrorOutcome({});
+  Phase = read_phase::Rest;
+  auto Outcome = co_await readRest(Limits);
+  Phase = read_phase::None;
+  ++TimerGeneration;
+  co_return Outcome;
+}
+
+auto caller_connection::describeError(const error_code &Error,
+                                      std::string_view TimeoutReason) const
+    -> read_outcome {
+  if (RejectsPartialRequest)
+    return makeRejection(503, "the server stops");
+  return TimedOut ? makeRejection(408, TimeoutReason) : makeErrorOutcome(Error);
+}
+
+auto caller_connection::readRest(connection_limits Limits)
+    -> awaitable<read_outcome> {
   const auto FirstByte = process_clock::now();
   // The parser has no limit of its own on the extension of a chunk.
   Buffer.max_size(MaxUnparsedBytes + Limits.HeaderBytes);
@@ -124,11 +141,8 @@
   Parser.body_limit(Limits.BodyBytes);
   error_code Error;
   co_await http::async_read_header(Socket, Buffer, Parser, storeError(Error));
-  if (Error) {
-    ++TimerGeneration;
-    co_return TimedOut ? makeRejection(408, "header came too slowly")
-                       : makeErrorOutcome(Error);
-  }
+  if (Error)
+    co_return describeError(Error, "header came too slowly");
   const auto &Header = Parser.get();
   read_outcome Outcome;
   Outcome.FirstByte = FirstByte;
@@ -152,13 +166,9 @@
     startTimer(milliseconds(Limits.HeaderTimeoutMs) +
                BodyTimeoutPerMb * (1 + Limits.BodyBytes / BytesPerMb));
     co_await http::async_read(Socket, Buffer, Parser, storeError(Error));
-    if (Error) {
-      ++TimerGeneration;
-      co_return TimedOut ? makeRejection(408, "body came too slowly")
-                         : makeErrorOutcome(Error);
-    }
+    if (Error)
+      co_return describeError(Error, "body came too slowly");
   }
-  ++TimerGeneration;
   Outcome.Request.Body = std::move(Parser.get().body());
   Outcome.End = read_end::Request;
   co_return Outcome;
@@ -249,7 +259,7 @@
 }
 
 auto caller_connection::closeIfIdle() -> void {
-  if (!Idle)
+  if (Phase != read_phase::FirstByte)
     return;
   // Unread bytes belong to a request that has to be served.
   error_code Error;
@@ -258,4 +268,12 @@
   Socket.cancel(Error); // waitForFirstByte closes the connection.
 }
 
+auto caller_connection::rejectPartialRequest() -> void {
+  if (Phase != read_phase::Rest)
+    return;
+  RejectsPartialRequest = true;
+  error_code Ignored; // A broken socket fails at its read.
+  Socket.cancel(Ignored);
+}
+
 } // namespace limpetbridge::net
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -150,11 +150,14 @@
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
 };
 
-/// This gateway stops; answers that are not complete by the deadline are cut.
+/// This gateway stops; streams that are not complete by the deadline are cut.
 struct stop_began {
   time_point Deadline;
 };
 
+/// The deadline of the stop has passed: every open request is answered now.
+struct stop_deadline_passed {};
+
 /// Periodic timer event.
 struct tick {
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
@@ -163,12 +166,11 @@
 /// The targets were read from the store, changed or not.
 struct targets_read {};
 
-using gateway_event =
-    std::variant<request_arrived, first_output, attempt_ended, caller_left,
-                 deadline_passed, configuration_read, target_updated,
-                 target_lost, store_reachability_changed, targets_listed,
-                 instances_listed, load_answered, holdings_report,
-                 gateway_digest, targets_read, stop_began, tick>;
+using gateway_event = std::variant<
+    request_arrived, first_output, attempt_ended, caller_left, deadline_passed,
+    configuration_read, target_updated, target_lost, store_reachability_changed,
+    targets_listed, instances_listed, load_answered, holdings_report,
+    gateway_digest, targets_read, stop_began, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -21,7 +21,14 @@
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void;
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
-auto handle(const gateway_step &Step, const stop_began &Event) -> void;
+
+/// Answers the request with \p Code, logs the refusal and forgets the request.
+auto refuseRequest(const gateway_step &Step, request_number Number,
+                   result_code Code, std::int64_t RetryAfterMs,
+                   std::string Reason) -> void;
+/// Removes the request from the load that is counted at its target.
+auto releaseTarget(const gateway_step &Step, request_state &Request,
+                   bool Failed) -> void;
 
 /// Refuses waiting requests whose deadline for the first output is near.
 auto refuseLateLoadWaits(const gateway_step &Step) -> void;
@@ -36,6 +43,18 @@
 /// Dispatches the requests that wait for \p Model or one of its adapters.
 auto dispatchWaiting(const gateway_step &Step, const model_name &Model) -> void;
 
+// gateway_stop.cpp
+auto handle(const gateway_step &Step, const stop_began &Event) -> void;
+auto handle(const gateway_step &Step, const stop_deadline_passed &Event)
+    -> void;
+/// True if the answer would be cut as this gateway stops. Short requests are
+/// served until shortly before the stop, since some load balancers go on
+/// sending them.
+auto exceedsStop(const gateway_state &State, const request_state &Request,
+                 time_point Now) -> bool;
+/// Refuses a request, which has not run, because this gateway stops.
+auto refuseStopping(const gateway_step &Step, request_number Number) -> void;
+
 // gateway_loads.cpp
 /// Makes the request wait for its adapter at \p Chosen, and requests the load
 /// if it is not in progress.
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -53,14 +53,6 @@
 /// caller still receives the answer and can retry.
 constexpr duration LoadWaitMargin = milliseconds(400);
 
-/// Retry-after of a request that would not end before this gateway does, ms:
-/// another gateway takes it at once.
-constexpr std::int64_t StoppingRetryAfterMs = 50;
-/// Expected durations are rough, so that this multiple of one has to fit into
-/// the time until the stop, and the margin besides.
-constexpr double StopTolerance = 4;
-constexpr duration StopMargin = milliseconds(500);
-
 /// Picks a service of the route at random, by weight.
 auto chooseService(gateway_state &State, const route &Route) -> service_name {
   std::uint32_t Sum = 0;
@@ -78,26 +70,8 @@
   return Route.Shares.back().Service;
 }
 
-/// True if the answer would be cut as this gateway stops. Short requests are
-/// served until shortly before the stop, since some load balancers go on
-/// sending them.
-auto exceedsStop(const gateway_state &State, const request_state &Request,
-                 time_point Now) -> bool {
-  if (State.StopDeadline == NoDeadline)
-    return false;
-  const auto &Prompt = Request.Call.Prompt;
-  auto ExpectedMs = static_cast<double>(Request.Route.TargetLatencyMs);
-  const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
-  if (Request.Call.HasPrompt && PerToken != State.DecodeMsPerToken.end())
-    ExpectedMs += PerToken->second * Prompt.MaxOutputTokens;
-  else if (Request.Call.HasPrompt)
-    ExpectedMs = static_cast<double>(toMilliseconds(Request.Deadline - Now));
-  const auto Needed =
-      milliseconds(static_cast<std::int64_t>(StopTolerance * ExpectedMs));
-  return Now + Needed + StopMargin > State.StopDeadline;
-}
+} // namespace
 
-/// Answers the request with \p Code, logs the refusal and forgets the request.
 auto refuseRequest(const gateway_step &Step, request_number Number,
                    result_code Code, std::int64_t RetryAfterMs,
                    std::string Reason) -> void {
@@ -130,7 +104,6 @@
   addLogEntry(Step, log_level::Warning, "request_refused", std::move(Fields));
 }
 
-/// Removes the request from the load that is counted at its target.
 auto releaseTarget(const gateway_step &Step, request_state &Request,
                    bool Failed) -> void {
   if (Request.CurrentTarget.empty())
@@ -142,6 +115,8 @@
   Request.CurrentTarget = target_name();
 }
 
+namespace {
+
 /// Records the parts of the prompt that the target will have in its cache.
 auto recordPrefixes(const gateway_step &Step, const request_state &Request,
                     target_entry &Entry) -> void {
@@ -346,8 +321,7 @@
                          milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
   if (exceedsStop(State, Request, Step.Now))
-    return refuseRequest(Step, Event.Number, result_code::Draining,
-                         StoppingRetryAfterMs, "the gateway stops");
+    return refuseStopping(Step, Event.Number);
   if (Event.Call.HasPrompt) {
     const auto &Prompt = Event.Call.Prompt;
     Request.PrefixKeys = prefixKeys(Prompt);
@@ -476,10 +450,6 @@
       0, MayHaveRun ? "the target is still at work" : "it was still waiting");
 }
 
-auto handle(const gateway_step &Step, const stop_began &Event) -> void {
-  Step.State.StopDeadline = Event.Deadline;
-}
-
 auto refuseLateLoadWaits(const gateway_step &Step) -> void {
   std::vector<request_number> LateRequests;
   for (const auto &[Number, Request] : Step.State.Requests)
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(gateway_test);
   CPPUNIT_TEST(stop_answerWouldBeCut_isRefusedAsNotRun);
   CPPUNIT_TEST(stop_shortRequest_isServedUntilShortlyBefore);
+  CPPUNIT_TEST(stop_deadlinePassed_everyOpenRequestIsAnswered);
   CPPUNIT_TEST(request_noConfiguration_refusedNotReady);
   CPPUNIT_TEST(request_noRoute_refusedNotFound);
   CPPUNIT_TEST(request_refusedOnArrival_logsRequestId);
@@ -313,6 +314,21 @@
                    result_code::Draining);
   }
 
+  auto stop_deadlinePassed_everyOpenRequestIsAnswered() -> void {
+    Harness.addTarget("l1", "ledger", {});
+    Harness.dispatch(stop_began{Harness.Now + seconds(60)});
+    Harness.receiveRequest(1, "/pay/x"); // At its target.
+    Harness.addTarget("e1", "models", {});
+    receivePrompt(2, 200); // Waits for a load.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Harness.State.Requests.size());
+    Harness.dispatch(stop_deadline_passed{});
+    const auto Refusals = Harness.effectsOf<refuse_request>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Refusals.size());
+    CPPUNIT_ASSERT(Refusals[0].Code == result_code::OutcomeUnknown);
+    CPPUNIT_ASSERT(Refusals[1].Code == result_code::Draining);
+    CPPUNIT_ASSERT(Harness.State.Requests.empty());
+  }
+
 private:
   auto receivePrompt(request_number Number, std::uint32_t OutputTokens)
       -> void {
