Gateways: no stream is taken that the end of the stop may cut

Cause: while a gateway stops, a stream was taken if four times its expected duration fitted before the deadline. The expectation is an average of ended streams. So an estimate decided over a promise that needs a bound, and a stream has none. Change: streams that arrive after drain.balancer_wait_ms are refused as not run; by then the load balancer sends no more. A stream that has waited for a load is checked again when it is sent. Requests with one answer are still served until shortly before the deadline, which answers them. Evidence: gateway_test stop_streamAfterTheBalancersTime_isRefusedAsNotRun fails without the check (the stream is sent).

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -450,15 +450,16 @@
 auto gateway_node::drainAndStop() -> awaitable<void> {
   if (std::exchange(Draining, true))
     co_return;
-  const auto GraceEnd =
-      process_clock::now() + milliseconds(Settings.StopGraceMs);
+  const auto BeganAt = process_clock::now();
+  const auto GraceEnd = BeganAt + milliseconds(Settings.StopGraceMs);
+  const auto BalancerEnd = BeganAt + milliseconds(Settings.BalancerWaitMs);
   const auto Deadline = GraceEnd - AnswerMargin;
-  dispatch(stop_began{Deadline});
+  dispatch(stop_began{Deadline, BalancerEnd});
   log(log_level::Info, "stopping",
       {{"requests", std::to_string(Requests.size())},
        {"connections", std::to_string(Connections.size())}});
   // Callers may send requests until the load balancer stops routing here.
-  co_await net::sleepFor(milliseconds(Settings.BalancerWaitMs));
+  co_await net::sleepFor(BalancerEnd - process_clock::now());
   // The listener stays open: a connection that the load balancer still opens
   // is served, and closing the listener would reset one that is being opened.
   bool Listening = true;
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -70,6 +70,8 @@
   std::map<model_name, double> DecodeMsPerToken;
   /// End of the process; NoDeadline unless it stops.
   time_point StopDeadline = NoDeadline;
+  /// Streams that arrive later are refused because of the stop.
+  time_point StreamsUntil = NoDeadline;
   std::map<service_name, retry_budget> RetryBudgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -150,9 +150,12 @@
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
 };
 
-/// This gateway stops; streams that are not complete by the deadline are cut.
+/// This gateway stops. Streams that are not complete by the deadline are cut.
 struct stop_began {
   time_point Deadline;
+  /// Until then the load balancer may send requests here; later streams are
+  /// refused.
+  time_point StreamsUntil;
 };
 
 /// The deadline of the stop has passed: every open request is answered now.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -47,9 +47,9 @@
 auto handle(const gateway_step &Step, const stop_began &Event) -> void;
 auto handle(const gateway_step &Step, const stop_deadline_passed &Event)
     -> void;
-/// True if the answer would be cut as this gateway stops. Short requests are
+/// True if the answer may be cut as this gateway stops. Short requests are
 /// served until shortly before the stop, since some load balancers go on
-/// sending them.
+/// sending them; streams only while load balancers are expected to.
 auto exceedsStop(const gateway_state &State, const request_state &Request,
                  time_point Now) -> bool;
 /// Refuses a request, which has not run, because this gateway stops.
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -199,6 +199,8 @@
   if (Request.Deadline - Step.Now < MinAttemptTime)
     return refuseRequest(Step, Number, result_code::DeadlineUnreachable, 0,
                          "no time is left");
+  if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
+    return refuseStopping(Step, Number);
   const auto &Call = Request.Call;
   pick_request PickRequest;
   PickRequest.Service = Request.Service;
@@ -320,8 +322,6 @@
                      Event.Call.Arrived +
                          milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
-  if (exceedsStop(State, Request, Step.Now))
-    return refuseStopping(Step, Event.Number);
   if (Event.Call.HasPrompt) {
     const auto &Prompt = Event.Call.Prompt;
     Request.PrefixKeys = prefixKeys(Prompt);
--- a/libs/serving/src/gateway_stop.cpp
+++ b/libs/serving/src/gateway_stop.cpp
@@ -20,6 +20,10 @@
                  time_point Now) -> bool {
   if (State.StopDeadline == NoDeadline)
     return false;
+  // The time of a stream has no bound that its caller would not pass.
+  if (Request.Route.Kind == request_kind::Stream &&
+      Request.Call.Arrived > State.StreamsUntil)
+    return true;
   const auto &Prompt = Request.Call.Prompt;
   auto ExpectedMs = static_cast<double>(Request.Route.TargetLatencyMs);
   const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
@@ -39,6 +43,7 @@
 
 auto handle(const gateway_step &Step, const stop_began &Event) -> void {
   Step.State.StopDeadline = Event.Deadline;
+  Step.State.StreamsUntil = Event.StreamsUntil;
 }
 
 auto handle(const gateway_step &Step, const stop_deadline_passed & /*Event*/)
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(gateway_test);
   CPPUNIT_TEST(stop_answerWouldBeCut_isRefusedAsNotRun);
   CPPUNIT_TEST(stop_shortRequest_isServedUntilShortlyBefore);
+  CPPUNIT_TEST(stop_streamAfterTheBalancersTime_isRefusedAsNotRun);
   CPPUNIT_TEST(stop_deadlinePassed_everyOpenRequestIsAnswered);
   CPPUNIT_TEST(request_noConfiguration_refusedNotReady);
   CPPUNIT_TEST(request_noRoute_refusedNotFound);
@@ -288,7 +289,8 @@
   auto stop_answerWouldBeCut_isRefusedAsNotRun() -> void {
     Harness.addTarget("e1", "models", {"a"});
     Harness.State.DecodeMsPerToken[model_name("a")] = 5;
-    Harness.dispatch(stop_began{Harness.Now + seconds(8)});
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(8), Harness.Now + seconds(3)});
     // The first output and 200 tokens take 1.6 s, and four times that has to
     // fit.
     receivePrompt(1, 200);
@@ -304,7 +306,8 @@
 
   auto stop_shortRequest_isServedUntilShortlyBefore() -> void {
     Harness.addTarget("l1", "ledger", {});
-    Harness.dispatch(stop_began{Harness.Now + seconds(5)});
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(5), Harness.Now + seconds(3)});
     Harness.Now += seconds(2);
     Harness.receiveRequest(1, "/pay/x");
     CPPUNIT_ASSERT(!Harness.effectsOf<send_attempt>().empty());
@@ -314,9 +317,23 @@
                    result_code::Draining);
   }
 
+  auto stop_streamAfterTheBalancersTime_isRefusedAsNotRun() -> void {
+    Harness.addTarget("e1", "models", {"a"});
+    // Averages of a gateway that has just started come from the shortest
+    // streams.
+    Harness.State.DecodeMsPerToken[model_name("a")] = 0.01;
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(60), Harness.Now + seconds(3)});
+    Harness.Now += seconds(3) + milliseconds(1);
+    receivePrompt(1, 200);
+    CPPUNIT_ASSERT(Harness.onlyEffect<refuse_request>().Code ==
+                   result_code::Draining);
+  }
+
   auto stop_deadlinePassed_everyOpenRequestIsAnswered() -> void {
     Harness.addTarget("l1", "ledger", {});
-    Harness.dispatch(stop_began{Harness.Now + seconds(60)});
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(60), Harness.Now + seconds(3)});
     Harness.receiveRequest(1, "/pay/x"); // At its target.
     Harness.addTarget("e1", "models", {});
     receivePrompt(2, 200); // Waits for a load.
