Gateways: a stop sends callers away only where another gateway is ready

Cause: a stopping gateway refused streams from the signal on with Retry-After 50 ms, on the grounds that another gateway takes them at once. When several stop within some seconds none does: callers came back, were refused again and had no retry left. Change: digests tell when their sender, or the process that replaces it, takes requests. If no other gateway is ready, a stopping one serves what is expected to end in time, for as long as the load balancer may send here, and otherwise names the time at which the first gateway is ready. If one is ready, streams that could be cut are refused as before, with 50 ms. Evidence: gateway_test stop_noOtherGatewayReady_streamIsServed and stop_noOtherGatewayReady_callerIsToldWhenOneIs; the code before has no such field, so they were not run on it. stop_answerWouldBeCut_isRefusedAsNotRun now hears a ready gateway, which is the case that it stands for.

--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -50,7 +50,8 @@
           {"s", Digest.StoreReachable},
           {"z", Digest.DataCentre.Text},
           {"ta", Digest.TargetsReadAgeMs},
-          {"tv", Digest.TargetsVersion}};
+          {"tv", Digest.TargetsVersion},
+          {"r", Digest.ReadyInMs}};
 }
 
 auto toJson(const greeting &Greeting) -> json {
@@ -98,6 +99,8 @@
   Digest.DataCentre = data_centre_name(Object.at("z").get<std::string>());
   Digest.TargetsReadAgeMs = Object.at("ta").get<std::int64_t>();
   Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
+  // Gateways of an older version do not send it.
+  Digest.ReadyInMs = Object.value("r", std::int64_t{0});
   for (const auto &Item : Object.at("u"))
     Digest.AdapterUse.emplace(
         target_name(Item.at(0).get<std::string>()),
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -103,6 +103,7 @@
     /// read them.
     time_point TargetsReadAt;
     std::uint64_t TargetsVersion = 0; ///< Newest row that it knows.
+    time_point ReadyAt; ///< When it takes any request; the past if it does.
   };
   std::map<instance_name, peer_status> PeerStatuses;
   /// Start of the time in which this gateway has no configuration or a peer
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -148,6 +148,9 @@
   /// it does not read them.
   std::int64_t TargetsReadAgeMs = -1;
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
+  /// Time until the sender, or the process that replaces it, takes any request,
+  /// ms; 0 while it does.
+  std::int64_t ReadyInMs = 0;
 };
 
 /// This gateway stops. Streams that are not complete by the deadline are cut.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -52,7 +52,11 @@
 /// sending them; streams only while load balancers are expected to.
 auto exceedsStop(const gateway_state &State, const request_state &Request,
                  time_point Now) -> bool;
-/// Refuses a request, which has not run, because this gateway stops.
+/// When this gateway, or the process that replaces it, takes any request; \p
+/// Now if it does.
+auto readyAt(const gateway_state &State, time_point Now) -> time_point;
+/// Refuses a request, which has not run, because this gateway stops. The caller
+/// is told to return when a gateway is ready.
 auto refuseStopping(const gateway_step &Step, request_number Number) -> void;
 
 // gateway_loads.cpp
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -212,11 +212,14 @@
                 {{"peer", Event.From.Text}});
   State.PeerDigestTimes[Event.From] = Step.Now;
   State.PeerStatuses[Event.From] = {
-      Event.Configuration, Event.StoreReachable, Event.DataCentre,
+      Event.Configuration,
+      Event.StoreReachable,
+      Event.DataCentre,
       Event.TargetsReadAgeMs < 0
           ? time_point()
           : Step.Now - milliseconds(Event.TargetsReadAgeMs),
-      Event.TargetsVersion};
+      Event.TargetsVersion,
+      Step.Now + milliseconds(Event.ReadyInMs)};
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
@@ -268,6 +271,7 @@
   if (State.ReadsTargets && State.TargetsReadAt != time_point())
     Digest.TargetsReadAgeMs = toMilliseconds(Step.Now - State.TargetsReadAt);
   Digest.TargetsVersion = State.TargetsVersion;
+  Digest.ReadyInMs = toMilliseconds(readyAt(State, Step.Now) - Step.Now);
   for (const auto &[Name, Entry] : State.Book.all())
     if (Entry.OwnLoad.activeCount() > 0)
       Digest.Loads[Name] = Entry.OwnLoad;
--- a/libs/serving/src/gateway_stop.cpp
+++ b/libs/serving/src/gateway_stop.cpp
@@ -1,18 +1,44 @@
 #include "details/gateway_parts.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace limpetbridge::serving {
 
 namespace {
 
-/// Retry-after of a request that would not end before this gateway does, ms:
-/// another gateway takes it at once.
+/// Retry-after of a request that another gateway takes at once, ms.
 constexpr std::int64_t StoppingRetryAfterMs = 50;
-/// Expected durations are rough, so that this multiple of one has to fit into
-/// the time until the stop, and the margin besides.
+/// Expected durations are averages, so this multiple of one has to fit into the
+/// time until the stop if another gateway is ready.
 constexpr double StopTolerance = 4;
 constexpr duration StopMargin = milliseconds(500);
+/// Time from the end of a gateway until the process that replaces it is ready
+/// and the load balancer knows.
+constexpr duration RestartTime = seconds(1);
+
+/// Time at which the first of the other gateways is ready; NoDeadline if none
+/// is heard.
+auto otherGatewayReadyAt(const gateway_state &State) -> time_point {
+  auto ReadyAt = NoDeadline;
+  for (const auto &[Peer, Status] : State.PeerStatuses)
+    ReadyAt = std::min(ReadyAt, Status.ReadyAt);
+  return ReadyAt;
+}
+
+/// Average time until the answer of \p Request is complete, ms.
+auto expectedDurationMs(const gateway_state &State,
+                        const request_state &Request, double Unknown)
+    -> double {
+  const auto FirstOutputMs = static_cast<double>(Request.Route.TargetLatencyMs);
+  const auto &Prompt = Request.Call.Prompt;
+  if (!Request.Call.HasPrompt)
+    return FirstOutputMs;
+  const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
+  return PerToken == State.DecodeMsPerToken.end()
+             ? Unknown
+             : FirstOutputMs + PerToken->second * Prompt.MaxOutputTokens;
+}
 
 } // namespace
 
@@ -24,21 +50,31 @@
   if (Request.Route.Kind == request_kind::Stream &&
       Request.Call.Arrived > State.StreamsUntil)
     return true;
-  const auto &Prompt = Request.Call.Prompt;
-  auto ExpectedMs = static_cast<double>(Request.Route.TargetLatencyMs);
-  const auto PerToken = State.DecodeMsPerToken.find(Prompt.Model);
-  if (Request.Call.HasPrompt && PerToken != State.DecodeMsPerToken.end())
-    ExpectedMs += PerToken->second * Prompt.MaxOutputTokens;
-  else if (Request.Call.HasPrompt)
-    ExpectedMs = static_cast<double>(toMilliseconds(Request.Deadline - Now));
-  const auto Needed =
-      milliseconds(static_cast<std::int64_t>(StopTolerance * ExpectedMs));
+  // Without another gateway, a refused caller finds nobody, while most answers
+  // are complete in time.
+  const bool Refusable = otherGatewayReadyAt(State) <= Now;
+  const auto ExpectedMs = expectedDurationMs(
+      State, Request,
+      Refusable ? static_cast<double>(toMilliseconds(Request.Deadline - Now))
+                : 0);
+  const auto Needed = milliseconds(
+      static_cast<std::int64_t>((Refusable ? StopTolerance : 1) * ExpectedMs));
   return Now + Needed + StopMargin > State.StopDeadline;
 }
 
+auto readyAt(const gateway_state &State, time_point Now) -> time_point {
+  if (State.StopDeadline != NoDeadline)
+    return State.StopDeadline + RestartTime;
+  return State.Configuration.Version > 0 ? Now : Now + RestartTime;
+}
+
 auto refuseStopping(const gateway_step &Step, request_number Number) -> void {
-  refuseRequest(Step, Number, result_code::Draining, StoppingRetryAfterMs,
-                "the gateway stops");
+  const auto ReadyAt =
+      std::min(otherGatewayReadyAt(Step.State), readyAt(Step.State, Step.Now));
+  refuseRequest(
+      Step, Number, result_code::Draining,
+      std::max(StoppingRetryAfterMs, toMilliseconds(ReadyAt - Step.Now)),
+      "the gateway stops");
 }
 
 auto handle(const gateway_step &Step, const stop_began &Event) -> void {
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST(stop_answerWouldBeCut_isRefusedAsNotRun);
   CPPUNIT_TEST(stop_shortRequest_isServedUntilShortlyBefore);
   CPPUNIT_TEST(stop_streamAfterTheBalancersTime_isRefusedAsNotRun);
+  CPPUNIT_TEST(stop_noOtherGatewayReady_streamIsServed);
+  CPPUNIT_TEST(stop_noOtherGatewayReady_callerIsToldWhenOneIs);
   CPPUNIT_TEST(stop_deadlinePassed_everyOpenRequestIsAnswered);
   CPPUNIT_TEST(request_noConfiguration_refusedNotReady);
   CPPUNIT_TEST(request_noRoute_refusedNotFound);
@@ -289,6 +291,7 @@
   auto stop_answerWouldBeCut_isRefusedAsNotRun() -> void {
     Harness.addTarget("e1", "models", {"a"});
     Harness.State.DecodeMsPerToken[model_name("a")] = 5;
+    hearGateway(0);
     Harness.dispatch(
         stop_began{Harness.Now + seconds(8), Harness.Now + seconds(3)});
     // The first output and 200 tokens take 1.6 s, and four times that has to
@@ -330,6 +333,34 @@
                    result_code::Draining);
   }
 
+  auto stop_noOtherGatewayReady_streamIsServed() -> void {
+    Harness.addTarget("e1", "models", {"a"});
+    Harness.State.DecodeMsPerToken[model_name("a")] = 5;
+    hearGateway(6000);
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(8), Harness.Now + seconds(3)});
+    Harness.Now += seconds(2);
+    receivePrompt(1, 200);
+    CPPUNIT_ASSERT(!Harness.effectsOf<send_attempt>().empty());
+    hearGateway(0);
+    receivePrompt(2, 200);
+    CPPUNIT_ASSERT(!Harness.effectsOf<refuse_request>().empty());
+  }
+
+  auto stop_noOtherGatewayReady_callerIsToldWhenOneIs() -> void {
+    const auto RetryAfterMs = [&] {
+      Harness.receiveRequest(++LastNumber, "/pay/x");
+      return Harness.onlyEffect<refuse_request>().RetryAfterMs;
+    };
+    Harness.dispatch(stop_began{Harness.Now + milliseconds(300), Harness.Now});
+    // The process that replaces this one.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1300}, RetryAfterMs());
+    hearGateway(700);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{700}, RetryAfterMs());
+    hearGateway(0);
+    CPPUNIT_ASSERT(RetryAfterMs() <= 100);
+  }
+
   auto stop_deadlinePassed_everyOpenRequestIsAnswered() -> void {
     Harness.addTarget("l1", "ledger", {});
     Harness.dispatch(
@@ -347,6 +378,15 @@
   }
 
 private:
+  /// Raises a digest of another gateway.
+  auto hearGateway(std::int64_t ReadyInMs) -> void {
+    gateway_digest Digest;
+    Digest.From = instance_name("g2");
+    Digest.Configuration = 1;
+    Digest.ReadyInMs = ReadyInMs;
+    Harness.dispatch(Digest);
+  }
+
   auto receivePrompt(request_number Number, std::uint32_t OutputTokens)
       -> void {
     request_arrived Event;
@@ -388,6 +428,7 @@
   }
 
   gateway_harness Harness;
+  request_number LastNumber = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_test);
