Signals and the work open at a controller's end are logged

- signal_received: which signal, and whether the process was stopping already.
- stopping and stopped of a controller: jobs, load calls that wait, jobs whose order was sent.

Logic is unchanged.

--- a/apps/limpetbridge/src/main.cpp
+++ b/apps/limpetbridge/src/main.cpp
@@ -8,6 +8,7 @@
 #include "gateway_node.h"
 #include "node.h"
 #include "node_setup.h"
+#include "stop_signal.h"
 
 #include <getopt.h>
 #include <pthread.h>
@@ -154,6 +155,7 @@
     sigwait(&Signals, &Signal);
     if (Signal == SIGUSR1)
       return ExitStatus.load();
+    logSignal(Signal, Draining);
     if (Draining) {
       log(log_level::Error, "interrupted",
           {{"code",
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -95,12 +95,25 @@
     Settings.LoadOverrun = Changed.LoadOverrun;
   });
   onStopSignal(Context, [this] {
-    log(log_level::Info, "stopping",
-        {{"jobs", std::to_string(Models.Jobs.size() + Adapters.Jobs.size())}});
+    logOpenWork("stopping");
     Context.stop();
   });
   Context.run();
-  log(log_level::Info, "stopped", {});
+  logOpenWork("stopped");
+}
+
+auto controller_node::logOpenWork(const char *Event) const -> void {
+  std::size_t LoadCalls = 0;
+  std::size_t Ordered = 0;
+  for (const auto *Queue : {&Models, &Adapters})
+    for (const auto &Job : Queue->Jobs) {
+      LoadCalls += Job->Waiters.size();
+      Ordered += Job->OrderSent ? 1 : 0;
+    }
+  log(log_level::Info, Event,
+      {{"jobs", std::to_string(Models.Jobs.size() + Adapters.Jobs.size())},
+       {"load_calls", std::to_string(LoadCalls)},
+       {"ordered", std::to_string(Ordered)}});
 }
 
 auto controller_node::metricsAddress() const -> std::string {
@@ -370,6 +383,7 @@
       co_await net::sleepFor(PermitRetryDelay);
       continue;
     }
+    Job->OrderSent = true;
     const auto Outcome = co_await sendOrder(*Job, Step, Report->Sequence);
     if (Outcome == order_end::WrongTarget)
       co_return false;
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -43,6 +43,7 @@
     serving::load_job Job;
     target_name Target;
     bool Done = false;
+    bool OrderSent = false;
     bool Held = false; ///< The target holds the model or adapter.
     /// Cancelled when the job is done.
     std::vector<std::shared_ptr<net::asio::steady_timer>> Waiters;
@@ -63,6 +64,8 @@
     net::persistent_client Client;
   };
 
+  /// Logs \p Event with the calls that wait and the jobs whose order was sent.
+  auto logOpenWork(const char *Event) const -> void;
   auto runJobs(job_queue &Queue) -> net::awaitable<void>;
   auto runJob(job_queue &Queue, job Job) -> net::awaitable<bool>;
   auto readReport(job_queue &Queue)
--- a/apps/limpetbridge/src/serving/settings_watch.cpp
+++ b/apps/limpetbridge/src/serving/settings_watch.cpp
@@ -26,6 +26,7 @@
         [Self = shared_from_this()](net::error_code Error, int /*Signal*/) {
           if (Error)
             return;
+          log(log_level::Info, "signal_received", {{"signal", "SIGHUP"}});
           Self->reloadIfChanged("signal");
           Self->awaitSignal();
         });
--- a/apps/limpetbridge/src/serving/stop_signal.cpp
+++ b/apps/limpetbridge/src/serving/stop_signal.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <memory>
 
 namespace limpetbridge {
@@ -20,13 +21,14 @@
 
   auto awaitSignal() -> void {
     Signals.async_wait(
-        [Self = shared_from_this()](net::error_code Error, int /*Signal*/) {
+        [Self = shared_from_this()](net::error_code Error, int Signal) {
           if (Error)
             return;
-          if (std::exchange(Self->Stopping, true))
+          const bool Repeated = std::exchange(Self->Stopping, true);
+          logSignal(Signal, Repeated);
+          if (Repeated)
             std::_Exit(1);
-          else
-            Self->Stop();
+          Self->Stop();
           Self->awaitSignal();
         });
   }
@@ -38,6 +40,12 @@
 
 } // namespace
 
+auto logSignal(int Signal, bool Repeated) -> void {
+  log(log_level::Info, "signal_received",
+      {{"signal", std::string("SIG") + sigabbrev_np(Signal)},
+       {"repeated", Repeated ? "true" : "false"}});
+}
+
 auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
     -> void {
   std::make_shared<signal_watch>(Context, std::move(Stop))->awaitSignal();
--- a/apps/limpetbridge/src/serving/stop_signal.h
+++ b/apps/limpetbridge/src/serving/stop_signal.h
@@ -9,6 +9,10 @@
 
 namespace limpetbridge {
 
+/// Logs that \p Signal arrived. \p Repeated tells whether the process was
+/// stopping already.
+auto logSignal(int Signal, bool Repeated) -> void;
+
 /// Calls \p Stop on the first signal; the second one exits the process at once
 /// with status 1.
 auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
