A repeated SIGTERM is the same stop

Cause: the second SIGTERM or SIGINT ended gateways and controllers with _Exit(1) and entries and agents with _exit(5). Supervisors repeat SIGTERM, also when two stops overlap, such as a rolling restart and a removal.

What callers saw: every request in progress lost its connection without an answer; streams broke off.

Change: stop_policy decides for all four roles. The first signal begins the stop, a repeated SIGTERM is logged and changes nothing, a second SIGINT still ends the process at once for an operator at a terminal.

Why it works: the stop has a bound of its own, and SIGKILL remains for an end by force, so nothing is left that needs an exit on SIGTERM.

--- a/apps/limpetbridge/src/main.cpp
+++ b/apps/limpetbridge/src/main.cpp
@@ -39,7 +39,8 @@
     "LIMPETBRIDGE_SETTINGS names.\n"
     "\n"
     "SIGTERM drains: readyz fails, new work is refused as not run, running\n"
-    "work finishes, exit status 0. A second signal ends the process at once.\n";
+    "work finishes, exit status 0. A repeated SIGTERM changes nothing, a\n"
+    "repeated SIGINT ends the process at once.\n";
 
 /// Action that the command line requests.
 enum class command : unsigned char {
@@ -145,25 +146,24 @@
 }
 
 /// Waits for the end of the node and returns the exit status. SIGUSR1 reports
-/// that the node has drained; the first other signal starts the drain, and a
-/// second one ends the process at once.
+/// that the node has drained.
 auto waitForShutdown(const sigset_t &Signals, node &Node,
                      const std::atomic<int> &ExitStatus) -> int {
-  bool Draining = false;
+  stop_policy Policy;
   for (;;) {
     int Signal = 0;
     sigwait(&Signals, &Signal);
     if (Signal == SIGUSR1)
       return ExitStatus.load();
-    logSignal(Signal, Draining);
-    if (Draining) {
+    const auto Action = Policy.receive(Signal);
+    if (Action == stop_action::EndNow) {
       log(log_level::Error, "interrupted",
           {{"code",
             std::to_string(static_cast<int>(result_code::Interrupted))}});
       _exit(exitStatus(result_code::Interrupted));
     }
-    Draining = true;
-    Node.drain();
+    if (Action == stop_action::Begin)
+      Node.drain();
   }
 }
 
--- a/apps/limpetbridge/src/serving/stop_signal.cpp
+++ b/apps/limpetbridge/src/serving/stop_signal.cpp
@@ -24,26 +24,30 @@
         [Self = shared_from_this()](net::error_code Error, int Signal) {
           if (Error)
             return;
-          const bool Repeated = std::exchange(Self->Stopping, true);
-          logSignal(Signal, Repeated);
-          if (Repeated)
+          const auto Action = Self->Policy.receive(Signal);
+          if (Action == stop_action::EndNow)
             std::_Exit(1);
-          Self->Stop();
+          if (Action == stop_action::Begin)
+            Self->Stop();
           Self->awaitSignal();
         });
   }
 
   net::asio::signal_set Signals;
   std::function<void()> Stop;
-  bool Stopping = false;
+  stop_policy Policy;
 };
 
 } // namespace
 
-auto logSignal(int Signal, bool Repeated) -> void {
+auto stop_policy::receive(int Signal) -> stop_action {
+  const bool Repeated = std::exchange(Stopping, true);
   log(log_level::Info, "signal_received",
       {{"signal", std::string("SIG") + sigabbrev_np(Signal)},
        {"repeated", Repeated ? "true" : "false"}});
+  if (Signal == SIGINT && std::exchange(Interrupted, true))
+    return stop_action::EndNow;
+  return Repeated ? stop_action::None : stop_action::Begin;
 }
 
 auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
--- a/apps/limpetbridge/src/serving/stop_signal.h
+++ b/apps/limpetbridge/src/serving/stop_signal.h
@@ -1,20 +1,34 @@
 /// \file
-/// Handles SIGTERM and SIGINT in a process that runs on one io_context.
+/// What SIGTERM and SIGINT ask of a process, and a watch for them.
 #ifndef LIMPETBRIDGE_NODE_SERVING_STOP_SIGNAL_H
 #define LIMPETBRIDGE_NODE_SERVING_STOP_SIGNAL_H
 
 #include "net/asio.h"
 
+#include <cstdint>
 #include <functional>
 
 namespace limpetbridge {
 
-/// Logs that \p Signal arrived. \p Repeated tells whether the process was
-/// stopping already.
-auto logSignal(int Signal, bool Repeated) -> void;
+/// What a signal asks of a process.
+enum class stop_action : std::uint8_t {
+  Begin, ///< Begin the stop.
+  None,  ///< The stop goes on: supervisors repeat SIGTERM.
+  EndNow ///< An operator at a terminal does not want to wait.
+};
 
-/// Calls \p Stop on the first signal; the second one exits the process at once
-/// with status 1.
+/// Decides what each SIGTERM and SIGINT asks for, and logs it.
+class stop_policy {
+public:
+  auto receive(int Signal) -> stop_action;
+
+private:
+  bool Stopping = false;
+  bool Interrupted = false; ///< By SIGINT.
+};
+
+/// Calls \p Stop on the first signal; a repeated SIGINT exits the process at
+/// once with status 1.
 auto onStopSignal(net::asio::io_context &Context, std::function<void()> Stop)
     -> void;
 
--- a/libs/base/src/result_code.cpp
+++ b/libs/base/src/result_code.cpp
@@ -123,7 +123,7 @@
                     "The process cannot start as its settings say.",
                     "See the detail; often a port is in use."},
     result_code_row{result_code::Interrupted, "interrupted", Unknown, 500,
-                    "A second signal ended the process during its drain.",
+                    "A repeated SIGINT ended the process during its drain.",
                     "Work in progress may have been cut off."},
 };
 
