Signals are handled before anything listens, and SIGHUP ends no process

Cause: gateways and controllers listen from their constructors on and installed their handlers in run. A SIGTERM or SIGHUP in between ended the process by the default action. Entries and agents never handled SIGHUP, which ended them at any time.

What callers saw: connections in the backlog were reset; a SIGHUP cut every request of an entry or agent off.

Evidence, the new tests on the code before: - signal_test start_signalsBeforeRun, gateway and controller: the process is ended by SIGHUP (status 129); a trial without the SIGHUP by SIGTERM (143). - signals.sh: "FAILED: SIGHUP ended entry_1", the agent had ended too.

Change: the signals are blocked at the start of the process. Constructors of gateways and controllers install the handlers before the listeners, and main unblocks the signals after that; they are blocked again after run, so that a late one does not replace the exit status. Entries and agents take SIGHUP from the same queue as SIGTERM and log signal_ignored.

Why it works: a signal that arrives before the handlers is pending, one that arrives before run is queued by the signal set, and run begins with the stop.

--- a/apps/limpetbridge/src/main.cpp
+++ b/apps/limpetbridge/src/main.cpp
@@ -133,12 +133,12 @@
   return 0;
 }
 
-/// Blocks the signals that end the process in every thread, so that one thread
-/// can wait for them. \returns these signals.
+/// Blocks the signals that the process handles in every thread, so that they
+/// wait until they can be handled. \returns these signals.
 auto blockSignals() -> sigset_t {
   sigset_t Signals;
   sigemptyset(&Signals);
-  for (const int Signal : {SIGTERM, SIGINT, SIGUSR1})
+  for (const int Signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1})
     sigaddset(&Signals, Signal);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   signal(SIGPIPE, SIG_IGN); // NOLINT: before any thread starts
@@ -155,6 +155,11 @@
     sigwait(&Signals, &Signal);
     if (Signal == SIGUSR1)
       return ExitStatus.load();
+    if (Signal == SIGHUP) {
+      // Entries and agents read their settings only at the start.
+      log(log_level::Info, "signal_ignored", {{"signal", "SIGHUP"}});
+      continue;
+    }
     const auto Action = Policy.receive(Signal);
     if (Action == stop_action::EndNow) {
       log(log_level::Error, "interrupted",
@@ -167,15 +172,27 @@
   }
 }
 
+/// Runs \p Node, which handles \p Signals, until it has shut down.
+template <typename serving_node>
+auto runServingNode(serving_node &&Node, const sigset_t &Signals) -> int {
+  pthread_sigmask(SIG_UNBLOCK, &Signals, nullptr);
+  Node.run();
+  // The handlers go with the node; the default action would replace the exit
+  // status.
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return 0;
+}
+
 /// Runs a gateway or a controller until it has shut down.
-auto runGatewayOrController(const node_settings &Settings) -> int {
-  signal(SIGPIPE, SIG_IGN); // NOLINT: before any thread starts
+auto runGatewayOrController(const node_settings &Settings,
+                            const sigset_t &Signals) -> int {
   try {
     if (Settings.Role == "gateway")
-      gateway_node(Settings, adapter::makeGatewayHooks(Settings)).run();
-    else
-      controller_node(Settings, adapter::makeControllerHooks(Settings)).run();
-    return 0;
+      return runServingNode(
+          gateway_node(Settings, adapter::makeGatewayHooks(Settings)), Signals);
+    return runServingNode(
+        controller_node(Settings, adapter::makeControllerHooks(Settings)),
+        Signals);
   } catch (const std::exception &Error) {
     log(log_level::Error, "failed", {{"error", Error.what()}});
     return reportError(failure(result_code::StartupFailed, Error.what()));
@@ -183,14 +200,14 @@
 }
 
 auto runNode(const std::string &File) -> int {
+  const auto Signals = blockSignals();
   auto Settings = loadValidSettings(File);
   if (!Settings)
     return reportError(Settings.error());
   startLog(Settings.value().Name, Settings.value().LogFile);
   if (Settings.value().Role == "gateway" ||
       Settings.value().Role == "controller")
-    return runGatewayOrController(Settings.value());
-  const auto Signals = blockSignals();
+    return runGatewayOrController(Settings.value(), Signals);
   std::atomic<int> ExitStatus{0};
   try {
     node Node(Settings.value(), [&ExitStatus](result_code Code) {
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -48,6 +48,16 @@
                                     NodeSettings.ControllerTarget)),
       Adapters(net::persistent_client(Context.get_executor(),
                                       NodeSettings.ControllerTarget)) {
+  // Before the listeners: a signal must not end a process that has callers.
+  onStopSignal(Context, [this] {
+    logOpenWork("stopping");
+    Context.stop();
+  });
+  watchSettings(Context, Settings, [this](const node_settings &Changed) {
+    Metrics.count("settings", "reloaded");
+    Settings.LoadWindowMs = Changed.LoadWindowMs;
+    Settings.LoadOverrun = Changed.LoadOverrun;
+  });
   const auto Listen = [&](const std::string &Address,
                           const net::call_handler &Handler) {
     return std::make_unique<net::listener>(
@@ -89,15 +99,6 @@
     log(log_level::Info, "configuration_in_force",
         {{"version", std::to_string(Configuration.Version)}});
   });
-  watchSettings(Context, Settings, [this](const node_settings &Changed) {
-    Metrics.count("settings", "reloaded");
-    Settings.LoadWindowMs = Changed.LoadWindowMs;
-    Settings.LoadOverrun = Changed.LoadOverrun;
-  });
-  onStopSignal(Context, [this] {
-    logOpenWork("stopping");
-    Context.stop();
-  });
   Context.run();
   logOpenWork("stopped");
 }
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -21,6 +21,7 @@
 /// One controller. Runs on the thread that calls run.
 class controller_node {
 public:
+  /// Handles SIGTERM, SIGINT and SIGHUP from then on; run acts on them.
   /// \throws std::exception if an address cannot be bound.
   controller_node(const node_settings &NodeSettings,
                   controller_hooks NodeHooks);
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -61,6 +61,12 @@
     return Entry != nullptr && Entry->acceptsWork();
   };
   const auto Executor = Context.get_executor();
+  // Before the listeners: a signal must not end a process that has callers.
+  onStopSignal(Context,
+               [this, Executor] { net::spawn(Executor, drainAndStop()); });
+  watchSettings(Context, Settings, [this](const node_settings &Changed) {
+    applySettings(Changed);
+  });
   CallerListener = std::make_unique<net::listener>(
       Context, Settings.GatewayCallers, [this, Executor](connection Accepted) {
         net::spawn(Executor, serveCaller(std::move(Accepted)));
@@ -129,13 +135,7 @@
   Self.Address = Settings.LinkAddress;
   KnowledgeSync = Hooks.Watch(Context, Self, Environment.Dispatch,
                               [this] { return State.ReadsTargets; });
-  const auto Executor = Context.get_executor();
-  net::spawn(Executor, runTicks());
-  watchSettings(Context, Settings, [this](const node_settings &Changed) {
-    applySettings(Changed);
-  });
-  onStopSignal(Context,
-               [this, Executor] { net::spawn(Executor, drainAndStop()); });
+  net::spawn(Context.get_executor(), runTicks());
   Context.run();
   log(log_level::Info, "stopped", {});
 }
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -21,6 +21,7 @@
 /// One gateway. Runs on the thread that calls run.
 class gateway_node {
 public:
+  /// Handles SIGTERM, SIGINT and SIGHUP from then on; run acts on them.
   /// \throws std::exception if an address cannot be bound.
   gateway_node(const node_settings &NodeSettings, gateway_hooks NodeHooks);
 
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -134,11 +134,13 @@
   auto Settings = makeSettings(Store->address(), "controller");
   Settings.ControllerTarget = Workers[WorkerId]->address();
   Settings.TargetService = "models";
+  Settings.File = SettingsFile;
   if (Controller)
     Controller->requestStop();
   ControllerThread.reset();
-  Controller = std::make_unique<controller_node>(
-      Settings, adapter::makeControllerHooks(Settings));
+  auto Hooks = adapter::makeControllerHooks(Settings);
+  ChangeControllerHooks(Hooks);
+  Controller = std::make_unique<controller_node>(Settings, std::move(Hooks));
   ControllerThread = std::make_unique<thread>("controller", LoopStackBytes,
                                               [this] { Controller->run(); });
 }
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -126,6 +126,9 @@
 
   /// Changes the hooks of the gateways that are started from then on.
   std::function<void(gateway_hooks &)> ChangeHooks = [](gateway_hooks &) {};
+  /// The same for controllers.
+  std::function<void(controller_hooks &)> ChangeControllerHooks =
+      [](controller_hooks &) {};
 
   emulator_thread Outside;
   std::unique_ptr<store_emulator> Store;
--- a/testing/emulator/tests/signal_test.cpp
+++ b/testing/emulator/tests/signal_test.cpp
@@ -15,6 +15,8 @@
 class signal_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(signal_test);
   CPPUNIT_TEST(sigterm_repeated_streamIsFinished);
+  CPPUNIT_TEST(start_signalsBeforeRun_waitingCallIsAnswered);
+  CPPUNIT_TEST(start_signalsBeforeRun_controllerStops);
   CPPUNIT_TEST(stopPolicy_everySequence_onlyRepeatedSigintEndsNow);
   CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +54,38 @@
     CPPUNIT_ASSERT(Answer.ends_with("0\r\n\r\n"));
   }
 
+  auto start_signalsBeforeRun_waitingCallIsAnswered() -> void {
+    std::atomic<bool> Sent = false;
+    Fleet->ChangeHooks = [&](gateway_hooks &Hooks) {
+      Hooks.Watch = [&, Watch = Hooks.Watch](auto &&...Arguments) {
+        eventually([&] { return Sent.load(); });
+        raise(SIGHUP);
+        raise(SIGTERM);
+        return Watch(Arguments...);
+      };
+    };
+    Fleet->startGateway();
+    const auto Answer = Fleet->sendInParts(
+        "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Limpetbridge-Attempt-Id: 9\r\n"
+        "\r\n",
+        [&] { Sent = true; }, duration::zero(), "");
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 "));
+  }
+
+  auto start_signalsBeforeRun_controllerStops() -> void {
+    Fleet->addWorker("e1", "models");
+    Fleet->ChangeControllerHooks = [](controller_hooks &Hooks) {
+      Hooks.WatchConfiguration = [](auto &&...) {
+        raise(SIGHUP);
+        raise(SIGTERM);
+      };
+    };
+    Fleet->startController("e1");
+    CPPUNIT_ASSERT(eventually([&] {
+      return !Fleet->get(Fleet->Controller->metricsAddress(), "/metrics");
+    }));
+  }
+
   auto stopPolicy_everySequence_onlyRepeatedSigintEndsNow() -> void {
     stop_policy Policy;
     CPPUNIT_ASSERT(Policy.receive(SIGTERM) == stop_action::Begin);
--- a/testing/end_to_end/signals.sh
+++ b/testing/end_to_end/signals.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# A repeated SIGTERM cuts no answer off.
+# SIGHUP ends neither an entry nor an agent, and a repeated SIGTERM cuts no
+# answer off.
 set -euo pipefail
 stack_token_us=10000
 source scripts/stack
@@ -8,6 +9,12 @@
 stack_await
 stack_ctl apply samples/demo/declarations.ini
 build/testing/driver/demo "$caller_1" "$caller_2" >/dev/null
+kill -HUP "$pid_entry_1" "$pid_gpu_1"
+sleep 0.2
+for node in entry_1 gpu_1; do
+  name=pid_$node
+  kill -0 "${!name}" || { echo "FAILED: SIGHUP ended $node"; exit 1; }
+done
 # A stream of two seconds, and two stops that overlap.
 body='{"model":"helper","stream":true,"max_tokens":200,"messages":[{"role":"user","content":"x"}]}'
 exec 3<>"/dev/tcp/127.0.0.1/$caller_1"
