A controller answers its load calls before it ends

Cause: SIGTERM stopped the event loop at once, whatever was open.

What callers saw: a gateway that waited for a load got a closed connection, also when the order was with the target already, so that it did not learn that the load was made. Calls that waited in the queue or in the backlog ended the same way.

Change: on a stop no job begins. Load calls that arrive, and those that wait without an order to the target, are answered 503 at once. A job whose order was sent goes on, at the latest until 0.4 s before drain.grace_ms, then it is answered as not done. The connections of load calls are kept in a set; the process ends once it is empty and the backlog was taken, at once if nothing is open. drain.grace_ms is taken over from a changed file.

Why it works: a connection leaves the set only after its answer is written, and one that carries no request is closed as gateways do it.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -32,6 +32,10 @@
 /// A greeting subscribes a gateway to changes for this time: it greets every
 /// two seconds, and datagrams may be lost.
 constexpr duration SubscriptionTtl = seconds(7);
+/// Part of the stop grace period reserved for the last answers and the end.
+constexpr duration ShutdownMargin = milliseconds(400);
+/// Interval between checks whether calls are still open.
+constexpr duration DrainPollInterval = milliseconds(10);
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusUnavailable = 503;
 
@@ -49,13 +53,12 @@
       Adapters(net::persistent_client(Context.get_executor(),
                                       NodeSettings.ControllerTarget)) {
   // Before the listeners: a signal must not end a process that has callers.
-  onStopSignal(Context, [this] {
-    logOpenWork("stopping");
-    Context.stop();
-  });
+  onStopSignal(Context,
+               [this] { net::spawn(Context.get_executor(), drainAndStop()); });
   watchSettings(Context, Settings, [this](const node_settings &Changed) {
     Metrics.count("settings", "reloaded");
     Settings.LoadWindowMs = Changed.LoadWindowMs;
+    Settings.StopGraceMs = Changed.StopGraceMs;
     Settings.LoadOverrun = Changed.LoadOverrun;
   });
   const auto Listen = [&](const std::string &Address,
@@ -66,9 +69,10 @@
           net::spawnServeCalls(Context, std::move(Accepted), Handler);
         });
   };
-  CallListener =
-      Listen(Settings.LinkAddress, [this](net::http_request Request) {
-        return handleLoadCall(std::move(Request));
+  CallListener = std::make_unique<net::listener>(
+      Context, Settings.LinkAddress, [this](connection Accepted) {
+        Connections.insert(Accepted);
+        net::spawn(Context.get_executor(), serveGateway(std::move(Accepted)));
       });
   if (!Settings.MetricsAddress.empty())
     MetricsListener =
@@ -85,7 +89,56 @@
 }
 
 auto controller_node::requestStop() -> void {
-  net::asio::post(Context.get_executor(), [this] { Context.stop(); });
+  net::asio::post(Context.get_executor(), [this] {
+    net::spawn(Context.get_executor(), drainAndStop());
+  });
+}
+
+auto controller_node::drainAndStop() -> awaitable<void> {
+  if (std::exchange(Stopping, true))
+    co_return;
+  logOpenWork("stopping");
+  const auto Deadline = process_clock::now() +
+                        milliseconds(Settings.StopGraceMs) - ShutdownMargin;
+  for (const auto *Queue : {&Models, &Adapters})
+    for (const auto &Job : Queue->Jobs)
+      if (!Job->OrderSent)
+        endJob(*Job);
+  co_await awaitAnswers(Deadline);
+  for (const auto *Queue : {&Models, &Adapters})
+    for (const auto &Job : Queue->Jobs)
+      endJob(*Job);
+  CallListener->stop(); // Takes the calls that wait in the backlog.
+  co_await awaitAnswers(Deadline + ShutdownMargin / 2);
+  Context.stop();
+}
+
+auto controller_node::endJob(job_state &Job) -> void {
+  Job.Done = true;
+  for (const auto &Waiter : std::exchange(Job.Waiters, {}))
+    Waiter->cancel();
+}
+
+auto controller_node::awaitAnswers(time_point Deadline) -> awaitable<void> {
+  while (!Connections.empty() && process_clock::now() < Deadline) {
+    const auto Now = process_clock::now();
+    for (const auto &Connection : Connections)
+      if (Connection->firstRequestDeadline() <= Now)
+        Connection->closeIfIdle();
+    co_await net::sleepFor(DrainPollInterval);
+  }
+}
+
+auto controller_node::serveGateway(connection Connection) -> awaitable<void> {
+  const net::call_handler Handler = [this](net::http_request Request) {
+    return handleLoadCall(std::move(Request));
+  };
+  try {
+    co_await net::serveCalls(Connection, Handler);
+  } catch (const std::exception &Error) {
+    log(log_level::Error, "call_failed", {{"error", Error.what()}});
+  }
+  Connections.erase(Connection);
 }
 
 auto controller_node::run() -> void {
@@ -114,6 +167,7 @@
   log(log_level::Info, Event,
       {{"jobs", std::to_string(Models.Jobs.size() + Adapters.Jobs.size())},
        {"load_calls", std::to_string(LoadCalls)},
+       {"connections", std::to_string(Connections.size())},
        {"ordered", std::to_string(Ordered)}});
 }
 
@@ -199,9 +253,10 @@
     Response.Head.Status = describe(result_code::MalformedRequest).HttpStatus;
     co_return Response;
   }
-  if (FencingToken == 0 || findEngine() == nullptr) {
+  if (Stopping || FencingToken == 0 || findEngine() == nullptr) {
     log(log_level::Warning, "load_refused",
         {{"model", LoadRequest.value().Model.Text},
+         {"stopping", Stopping ? "true" : "false"},
          {"fencing_token", std::to_string(FencingToken)},
          {"configuration", std::to_string(Configuration.Version)}});
     co_return Response;
@@ -211,7 +266,7 @@
     const auto Timer = std::make_shared<net::asio::steady_timer>(
         Context, std::chrono::steady_clock::time_point::max());
     Job->Waiters.push_back(Timer);
-    net::error_code Cancelled; // By runJobs when the job is done.
+    net::error_code Cancelled; // By endJob.
     co_await Timer->async_wait(net::storeError(Cancelled));
   }
   Response.Head.Status = Job->Held ? StatusOk : StatusUnavailable;
@@ -225,7 +280,6 @@
     const auto Job = Queue.Jobs.front();
     const auto StartedAt = process_clock::now();
     Job->Held = co_await runJob(Queue, Job);
-    Job->Done = true;
     Metrics.observe(
         Job->Job.Adapter.empty() ? "model_job" : "adapter_job",
         Job->Held ? "held" : "failed",
@@ -233,8 +287,7 @@
     if (Job->Job.Adapter.empty())
       UnloadingModels.clear();
     Queue.Jobs.pop_front();
-    for (const auto &Waiter : Job->Waiters)
-      Waiter->cancel();
+    endJob(*Job);
   }
   Queue.Running = false;
 }
@@ -348,7 +401,7 @@
   const auto ReportDelay = ForAdapter ? AdapterReportDelay : ModelReportDelay;
   if (ForAdapter)
     LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
-  while (process_clock::now() < Deadline) {
+  while (!Job->Done && process_clock::now() < Deadline) {
     const auto Report = co_await readReport(Queue);
     if (!Report || findEngine() == nullptr) {
       co_await net::sleepFor(ReportDelay);
@@ -384,6 +437,8 @@
       co_await net::sleepFor(PermitRetryDelay);
       continue;
     }
+    if (Job->Done) // The process stops.
+      co_return false;
     Job->OrderSent = true;
     const auto Outcome = co_await sendOrder(*Job, Step, Report->Sequence);
     if (Outcome == order_end::WrongTarget)
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -26,9 +26,10 @@
   controller_node(const node_settings &NodeSettings,
                   controller_hooks NodeHooks);
 
-  /// Serves until SIGTERM, SIGINT or requestStop.
+  /// Serves until SIGTERM, SIGINT or requestStop, then answers the load calls
+  /// that are open; returns at the latest when the grace period is over.
   auto run() -> void;
-  /// Ends run. May be called from any thread.
+  /// Drains and ends run. May be called from any thread.
   auto requestStop() -> void;
 
   /// Address of the metrics with its actual port; empty without metrics.
@@ -51,6 +52,8 @@
   };
   using job = std::shared_ptr<job_state>;
 
+  using connection = std::shared_ptr<net::caller_connection>;
+
   auto registerInstance() -> net::awaitable<void>;
   auto handleLoadCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
@@ -65,8 +68,17 @@
     net::persistent_client Client;
   };
 
-  /// Logs \p Event with the calls that wait and the jobs whose order was sent.
+  /// Logs \p Event with the open connections, the calls that wait and the jobs
+  /// whose order was sent.
   auto logOpenWork(const char *Event) const -> void;
+  /// Begins no more jobs, finishes those whose order was sent, and ends run
+  /// when all calls are answered.
+  auto drainAndStop() -> net::awaitable<void>;
+  /// Answers the calls that wait for \p Job: as not done unless it is held.
+  auto endJob(job_state &Job) -> void;
+  /// Waits until every call is answered or \p Deadline has passed.
+  auto awaitAnswers(time_point Deadline) -> net::awaitable<void>;
+  auto serveGateway(connection Connection) -> net::awaitable<void>;
   auto runJobs(job_queue &Queue) -> net::awaitable<void>;
   auto runJob(job_queue &Queue, job Job) -> net::awaitable<bool>;
   auto readReport(job_queue &Queue)
@@ -93,7 +105,9 @@
   controller_hooks Hooks;
   net::asio::io_context Context;
   serving::configuration Configuration;
-  std::uint64_t FencingToken = 0; ///< 0: not registered, sends no orders.
+  bool Stopping = false;            ///< No job begins.
+  std::set<connection> Connections; ///< Of load calls.
+  std::uint64_t FencingToken = 0;   ///< 0: not registered, sends no orders.
   job_queue Models;
   job_queue Adapters;
   serving::holdings_report Published;   ///< Last sent to the gateways.
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -134,10 +134,9 @@
   auto Settings = makeSettings(Store->address(), "controller");
   Settings.ControllerTarget = Workers[WorkerId]->address();
   Settings.TargetService = "models";
+  Settings.StopGraceMs = ControllerGraceMs;
   Settings.File = SettingsFile;
-  if (Controller)
-    Controller->requestStop();
-  ControllerThread.reset();
+  stopController();
   auto Hooks = adapter::makeControllerHooks(Settings);
   ChangeControllerHooks(Hooks);
   Controller = std::make_unique<controller_node>(Settings, std::move(Hooks));
@@ -145,6 +144,12 @@
                                               [this] { Controller->run(); });
 }
 
+auto fleet::stopController() -> void {
+  if (Controller)
+    Controller->requestStop();
+  ControllerThread.reset();
+}
+
 auto fleet::isReady() -> bool {
   const auto Answer = get(Gateway->readinessAddress(), "/readiness");
   return Answer && Answer->Head.Status == 200;
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -99,6 +99,8 @@
   auto startCutOffGateway() -> void;
   [[nodiscard]] auto isCutOffReady() -> bool;
   auto startController(const char *WorkerId) -> void;
+  /// Stops the controller, if there is one, and waits for its end.
+  auto stopController() -> void;
   /// Replaces the gateway's settings file.
   auto writeSettings(const std::string &Text) -> void;
   /// Waits until the gateway is ready.
@@ -129,6 +131,8 @@
   /// The same for controllers.
   std::function<void(controller_hooks &)> ChangeControllerHooks =
       [](controller_hooks &) {};
+  /// Grace period of controllers that are started from then on.
+  std::int64_t ControllerGraceMs = 8000;
 
   emulator_thread Outside;
   std::unique_ptr<store_emulator> Store;
