--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -135,13 +135,20 @@
   auto Settings = makeSettings(Store->address(), "controller");
   Settings.ControllerTarget = Workers[WorkerId]->address();
   Settings.TargetService = "models";
+  Settings.StopGraceMs = ControllerGraceMs;
+  Settings.File = SettingsFile;
+  stopController();
+  auto Hooks = adapter::makeControllerHooks(Settings);
+  ChangeControllerHooks(Hooks);
+  Controller = std::make_unique<controller_node>(Settings, std::move(Hooks));
+  ControllerThread = std::make_unique<thread>("controller", LoopStackBytes,
+                                              [this] { Controller->run(); });
+}
+
+auto fleet::stopController() -> void {
   if (Controller)
     Controller->requestStop();
   ControllerThread.reset();
-  Controller = std::make_unique<controller_node>(
-      Settings, adapter::makeControllerHooks(Settings));
-  ControllerThread = std::make_unique<thread>("controller", LoopStackBytes,
-                                              [this] { Controller->run(); });
 }
 
 auto fleet::isReady() -> bool {
