Entries: a stop serves every accepted connection to its end

Cause: the HTTP library's stop() invalidates its listening socket, and three of its loops look at that. A connection that waits for a thread is closed unread, a streamed answer is cut in the middle, and a connection whose last answer said Keep-Alive is closed after that answer, whatever was sent on it. stop() also waits for a half-read request as long as its caller keeps it open. What callers saw: a whole request without an answer or a refusal; a stream without its last events. Real entry, SIGTERM, one request each 100 ms on a kept connection: the fourth got an end of file after an answer with Keep-Alive. A stop accepts the backlog, then closes the listening socket; connections already accepted are served, answers say Connection: close, and a connection that was told to stay open has 500 ms for one more request. What is open at the deadline of the stop is cut. Why it works: the library's marker of a stop stays valid until the threads have ended, and a connection ends only after an answer that says so, after 500 ms without a byte, or at the deadline. Not covered: a connection that the kernel completes between the last look at the backlog and the close.

--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -1,11 +1,8 @@
 #include "caller_server.h"
 
 #include "answer_queue.h"
-#include "base/thread.h"
+#include "caller_listener.h"
 #include "caller_protocol.h"
-#include "listener_pool.h"
-
-#include <httplib.h>
 
 #include <algorithm>
 #include <atomic>
@@ -13,8 +10,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <stdexcept>
-#include <thread>
 
 namespace limpetbridge {
 
@@ -49,20 +44,19 @@
 
 struct caller_server::details {
   details(caller_server_options Options, caller_hooks Hooks)
-      : Options(std::move(Options)), Hooks(std::move(Hooks)) {}
+      : Options(std::move(Options)), Hooks(std::move(Hooks)),
+        Server(this->Options.Threads + RefusalThreads,
+               this->Options.AcceptQueueLimit, this->Options.ReadTimeout) {}
 
   caller_server_options Options;
   caller_hooks Hooks;
-  httplib::Server Server;
   std::uint16_t Port = 0;
-  socket_t ListenSocket = INVALID_SOCKET;
   std::atomic<std::uint64_t> LastRequestNumber{0};
   std::mutex Mutex;
   std::map<request_id, answer_handle> OpenAnswers;
-  std::unique_ptr<thread> ListenerThread;
+  caller_listener Server; ///< Its threads use the members above.
 
   auto setRoutes() -> void;
-  auto increaseBacklog() -> void;
   auto configureServer() -> void;
   auto serveGeneration(const httplib::Request &Request,
                        httplib::Response &Response,
@@ -362,20 +356,7 @@
 }
 
 auto caller_server::details::configureServer() -> void {
-  const auto Threads = Options.Threads + RefusalThreads;
-  Server.new_task_queue = [Threads] { return new listener_pool(Threads); };
-  Server.set_socket_options([this](socket_t NewSocket) {
-    constexpr int Enabled = 1;
-    ::setsockopt(NewSocket, SOL_SOCKET, SO_REUSEADDR, &Enabled,
-                 sizeof(Enabled));
-    ListenSocket = NewSocket;
-  });
   Server.set_payload_max_length(Options.BodyLimitBytes);
-  Server.set_read_timeout(Options.ReadTimeout);
-  Server.set_write_timeout(Options.ReadTimeout);
-  Server.set_keep_alive_timeout(
-      std::chrono::duration_cast<std::chrono::seconds>(seconds(5)).count());
-  Server.set_tcp_nodelay(true);
   // Requests that the HTTP library itself rejects get a numbered error as well.
   Server.set_error_handler(
       [](const httplib::Request &Request, httplib::Response &Response) {
@@ -400,14 +381,6 @@
   });
 }
 
-/// The HTTP library listens with a backlog of 5, and a burst of callers beyond
-/// that sees connections break. A second listen() on its socket raises the
-/// limit.
-auto caller_server::details::increaseBacklog() -> void {
-  constexpr int Backlog = 1024;
-  ::listen(ListenSocket, Backlog);
-}
-
 auto caller_server::details::setRoutes() -> void {
   Server.Post("/v1/chat/completions",
               [this](const auto &Request, auto &Response) {
@@ -444,30 +417,14 @@
     : Details(std::make_unique<details>(std::move(Options), std::move(Hooks))) {
   Details->configureServer();
   Details->setRoutes();
-  const auto &ServerOptions = Details->Options;
-  int Port = ServerOptions.Port;
-  if (Port == 0)
-    Port = Details->Server.bind_to_any_port(ServerOptions.Address);
-  else if (!Details->Server.bind_to_port(ServerOptions.Address, Port))
-    Port = -1;
-  if (Port <= 0)
-    throw std::runtime_error("cannot listen on " + ServerOptions.Address + ":" +
-                             std::to_string(ServerOptions.Port));
-  Details->increaseBacklog();
-  Details->Port = static_cast<std::uint16_t>(Port);
-  Details->ListenerThread =
-      std::make_unique<thread>("caller-accept", LoopStackBytes,
-                               [this] { Details->Server.listen_after_bind(); });
-  // Server.stop() has no effect before the listener runs, so wait for it.
-  while (!Details->Server.is_running())
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  Details->Port =
+      Details->Server.start(Details->Options.Address, Details->Options.Port);
 }
 
-caller_server::~caller_server() { stop(); }
+caller_server::~caller_server() = default;
 
-auto caller_server::stop() -> void {
-  Details->Server.stop();
-  Details->ListenerThread.reset();
+auto caller_server::stopBy(time_point Deadline) -> void {
+  Details->Server.stopBy(Deadline);
 }
 
 auto caller_server::port() const -> std::uint16_t { return Details->Port; }
--- a/apps/limpetbridge/src/caller_server.h
+++ b/apps/limpetbridge/src/caller_server.h
@@ -21,6 +21,8 @@
   std::string Address;
   std::uint16_t Port = 0;    ///< 0 picks a free port.
   std::size_t Threads = 256; ///< Connections served concurrently.
+  /// Accepted connections that may wait for a thread.
+  std::size_t AcceptQueueLimit = 1024;
   std::size_t BodyLimitBytes = std::size_t{4} * 1024 * 1024;
   duration ReadTimeout = seconds(5);
   duration DefaultDeadline = seconds(60);
@@ -42,15 +44,16 @@
 public:
   /// Starts listening. \throws std::runtime_error when the port is taken.
   caller_server(caller_server_options Options, caller_hooks Hooks);
-  /// Stops listening and waits for open connections.
+  /// Cuts open connections; see stopBy().
   ~caller_server();
   caller_server(const caller_server &) = delete;
   auto operator=(const caller_server &) -> caller_server & = delete;
 
   [[nodiscard]] auto port() const -> std::uint16_t;
 
-  /// Stops listening and waits for open connections.
-  auto stop() -> void;
+  /// Stops listening, answers what has been accepted, and closes connections as
+  /// they become idle. Those that are open at \p Deadline are cut.
+  auto stopBy(time_point Deadline) -> void;
 
   /// Passes a frame to the request's connection; ignored when that is closed.
   auto execute(const answer_frame &Effect) -> void;
--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -25,6 +25,8 @@
 /// Poll intervals from one read of the instance list to the next; the head
 /// revision is read more often.
 constexpr auto InstanceListPollFactor = 2;
+/// Time for callers' connections to end once nothing is in progress.
+constexpr auto CallerStopTimeout = seconds(5);
 
 /// Whether notes of \p Kind are also written to the log. Those that a normal
 /// request produces are kept on the time line only.
@@ -324,7 +326,7 @@
   // The loop answers open calls, so it is stopped after the listeners. Its
   // effects use listeners and clients, so those are destroyed after the stop.
   if (Node.CallerServer)
-    Node.CallerServer->stop();
+    Node.CallerServer->stopBy(process_clock::now() + CallerStopTimeout);
   if (Node.OperatorServer)
     Node.OperatorServer->stop();
   Node.PeerServer->stop();
