Entries: no accepted connection is dropped when the queue is full

Cause: the result of thread_pool::submit() was ignored. With every thread busy and the queue full, the accepted socket was neither served nor closed. What callers saw: a connection that is open and never answers, until their own timeout. The socket was leaked for the life of the process. Evidence: caller_stop_test before: accept_moreConnectionsThanTheQueueHolds_allGetAnswers: unanswered 2 3 4 5 of six with room for two, expected none. Change: the acceptor waits until the queue has room; further connections wait in the kernel's backlog. Why it works: nothing is accepted that cannot be queued, and threads become free as answers end and idle connections time out.

--- a/apps/limpetbridge/src/caller_listener.cpp
+++ b/apps/limpetbridge/src/caller_listener.cpp
@@ -175,7 +175,8 @@
     if (Cut)
       ::shutdown(Socket, SHUT_RDWR);
   }
-  (void)Pool.submit([this, Socket] { serve(Socket); });
+  while (!Pool.submit([this, Socket] { serve(Socket); }))
+    ::usleep(RetryWaitUs);
 }
 
 /// Decided as the head of an answer is written, because a request may arrive
--- a/apps/limpetbridge/tests/caller_stop_test.cpp
+++ b/apps/limpetbridge/tests/caller_stop_test.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST_SUITE(caller_stop_test);
   CPPUNIT_TEST(stop_connectionsWaitingForAThread_getAnswers);
   CPPUNIT_TEST(stop_streamInProgress_reachesItsEnd);
+  CPPUNIT_TEST(accept_moreConnectionsThanTheQueueHolds_allGetAnswers);
   CPPUNIT_TEST(stop_connectionPromisedToStay_hasItsNextRequestAnswered);
   CPPUNIT_TEST(stop_halfReadRequest_endsByTheDeadline);
   CPPUNIT_TEST_SUITE_END();
@@ -111,6 +112,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), findUnanswered(Waiting));
   }
 
+  auto accept_moreConnectionsThanTheQueueHolds_allGetAnswers() -> void {
+    auto Held = occupyThreads();
+    const auto Waiting = askFromNew(6);
+    Held.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string(), findUnanswered(Waiting));
+  }
+
   auto stop_streamInProgress_reachesItsEnd() -> void {
     const caller_socket Caller(Server->port());
     beginStream(Caller);
