Entries: answers of a draining entry say that the connection closes

Cause: the head of an answer promised Keep-Alive until the listener stopped, so callers kept connections to an entry that was about to end. What callers saw: during the whole drain, refusals included, Keep-Alive; then a closed connection as they sent the next request. Evidence: caller_stop_test before: drain_requestInProgress_isToldThatTheConnectionCloses: the head had "Keep-Alive: timeout=5, max=5" and no Connection: close. Change: caller_server::beginDrain(), called at the start of node::drain(). Why it works: it is decided as the head is written, so a request that arrived long before the drain is told too.

--- a/apps/limpetbridge/src/caller_listener.cpp
+++ b/apps/limpetbridge/src/caller_listener.cpp
@@ -227,7 +227,7 @@
 auto caller_listener::stopBy(time_point Deadline) -> void {
   if (!Acceptor)
     return;
-  Closing = true;
+  beginDrain();
   ::eventfd_write(StopEvent, 1);
   {
     std::unique_lock Lock(Mutex);
--- a/apps/limpetbridge/src/caller_listener.h
+++ b/apps/limpetbridge/src/caller_listener.h
@@ -39,6 +39,10 @@
   /// \throws std::runtime_error when the port is taken.
   auto start(const std::string &Address, std::uint16_t Port) -> std::uint16_t;
 
+  /// Has every answer from now on tell the caller that the connection closes,
+  /// so that callers move to other entries before this one stops.
+  auto beginDrain() -> void { Closing = true; }
+
   /// Stops listening, serves what has been accepted, and closes connections as
   /// they become idle. Those that are open at \p Deadline are cut.
   auto stopBy(time_point Deadline) -> void;
--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -423,6 +423,8 @@
 
 caller_server::~caller_server() = default;
 
+auto caller_server::beginDrain() -> void { Details->Server.beginDrain(); }
+
 auto caller_server::stopBy(time_point Deadline) -> void {
   Details->Server.stopBy(Deadline);
 }
--- a/apps/limpetbridge/src/caller_server.h
+++ b/apps/limpetbridge/src/caller_server.h
@@ -51,6 +51,9 @@
 
   [[nodiscard]] auto port() const -> std::uint16_t;
 
+  /// Has every answer from now on tell the caller that the connection closes.
+  auto beginDrain() -> void;
+
   /// Stops listening, answers what has been accepted, and closes connections as
   /// they become idle. Those that are open at \p Deadline are cut.
   auto stopBy(time_point Deadline) -> void;
--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -335,6 +335,8 @@
 
 auto node::drain() -> void {
   Details->Ready = false;
+  if (Details->CallerServer)
+    Details->CallerServer->beginDrain();
   auto Record = Details->Options.Self;
   Record.Leaving = true;
   // The instance list is the slowest way for others to learn of the drain, so a
--- a/apps/limpetbridge/tests/caller_stop_test.cpp
+++ b/apps/limpetbridge/tests/caller_stop_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(stop_connectionsWaitingForAThread_getAnswers);
   CPPUNIT_TEST(stop_streamInProgress_reachesItsEnd);
   CPPUNIT_TEST(accept_moreConnectionsThanTheQueueHolds_allGetAnswers);
+  CPPUNIT_TEST(drain_requestInProgress_isToldThatTheConnectionCloses);
   CPPUNIT_TEST(stop_connectionPromisedToStay_hasItsNextRequestAnswered);
   CPPUNIT_TEST(stop_halfReadRequest_endsByTheDeadline);
   CPPUNIT_TEST_SUITE_END();
@@ -129,9 +130,22 @@
     CPPUNIT_ASSERT_MESSAGE(Rest, Rest.ends_with("0\r\n\r\n"));
   }
 
+  auto drain_requestInProgress_isToldThatTheConnectionCloses() -> void {
+    const caller_socket Caller(Server->port());
+    Caller.sendChat(false);
+    awaitRequest();
+    Server->beginDrain();
+    endAnswer();
+    const auto Head = Caller.readUntil("\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(Head, Head.find("Connection: close\r\n") !=
+                                     std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(Head, Head.find("Keep-Alive") == std::string::npos);
+  }
+
   auto stop_connectionPromisedToStay_hasItsNextRequestAnswered() -> void {
     const caller_socket Caller(Server->port());
     beginStream(Caller); // Its head says that the connection stays open.
+    Server->beginDrain();
     beginStop();
     endAnswer();
     Caller.readUntil("0\r\n\r\n");
