Core: an entry answers what is open when its drain's deadline passes

Cause: at the deadline the reducer emitted stop_process and left requests and operators' commands open. The connections' threads waited on, up to the request's own deadline and 2 s more, until the supervisor killed the process. What callers saw: a closed connection without an answer, or a stream without an end. Real entry, stream and whole answer of 30 s, SIGTERM, SIGKILL 8 s later: both got an end of file at 8.0 s. Change: at the deadline every open request ends: as draining, not run and with Retry-After if no attempt can have run it, else as answer_cut_short or outcome_unknown. Commands end as at their own deadline, or with what is in force if they were accepted. The time from which requests are refused is never later than the deadline.

--- a/libs/core/src/attempts.cpp
+++ b/libs/core/src/attempts.cpp
@@ -288,18 +288,20 @@
   return 0;
 }
 
-auto expireRequest(const context &Ctx, const request_id &Id,
-                   request_state &Request) -> void {
+/// Ends the request without its answer: as not run, with \p Code, if no attempt
+/// can have run it, else with an unknown outcome.
+auto cutRequest(const context &Ctx, const request_id &Id,
+                request_state &Request, result_code Code,
+                const std::string &Reason) -> void {
   const bool NeverSent = Request.ActiveAttempts.empty() &&
                          !Request.MayHaveRun && Request.Delivered == 0;
   if (NeverSent) {
-    Request.LastCode = result_code::DeadlineUnreachable;
-    Request.LastDetail = "the deadline passed; last: " + Request.LastDetail;
+    Request.LastCode = Code;
+    Request.LastDetail = Reason + "; last: " + Request.LastDetail;
     finishNotRun(Ctx, Id, Request);
     return;
   }
-  finishUnknown(Ctx, Id, Request,
-                "the deadline passed before the answer ended");
+  finishUnknown(Ctx, Id, Request, Reason + " before the answer ended");
 }
 
 /// Starts a second attempt at another target that holds the unit, if the first
@@ -327,7 +329,8 @@
 auto tickRequest(const context &Ctx, const request_id &Id,
                  request_state &Request) -> void {
   if (Ctx.Now >= Request.Work.Deadline) {
-    expireRequest(Ctx, Id, Request);
+    cutRequest(Ctx, Id, Request, result_code::DeadlineUnreachable,
+               "the deadline passed");
     return;
   }
   if (const auto Stalled = findStalledAttempt(Ctx, Request)) {
@@ -427,6 +430,13 @@
     onAttemptUnknown(Ctx, Event, Request, Target);
 }
 
+auto cutRequests(const context &Ctx) -> void {
+  auto &Open = Ctx.State.Requests.Open;
+  while (!Open.empty())
+    cutRequest(Ctx, request_id(Open.begin()->first), Open.begin()->second,
+               result_code::Draining, "this entry stopped");
+}
+
 auto tickRequests(const context &Ctx) -> void {
   auto &Open = Ctx.State.Requests.Open;
   for (auto Next = Open.begin(); Next != Open.end();) {
--- a/libs/core/src/commands.cpp
+++ b/libs/core/src/commands.cpp
@@ -306,6 +306,17 @@
   readForCommand(Ctx, Event.Command, Pending);
 }
 
+auto cutCommands(const context &Ctx) -> void {
+  auto &Commands = Ctx.State.Configuration.Commands;
+  while (!Commands.empty()) {
+    const auto &[Command, Pending] = *Commands.begin();
+    if (Pending.Phase == command_phase::Propagating)
+      answerCommand(Ctx, Command, countDataCentres(Ctx.State, Pending));
+    else
+      expireCommand(Ctx, Command, Pending);
+  }
+}
+
 auto tickCommands(const context &Ctx) -> void {
   auto &Commands = Ctx.State.Configuration.Commands;
   for (auto Next = Commands.begin(); Next != Commands.end();) {
--- a/libs/core/src/details/handlers.h
+++ b/libs/core/src/details/handlers.h
@@ -26,6 +26,8 @@
 /// responsible for the agent.
 auto pushTargetState(const context &Ctx, const instance_record &Agent) -> void;
 auto tickCommands(const context &Ctx) -> void;
+/// Answers all pending commands, because the entry stops.
+auto cutCommands(const context &Ctx) -> void;
 auto onCommandReply(const context &Ctx, std::uint64_t Command,
                     const table_replied &Event) -> void;
 /// Applies changes in order; true if the current revision advanced.
@@ -77,6 +79,8 @@
 auto onProgress(const context &Ctx, const attempt_progressed &Event) -> void;
 auto onAttemptEnded(const context &Ctx, const attempt_ended &Event) -> void;
 auto tickRequests(const context &Ctx) -> void;
+/// Answers all open requests with an error, because the entry stops.
+auto cutRequests(const context &Ctx) -> void;
 auto startAttempt(const context &Ctx, const request_id &Id,
                   request_state &Request) -> void;
 auto finishRequest(const context &Ctx, const request_id &Id, answer_end End)
--- a/libs/core/src/drain.cpp
+++ b/libs/core/src/drain.cpp
@@ -1,6 +1,8 @@
 // Graceful shutdown: refuses new work, finishes running work, then stops.
 #include "details/handlers.h"
 
+#include <algorithm>
+
 namespace limpetbridge::details {
 
 namespace {
@@ -13,6 +15,15 @@
   Ctx.emit(stop_process{Code});
 }
 
+/// Answers what is still open, so that no caller's connection ends without an
+/// answer.
+auto answerOpen(const context &Ctx) -> void {
+  if (!Ctx.State.isEntry())
+    return;
+  cutRequests(Ctx);
+  cutCommands(Ctx);
+}
+
 auto isIdle(const node_state &State) -> bool {
   if (State.isEntry())
     return State.Requests.Open.empty() && State.Configuration.Commands.empty();
@@ -39,9 +50,11 @@
   Drain.Deadline = Ctx.Now + Ctx.State.Options.DrainTimeout;
   // An entry accepts requests until the load balancer has had time to see that
   // it is not ready.
-  Drain.RefuseFrom = Ctx.State.isEntry()
-                         ? Ctx.Now + Ctx.State.Options.Entry.BalancerWait
-                         : Ctx.Now;
+  Drain.RefuseFrom =
+      Ctx.State.isEntry()
+          ? std::min(Ctx.Now + Ctx.State.Options.Entry.BalancerWait,
+                     Drain.Deadline)
+          : Ctx.Now;
   Ctx.recordNote(note_kind::DrainStarted, "", {}, "", "");
   if (!Ctx.State.isEntry())
     refuseQueuedWork(Ctx);
@@ -57,8 +70,10 @@
   if (Ctx.Now >= Drain.RefuseFrom && isIdle(Ctx.State))
     requestStop(Ctx,
                 Superseded ? result_code::StaleIncarnation : result_code::Ok);
-  else if (Ctx.Now >= Drain.Deadline)
+  else if (Ctx.Now >= Drain.Deadline) {
+    answerOpen(Ctx);
     requestStop(Ctx, result_code::Interrupted);
+  }
 }
 
 } // namespace limpetbridge::details
--- a/testing/world/script.cpp
+++ b/testing/world/script.cpp
@@ -108,6 +108,7 @@
 auto runScript(const std::vector<step> &Steps, mutation Mutation)
     -> std::vector<std::string> {
   world World(1, Mutation);
+  World.setDrainTimeout(seconds(5));
   for (const auto &Step : Steps)
     apply(World, Step);
   World.settle();
--- a/testing/world/world.cpp
+++ b/testing/world/world.cpp
@@ -100,6 +100,7 @@
   Options.Agent.QueueLimit = 4;
   Options.Agent.OrderTimeout = seconds(2);
   Options.Entry.BalancerWait = milliseconds(100);
+  Options.DrainTimeout = DrainTimeout;
   Options.Mutation = Mutation;
   const auto Index = Nodes.size();
   Nodes.push_back({makeNode(Options, Seed + Index), true, false, {}, {}});
@@ -395,6 +396,12 @@
   feed(Index, drain_requested{});
 }
 
+auto world::setDrainTimeout(duration Timeout) -> void {
+  DrainTimeout = Timeout;
+  for (auto &Node : Nodes)
+    Node.State.Options.DrainTimeout = Timeout;
+}
+
 auto world::refreshList() -> void {
   instances_listed Event;
   for (const auto &[Name, Record] : Listed)
--- a/testing/world/world.h
+++ b/testing/world/world.h
@@ -76,6 +76,8 @@
   auto loseFirst(const std::string &Label) -> bool;
   auto timeOutFirst(const std::string &Label) -> bool;
   auto setStoreDown(bool Down) -> void { StoreDown = Down; }
+  /// Sets the longest drain of all nodes, those that start later included.
+  auto setDrainTimeout(duration Timeout) -> void;
   auto refreshList() -> void;
 
   /// Heals everything, lets time pass and checks what must hold in the end.
@@ -161,6 +163,7 @@
   table_fake Table;
   std::map<std::string, std::string> Objects;
   bool StoreDown = false;
+  duration DrainTimeout = node_options().DrainTimeout;
   std::uint64_t LastIncarnation = 100;
   std::uint64_t LastCounter = 0;
   std::uint64_t LastCommand = 0;
--- a/testing/world/world_effects.cpp
+++ b/testing/world/world_effects.cpp
@@ -330,7 +330,8 @@
   const auto &State = Node.State;
   const auto Open =
       State.Requests.Open.size() + State.Admission.WorkItems.size();
-  if (Effect.Code != result_code::Interrupted)
+  // Entries see the streams of an interrupted agent end.
+  if (Effect.Code != result_code::Interrupted || State.isEntry())
     Oracle.stopped(State.Options.Self.Name, Open);
   const auto Options = State.Options;
   Node.Alive = false;
