Entries and agents: a drain ends before the supervisor kills the process

Cause: drain.deadline_ms is 60,000 by default and drain.grace_ms, the time from SIGTERM to SIGKILL, 8,000. The deadline of the drain was never reached, so nothing was answered at it. Evidence: node_drain_test before: drainTimeout_killedEarlier_endsBeforeTheKill: Drain < callerCutTimeout fails. Change: the drain ends at drain.deadline_ms or three quarters of drain.grace_ms, whichever is earlier; callers' connections are cut after seven eighths of drain.grace_ms, counted from the signal. Why it works: both times are counted from the signal and lie before SIGKILL.

--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -13,6 +13,7 @@
 #include "wire/peer_client.h"
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
@@ -25,8 +26,6 @@
 /// Poll intervals from one read of the instance list to the next; the head
 /// revision is read more often.
 constexpr auto InstanceListPollFactor = 2;
-/// Time for callers' connections to end once nothing is in progress.
-constexpr auto CallerStopTimeout = seconds(5);
 
 /// Whether notes of \p Kind are also written to the log. Those that a normal
 /// request produces are kept on the time line only.
@@ -97,6 +96,7 @@
   std::unique_ptr<target_client> TargetClient;
   std::unique_ptr<thread> Announcer;
   time_point NextInstanceListRead;
+  time_point CutCallersAt = NoDeadline; ///< Set when the drain begins.
 
   auto makeEventSink() -> std::function<void(event)> {
     return [this](event Event) { Loop->postEvent(std::move(Event)); };
@@ -326,7 +326,9 @@
   // The loop answers open calls, so it is stopped after the listeners. Its
   // effects use listeners and clients, so those are destroyed after the stop.
   if (Node.CallerServer)
-    Node.CallerServer->stopBy(process_clock::now() + CallerStopTimeout);
+    Node.CallerServer->stopBy(
+        std::min(Node.CutCallersAt,
+                 process_clock::now() + callerCutTimeout(Node.Settings)));
   if (Node.OperatorServer)
     Node.OperatorServer->stop();
   Node.PeerServer->stop();
@@ -334,15 +336,19 @@
 }
 
 auto node::drain() -> void {
-  Details->Ready = false;
-  if (Details->CallerServer)
-    Details->CallerServer->beginDrain();
-  auto Record = Details->Options.Self;
+  auto &Node = *Details;
+  Node.CutCallersAt =
+      std::min(Node.CutCallersAt,
+               process_clock::now() + callerCutTimeout(Node.Settings));
+  Node.Ready = false;
+  if (Node.CallerServer)
+    Node.CallerServer->beginDrain();
+  auto Record = Node.Options.Self;
   Record.Leaving = true;
   // The instance list is the slowest way for others to learn of the drain, so a
   // failed announcement is ignored.
-  (void)Details->PlatformClient->registerInstance(Record);
-  Details->Loop->postEvent(drain_requested{});
+  (void)Node.PlatformClient->registerInstance(Record);
+  Node.Loop->postEvent(drain_requested{});
 }
 
 auto node::callerPort() const -> std::uint16_t {
--- a/apps/limpetbridge/src/node_setup.cpp
+++ b/apps/limpetbridge/src/node_setup.cpp
@@ -1,5 +1,6 @@
 #include "node_setup.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace limpetbridge {
@@ -19,6 +20,14 @@
   return Seeds;
 }
 
+/// Time from the request to stop until open requests are answered with an
+/// error. A quarter of the time before the supervisor kills the process is left
+/// for writing these answers.
+auto drainTimeout(const node_settings &Settings) -> duration {
+  return std::min<duration>(milliseconds(Settings.DrainDeadlineMs),
+                            milliseconds(Settings.StopGraceMs) * 3 / 4);
+}
+
 auto toTargetKind(const node_settings &Settings) -> target_kind {
   return Settings.TargetKind == "service" ? target_kind::Service
                                           : target_kind::Engine;
@@ -70,10 +79,14 @@
   Options.Entry = toEntryOptions(Settings);
   Options.Agent = toAgentOptions(Settings);
   Options.PollInterval = milliseconds(Settings.PlatformPollMs);
-  Options.DrainTimeout = milliseconds(Settings.DrainDeadlineMs);
+  Options.DrainTimeout = drainTimeout(Settings);
   return Options;
 }
 
+auto callerCutTimeout(const node_settings &Settings) -> duration {
+  return milliseconds(Settings.StopGraceMs) * 7 / 8;
+}
+
 auto checkSettings(const node_settings &Settings) -> result<void> {
   const bool IsServiceAgent =
       Settings.Role == "agent" && Settings.TargetKind == "service";
--- a/apps/limpetbridge/src/node_setup.h
+++ b/apps/limpetbridge/src/node_setup.h
@@ -13,6 +13,10 @@
 /// listens.
 [[nodiscard]] auto toNodeOptions(const node_settings &Settings) -> node_options;
 
+/// Time from the request to stop until connections of callers are cut, which is
+/// shortly before the supervisor kills the process.
+[[nodiscard]] auto callerCutTimeout(const node_settings &Settings) -> duration;
+
 /// Checks rules that involve more than one key.
 /// \returns InvalidSetting with the section and key.
 [[nodiscard]] auto checkSettings(const node_settings &Settings) -> result<void>;
