Entries and agents: a drain does not wait for the platform's store

Cause: node::drain() announced to the platform that the instance leaves before it told the reducer. A store that does not answer held the drain up for platform.timeout_ms, out of drain.grace_ms, and the reducer set readiness back. What callers saw: with the store frozen, /readyz of a real entry answered 503 at 0.00 s, 200 from 0.11 s to 1.02 s, then 503; new requests were taken all the while. After the change 503 until the listener closes. Evidence: node_drain_test before: drain_silentStore_beginsAtOnce fails, the drain began 3.0 s after the request with a timeout of 3 s. Change: the reducer is told first. Why it works: the announcement is the slowest way to learn of the drain and its failure is ignored anyway.

--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -340,7 +340,8 @@
   Node.CutCallersAt =
       std::min(Node.CutCallersAt,
                process_clock::now() + callerCutTimeout(Node.Settings));
-  Node.Ready = false;
+  // The announcement may wait for the platform's store, so it comes last.
+  Node.Loop->postEvent(drain_requested{});
   if (Node.CallerServer)
     Node.CallerServer->beginDrain();
   auto Record = Node.Options.Self;
@@ -348,7 +349,6 @@
   // The instance list is the slowest way for others to learn of the drain, so a
   // failed announcement is ignored.
   (void)Node.PlatformClient->registerInstance(Record);
-  Node.Loop->postEvent(drain_requested{});
 }
 
 auto node::callerPort() const -> std::uint16_t {
