--- a/apps/limpetbridge/src/node.cpp
+++ b/apps/limpetbridge/src/node.cpp
@@ -13,6 +13,7 @@
 #include "wire/peer_client.h"
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
@@ -95,6 +96,7 @@
   std::unique_ptr<target_client> TargetClient;
   std::unique_ptr<thread> Announcer;
   time_point NextInstanceListRead;
+  time_point CutCallersAt = NoDeadline; ///< Set when the drain begins.
 
   auto makeEventSink() -> std::function<void(event)> {
     return [this](event Event) { Loop->postEvent(std::move(Event)); };
@@ -324,7 +326,9 @@
   // The loop answers open calls, so it is stopped after the listeners. Its
   // effects use listeners and clients, so those are destroyed after the stop.
   if (Node.CallerServer)
-    Node.CallerServer->stop();
+    Node.CallerServer->stopBy(
+        std::min(Node.CutCallersAt,
+                 process_clock::now() + callerCutTimeout(Node.Settings)));
   if (Node.OperatorServer)
     Node.OperatorServer->stop();
   Node.PeerServer->stop();
@@ -332,13 +336,19 @@
 }
 
 auto node::drain() -> void {
-  Details->Ready = false;
-  auto Record = Details->Options.Self;
+  auto &Node = *Details;
+  Node.CutCallersAt =
+      std::min(Node.CutCallersAt,
+               process_clock::now() + callerCutTimeout(Node.Settings));
+  // The announcement may wait for the platform's store, so it comes last.
+  Node.Loop->postEvent(drain_requested{});
+  if (Node.CallerServer)
+    Node.CallerServer->beginDrain();
+  auto Record = Node.Options.Self;
   Record.Leaving = true;
   // The instance list is the slowest way for others to learn of the drain, so a
   // failed announcement is ignored.
-  (void)Details->PlatformClient->registerInstance(Record);
-  Details->Loop->postEvent(drain_requested{});
+  (void)Node.PlatformClient->registerInstance(Record);
 }
 
 auto node::callerPort() const -> std::uint16_t {
