--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
 struct seen_request {
   net::http_request Request;
   bool ClosedEarly = false; ///< The sender closed before the answer.
+  time_point ArrivedAt;
+  std::optional<time_point> EndedAt; ///< Answered, or closed by the sender.
 };
 
 /// One worker on one io_context.
@@ -60,6 +63,7 @@
 
   behaviour Behaviour = behaviour::Answer;
   std::int64_t EventGapMs = 5;
+  std::int64_t AnswerDelayMs = 0; ///< Of whole answers.
   std::int64_t LoadMs = 30;
   bool Draining = false;
   std::set<std::string> Models;
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -106,10 +106,16 @@
   const auto Seen = std::make_shared<seen_request>();
   Seen->Request = std::move(Request);
   Requests.push_back(Seen);
-  Connection->startDisconnectWatch([Seen] { Seen->ClosedEarly = true; });
+  Seen->ArrivedAt = process_clock::now();
+  Connection->startDisconnectWatch([Seen] {
+    Seen->ClosedEarly = true;
+    Seen->EndedAt = process_clock::now();
+  });
   ++OpenRequests;
   const bool Open = co_await run(Connection, Seen);
   --OpenRequests;
+  if (!Seen->EndedAt)
+    Seen->EndedAt = process_clock::now();
   Connection->stopDisconnectWatch();
   co_return Open;
 }
@@ -157,6 +163,8 @@
   std::string Bytes;
   switch (Behaviour) {
   case behaviour::Answer:
+    if (AnswerDelayMs > 0)
+      co_await net::sleepFor(milliseconds(AnswerDelayMs));
     Bytes = serializeResponse(Answer, false);
     break;
   case behaviour::Refuse:
