--- a/testing/soak/stop_soak.sh
+++ b/testing/soak/stop_soak.sh
@@ -9,7 +9,7 @@
 set -euo pipefail
 export LC_ALL=C
 cd "$(dirname "$0")/../.."
-gateways=4 actions=18 once= keep=
+gateways=4 actions=18 once='' keep=''
 while getopts g:a:ok option; do
   case $option in
   g) gateways=$OPTARG ;;
@@ -104,16 +104,20 @@
   send TERM "$1"
 }
 
-stop_again() { # name: a gateway that drains, if there is one
+stop_again() { # name: a second SIGTERM to a gateway that drains, or to this one
   local name
   [ -z "$once" ] || return 0
-  for name in "$1" "${gateway_names[@]}"; do
-    if [ -e "$dir/$name.stopped" ]; then
-      tell stop_again "$name"
-      send TERM "$name"
-      return 0
-    fi
+  for name in "$1" "${gateway_names[@]}" ""; do
+    [ ! -e "$dir/$name.stopped" ] || [ ! -e "$dir/$name.pid" ] || break
   done
+  if [ -z "$name" ]; then
+    name=$1
+    stop "$name"
+    sleep 0.1
+    [ -e "$dir/$name.stopped" ] || return 0 # It was just starting.
+  fi
+  tell stop_again "$name"
+  send TERM "$name"
 }
 
 draw() { drawn=$((RANDOM % $1)); }
