Listener: a connection accepted in the turn of the stop is served

Cause: a connection that Asio had accepted, whose completion was queued behind the handler that stops the listener, was destroyed, since the completion found the acceptor closed. What callers saw: a reset of an established connection, its request unread. Evidence: exchange_test stop_inTheTurnOfAnAccept_noConnectionIsDropped fails before (3 connections, 2 accepted) and passes. Change: an accepted connection is handed over whatever the acceptor's state.

--- a/libs/net/src/server.cpp
+++ b/libs/net/src/server.cpp
@@ -38,6 +38,9 @@
 
 auto listener::acceptNext() -> void {
   Acceptor.async_accept([this](error_code Error, tcp::socket Socket) {
+    // Accepted before stop, which may have run since.
+    if (!Error)
+      OnAccepted(std::make_shared<caller_connection>(std::move(Socket)));
     if (Error == asio::error::operation_aborted || !Acceptor.is_open())
       return;
     if (Error) {
@@ -48,7 +51,6 @@
       });
       return;
     }
-    OnAccepted(std::make_shared<caller_connection>(std::move(Socket)));
     acceptNext();
   });
 }
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(readRequest_idleTimeoutAndRequestMeet_requestIsServed);
   CPPUNIT_TEST(write_peerNeverReads_fails);
   CPPUNIT_TEST(stop_connectionsInTheBacklog_areServed);
+  CPPUNIT_TEST(stop_inTheTurnOfAnAccept_noConnectionIsDropped);
   CPPUNIT_TEST(closeIfIdle_requestHasArrived_requestIsServed);
   CPPUNIT_TEST(closeIfIdle_nothingHasArrived_connectionCloses);
   CPPUNIT_TEST_SUITE_END();
@@ -227,6 +228,22 @@
     }
   }
 
+  auto stop_inTheTurnOfAnAccept_noConnectionIsDropped() -> void {
+    std::size_t AcceptedCount = 0;
+    listener Stopped(*Context, "127.0.0.1:0",
+                     [&](const auto & /*Accepted*/) { ++AcceptedCount; });
+    std::vector<tcp::socket> Callers;
+    for (int I = 0; I < 3; ++I) {
+      Callers.emplace_back(*Context);
+      Callers.back().connect(*parseEndpoint<tcp>(Stopped.address()));
+    }
+    asio::steady_timer Timer(*Context, std::chrono::milliseconds(0));
+    Timer.async_wait([&](error_code) { Stopped.stop(); });
+    Context->restart();
+    Context->run_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(Callers.size(), AcceptedCount);
+  }
+
   auto closeIfIdle_requestHasArrived_requestIsServed() -> void {
     startReading();
     asio::write(*Client,
