Gateway requests: a complete answer is not reset by a later decision

Cause: a decision that came while a complete answer was being written to a slow reader (deadline passed, stop) took precedence over the end of that write: the refusal found the answer begun and aborted the connection, and the kernel threw away what the caller had not read yet. What callers saw: part of a whole answer, then a reset. It has no test of its own yet. Change: an answer that was written completely ends the request as answered.

--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -102,13 +102,13 @@
       Target.reset();
       if (CallerDisconnected)
         break;
-      if (!Commands.empty())
+      // The caller has the whole answer, whatever was decided meanwhile.
+      Complete = Result.End == attempt_end::Answered;
+      if (!Complete && !Commands.empty())
         continue;
       Environment.Dispatch(Result);
-      if (Result.End == attempt_end::Answered) {
-        Complete = true;
+      if (Complete)
         break;
-      }
     } else if (const auto *Refusal = std::get_if<refuse_request>(&Command)) {
       Complete = co_await writeRefusal(*Refusal);
       break;
