Gateways: a late or long stop answers as well

Cause: open requests were answered within the loop that waits for idle connections. If the process was held up from before the deadline until the end of the grace period, or drain.balancer_wait_ms was longer than the grace period allows, the loop ended without answering. Found by the review. What callers saw: a closed connection without an answer. Change: serving until idle and answering what is open are steps of their own; the second always runs, for two turns at least, and ends once the answers are written, so a caller that keeps its connection no longer prolongs the stop. The wait for the load balancer ends with the deadline.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -5,6 +5,7 @@
 #include "settings_watch.h"
 #include "stop_signal.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace limpetbridge {
@@ -18,10 +19,11 @@
 constexpr duration TickInterval = milliseconds(100);
 /// Has to cover a load from the weight store and the loads queued before it.
 constexpr duration LoadCallTimeout = seconds(8);
-/// Part of the stop grace period reserved for answering what is still open.
+/// Part of the stop grace period reserved for answering what is still open and
+/// for ending the process.
 constexpr duration AnswerMargin = milliseconds(400);
-/// Part of the stop grace period reserved for ending the process.
-constexpr duration ShutdownMargin = milliseconds(100);
+/// Longest time for writing these answers.
+constexpr duration AnswerTime = milliseconds(200);
 /// Interval between checks whether connections are still open.
 constexpr duration DrainPollInterval = milliseconds(50);
 /// After this time the next gateway is asked.
@@ -451,26 +453,31 @@
   if (std::exchange(Draining, true))
     co_return;
   const auto BeganAt = process_clock::now();
-  const auto GraceEnd = BeganAt + milliseconds(Settings.StopGraceMs);
-  const auto BalancerEnd = BeganAt + milliseconds(Settings.BalancerWaitMs);
-  const auto Deadline = GraceEnd - AnswerMargin;
+  const auto Deadline =
+      BeganAt + milliseconds(Settings.StopGraceMs) - AnswerMargin;
+  const auto BalancerEnd =
+      std::min(BeganAt + milliseconds(Settings.BalancerWaitMs), Deadline);
   dispatch(stop_began{Deadline, BalancerEnd});
   log(log_level::Info, "stopping",
       {{"requests", std::to_string(Requests.size())},
        {"connections", std::to_string(Connections.size())}});
   // Callers may send requests until the load balancer stops routing here.
   co_await net::sleepFor(BalancerEnd - process_clock::now());
+  co_await serveUntilIdle(Deadline);
+  co_await answerOpenRequests(Deadline + AnswerTime);
+  logUnansweredRequests();
+  Context.stop();
+}
+
+auto gateway_node::serveUntilIdle(time_point Deadline) -> awaitable<void> {
   // The listener stays open: a connection that the load balancer still opens
   // is served, and closing the listener would reset one that is being opened.
   bool Listening = true;
-  bool Late = false;
-  while (process_clock::now() < GraceEnd - ShutdownMargin) {
-    if (process_clock::now() >= Deadline && !std::exchange(Late, true)) {
-      Listening = false;
-      CallerListener->stop();
-      dispatch(stop_deadline_passed{});
-    }
-    closeIdleConnections(Late);
+  while (process_clock::now() < Deadline) {
+    const auto Now = process_clock::now();
+    for (const auto &Connection : Connections)
+      if (Connection->firstRequestDeadline() <= Now)
+        Connection->closeIfIdle();
     const bool WasEmpty = Connections.empty();
     // Leaves the callers time to read the last responses.
     co_await net::sleepFor(DrainPollInterval);
@@ -481,19 +488,23 @@
     if (std::exchange(Listening, false))
       CallerListener->stop(); // Accepts the connections of the backlog.
     if (Connections.empty())
-      break;
+      co_return;
   }
-  logUnansweredRequests();
-  Context.stop();
 }
 
-auto gateway_node::closeIdleConnections(bool Late) -> void {
-  const auto Now = process_clock::now();
-  for (const auto &Connection : Connections) {
-    if (Late || Connection->firstRequestDeadline() <= Now)
+auto gateway_node::answerOpenRequests(time_point End) -> awaitable<void> {
+  /// A held-up process answers as well, so the first turns have no deadline.
+  constexpr int MinTurns = 2;
+  CallerListener->stop();
+  dispatch(stop_deadline_passed{});
+  for (int Turn = 0; !Connections.empty(); ++Turn) {
+    if (Turn >= MinTurns && (Requests.empty() || process_clock::now() >= End))
+      co_return;
+    for (const auto &Connection : Connections) {
       Connection->closeIfIdle();
-    if (Late)
       Connection->rejectPartialRequest();
+    }
+    co_await net::sleepFor(DrainPollInterval);
   }
 }
 
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -81,10 +81,12 @@
   /// Drains: fails the readiness check, waits for the load balancer, then
   /// closes the connections.
   auto drainAndStop() -> net::awaitable<void>;
-  /// Closes the connections that wait for a request; those that have carried
-  /// none are given time for it unless it is \p Late, and then a request that
-  /// has arrived in part is rejected.
-  auto closeIdleConnections(bool Late) -> void;
+  /// Serves until no connection is open or \p Deadline has passed, and closes
+  /// the connections that wait for a request.
+  auto serveUntilIdle(time_point Deadline) -> net::awaitable<void>;
+  /// Accepts no more connections and answers every open request; an answer that
+  /// is not written by \p End is cut.
+  auto answerOpenRequests(time_point End) -> net::awaitable<void>;
   /// Logs the requests and connections that the end of the process cuts.
   auto logUnansweredRequests() -> void;
   /// Applies the settings that may change at run time; addresses and names
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -68,7 +68,7 @@
   /// Moving average of the observed time in a slot per requested output token,
   /// by model, ms.
   std::map<model_name, double> DecodeMsPerToken;
-  /// End of the process; NoDeadline unless it stops.
+  /// When open requests are answered because of a stop; NoDeadline without one.
   time_point StopDeadline = NoDeadline;
   /// Streams that arrive later are refused because of the stop.
   time_point StreamsUntil = NoDeadline;
