--- a/apps/limpetbridge/src/caller_listener.cpp
+++ b/apps/limpetbridge/src/caller_listener.cpp
@@ -18,11 +18,11 @@
 constexpr std::size_t RequestsPerConnection = 5;
 constexpr auto KeepAliveTimeout = seconds(5);
 /// How long a stopping listener waits for the next request on a connection
-/// that was told to stay open.
+/// that was promised to stay open.
 constexpr auto LastRequestWait = milliseconds(500);
 constexpr unsigned RetryWaitUs = 1000;
 
-/// Whether the calling thread's last answer told the caller that its
+/// Whether the calling thread's last answer announced that its
 /// connection closes.
 thread_local bool LastAnswerCloses = false;
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -56,7 +56,7 @@
 /// Now if it does.
 auto readyAt(const gateway_state &State, time_point Now) -> time_point;
 /// Refuses a request, which has not run, because this gateway stops. The caller
-/// is told to return when a gateway is ready.
+/// gets a Retry-After for when a gateway is ready.
 auto refuseStopping(const gateway_step &Step, request_number Number) -> void;
 
 // gateway_loads.cpp
--- a/libs/serving/src/gateway_stop.cpp
+++ b/libs/serving/src/gateway_stop.cpp
@@ -18,7 +18,7 @@
 constexpr duration RestartTime = seconds(1);
 
 /// Time at which the first of the other gateways is ready; NoDeadline if none
-/// is heard.
+/// sends digests.
 auto otherGatewayReadyAt(const gateway_state &State) -> time_point {
   auto ReadyAt = NoDeadline;
   for (const auto &[Peer, Status] : State.PeerStatuses)
--- a/testing/world/tests/drain_test.cpp
+++ b/testing/world/tests/drain_test.cpp
@@ -51,7 +51,7 @@
   }
 
 private:
-  /// The end that the caller was told; null if there is none.
+  /// The end that the caller received; null if there is none.
   static auto endOf(const world &World, const request_id &Id)
       -> const answer_end * {
     const auto *Request = World.oracleOf().find(Id);
