--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -52,6 +52,7 @@
                  {"service", Target.Service.Text},
                  {"born", std::to_string(Target.Incarnation)},
                  {"leaving", Entry.Target.Draining ? "true" : "false"},
+                 {"reads_targets", State.ReadsTargets ? "true" : "false"},
                  {"models", std::to_string(Target.Holdings.Models.size())}});
   dispatchWaitingForChanges(Step, Before, Entry.Target.Holdings);
 }
@@ -61,8 +62,19 @@
   auto *Entry = Step.State.Book.find(Name);
   if (Entry == nullptr)
     return;
-  addLogEntry(Step, log_level::Warning, "target_gone",
-              {{"target", Name.Text}, {"address", Entry->Target.Address}});
+  const auto &State = Step.State;
+  const auto MissingSince = Entry->RowMissingSince;
+  addLogEntry(
+      Step, log_level::Warning, "target_gone",
+      {{"target", Name.Text},
+       {"address", Entry->Target.Address},
+       {"draining", Entry->Target.Draining ? "true" : "false"},
+       {"missing_ms", std::to_string(MissingSince == NoDeadline
+                                         ? 0
+                                         : toMilliseconds(Step.Now -
+                                                          MissingSince))},
+       {"reads_targets", State.ReadsTargets ? "true" : "false"},
+       {"targets_version", std::to_string(State.TargetsVersion)}});
   Step.State.Book.remove(Name);
   std::vector<load_answered> FailedLoads;
   if (const auto Found = Step.State.PendingLoads.find(Name);
