--- a/libs/serving/tests/target_reader_test.cpp
+++ b/libs/serving/tests/target_reader_test.cpp
@@ -15,6 +15,9 @@
 /// Time in which a target that drains must stop getting work, with as many
 /// gateways as here.
 constexpr duration DrainBound = seconds(3);
+/// The least time of any deployment in which a target that drains must stop
+/// getting work, less the time of a request on its way.
+constexpr duration LeastDrainBound = seconds(2) - milliseconds(200);
 constexpr duration Step = milliseconds(50);
 /// Interval of the reads of a gateway that reads the targets.
 constexpr duration ReadInterval = milliseconds(300);
@@ -26,6 +29,7 @@
   time_point NextRead;
   bool Alive = true;
   bool ReachesStore = true;
+  bool AnswersQueries = true;
 };
 
 /// 22 gateways in four data centres that exchange digests, in virtual time.
@@ -37,17 +41,20 @@
   CPPUNIT_TEST(change_steady_allHearOfIt);
   CPPUNIT_TEST(change_readersDie_othersHearOfItInTime);
   CPPUNIT_TEST(change_readersCutFromStore_othersHearOfItInTime);
+  CPPUNIT_TEST(change_readersSendDigestsButNoAnswers_othersHearOfItInTime);
   CPPUNIT_TEST(start_noPeerHeard_readsTargets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  auto setUp() -> void override {
+  auto setUp() -> void override { startGateways(GatewayCount); }
+
+  auto startGateways(int Count) -> void {
     Now = time_point(seconds(1000));
     Processes.clear();
     Reads = 0;
     Digests = 0;
     StoreVersion = 1;
-    for (int I = 0; I < GatewayCount; ++I) {
+    for (int I = 0; I < Count; ++I) {
       const auto Name = "g" + std::to_string(I);
       gateway_options Options;
       Options.Self = instance_name(Name);
@@ -115,6 +122,16 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, StoreVersion, Process.Version);
   }
 
+  auto change_readersSendDigestsButNoAnswers_othersHearOfItInTime() -> void {
+    for (const int Count : {4, 22, 103, 340}) {
+      startGateways(Count);
+      run(seconds(5));
+      for (const auto &Name : readers())
+        Processes[Name].AnswersQueries = false;
+      checkChangeIsHeard(LeastDrainBound);
+    }
+  }
+
   auto start_noPeerHeard_readsTargets() -> void {
     for (const auto &[Name, Process] : Processes)
       CPPUNIT_ASSERT(Process.State.ReadsTargets);
@@ -169,7 +186,7 @@
          reduce(Process.State, tick{Process.Version}, Now)) {
       if (const auto *Query = std::get_if<query_peer>(&Effect)) {
         const auto &Peer = Processes.at(Query->Address);
-        if (Peer.Alive)
+        if (Peer.Alive && Peer.AnswersQueries)
           Process.Version = std::max(Process.Version, Peer.Version);
       } else if (const auto *Digest = std::get_if<send_digest>(&Effect)) {
         for (const auto &Address : Digest->Addresses)
