Gateways: a reader of the targets is one that answers

Cause: a gateway that follows another one asked it when its digest named a newer row, and believed in it as long as digests arrived. A reader that is slow, frozen in part or gone goes on vouching for itself: each query to it fails, and nobody asks another gateway or the store. Digests are also rarer the more gateways there are (1 s with 103, 3.4 s with 340), and the wait for one, the tick and the interval between queries added up before a change was even asked for. Class: a heartbeat is taken as proof that its sender serves. Now each follower keeps one query open at the reader, over one connection. The reader answers it at once when something has changed, and otherwise after 0.4 s that nothing has. Only such an answer, with a recent read of the store behind it, lets the follower go without reading for itself; 0.3 s later than due it reads the store, and the reader is not asked again for 10 s. A gateway stops reading only once another one has answered. A failed call of the reader to the store ends the open queries at once, and a gateway that stops is not chosen. Digests only say whom to ask. So the time until the last gateway knows is bounded by the store's batch (0.3 s), by 0.7 s and a read if the reader goes at the worst moment, or by 1.5 s if its connection to the store falls silent, whatever the number of gateways.

--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -17,11 +17,13 @@
 
 namespace limpetbridge {
 
-/// Synchronises what gateways have read of the platform, for one that cannot
+/// Synchronises what gateways have read of the platform, for one that does not
 /// read it itself. Rows have versions; an older version changes nothing.
 struct knowledge_sync {
   /// Builds a query with the versions that this gateway has.
   std::function<std::string()> BuildQuery;
+  /// True if the answer to \p Query has changes of configuration or targets.
+  std::function<bool(std::string_view Query)> HasChanges;
   /// Builds the answer: the rows that the sender of \p Query does not have.
   std::function<result<std::string>(std::string_view Query)> AnswerQuery;
   /// Merges another gateway's answer. \returns the number of newer rows.
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -26,10 +26,8 @@
 constexpr duration AnswerTime = milliseconds(200);
 /// Interval between checks whether connections are still open.
 constexpr duration DrainPollInterval = milliseconds(50);
-/// After this time the next gateway is asked.
-constexpr duration PeerCallTimeout = milliseconds(600);
-/// Path of queries for what another gateway has read of the platform.
-constexpr const char *KnowledgePath = "/knowledge";
+/// Of a call to the store beyond its wait, and of the pause between two.
+constexpr std::int64_t StoreReadSlackMs = 900;
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusUnavailable = 503;
 
@@ -41,6 +39,7 @@
   Options.Retries.Extra = static_cast<double>(Settings.RetryExtra);
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
+  Options.MaxTargetsAge = milliseconds(Settings.StoreWaitMs + StoreReadSlackMs);
   Options.Seed = stableHash(Settings.Name);
   std::istringstream Seeds(Settings.GatewaySeeds);
   for (std::string Seed; std::getline(Seeds, Seed, ',');)
@@ -171,6 +170,12 @@
   for (const auto &Effect : reduce(State, Event, process_clock::now()))
     std::visit([this](const auto &TypedEffect) { execute(TypedEffect); },
                Effect);
+  // The queries that wait are checked once the changes of one call are applied.
+  if (std::holds_alternative<targets_read>(Event) ||
+      std::holds_alternative<targets_read_failed>(Event) ||
+      std::holds_alternative<configuration_read>(Event))
+    for (const auto &Timer : std::exchange(WaitingQueries, {}))
+      Timer->cancel();
 }
 
 auto gateway_node::sendCommand(request_number Number,
@@ -203,10 +208,6 @@
   net::spawn(Context.get_executor(), requestLoad(Effect));
 }
 
-auto gateway_node::execute(const query_peer &Effect) -> void {
-  net::spawn(Context.get_executor(), queryPeer(Effect.Address));
-}
-
 auto gateway_node::execute(const send_digest &Effect) -> void {
   const auto Bytes = encodeLink(Effect.Digest);
   for (const auto &Address : Effect.Addresses)
@@ -287,65 +288,6 @@
   dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held});
 }
 
-auto gateway_node::queryPeer(std::string PeerAddress) -> awaitable<void> {
-  net::http_request Request;
-  Request.Method = "POST";
-  Request.Target = KnowledgePath;
-  Request.Fields.push_back({"Host", PeerAddress});
-  Request.Body = KnowledgeSync.BuildQuery();
-  const net::asio::any_io_executor Executor = Context.get_executor();
-  const auto Response = co_await net::fetch(
-      Executor, PeerAddress, Request, process_clock::now() + PeerCallTimeout);
-  if (!Response || Response->Head.Status != StatusOk) {
-    log(log_level::Warning, "peer_without_answer",
-        {{"peer", PeerAddress},
-         {"status", std::to_string(Response ? Response->Head.Status : 0)}});
-    co_return;
-  }
-  const auto NewRows = KnowledgeSync.MergeAnswer(Response->Body);
-  if (!NewRows)
-    log(log_level::Warning, "peer_answer_unreadable",
-        {{"peer", PeerAddress}, {"error", toString(NewRows.error())}});
-  else if (NewRows.value() > 0)
-    log(log_level::Info, "learned_from_peer",
-        {{"peer", PeerAddress},
-         {"rows", std::to_string(NewRows.value())},
-         {"configuration", std::to_string(State.Configuration.Version)}});
-}
-
-auto gateway_node::handlePeerCall(net::http_request Request)
-    -> awaitable<net::http_response> {
-  net::http_response Response;
-  if (Request.Target != KnowledgePath) {
-    Response.Head.Status = describe(result_code::NotFound).HttpStatus;
-    co_return Response;
-  }
-  const auto Answer = KnowledgeSync.AnswerQuery(Request.Body);
-  if (!Answer) {
-    log(log_level::Warning, "peer_question_unreadable",
-        {{"error", toString(Answer.error())}});
-    Response.Head.Status = describe(Answer.error().Code).HttpStatus;
-    co_return Response;
-  }
-  Response.Head.Status = StatusOk;
-  Response.Body = Answer.value();
-  co_return Response;
-}
-
-auto gateway_node::handleLinkMessage(std::string_view Bytes) -> void {
-  auto Message = decodeLink(Bytes);
-  if (!Message) {
-    Metrics.count("messages_unreadable", "datagram");
-    log(log_level::Warning, "datagram_unreadable",
-        {{"error", toString(Message.error())}});
-    return;
-  }
-  if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
-    dispatch(std::move(*Digest));
-  else if (auto *Holdings = std::get_if<holdings_report>(&Message.value()))
-    dispatch(std::move(*Holdings));
-}
-
 auto gateway_node::runTicks() -> awaitable<void> {
   for (;;) {
     co_await net::sleepFor(TickInterval);
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -9,12 +9,16 @@
 #include "gateway_hooks.h"
 #include "gateway_request.h"
 #include "net/server.h"
+#include "net/target_connection.h"
 #include "serving/gateway.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace limpetbridge {
 
@@ -70,7 +74,16 @@
   auto handlePeerCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto requestLoad(serving::request_load Effect) -> net::awaitable<void>;
-  auto queryPeer(std::string PeerAddress) -> net::awaitable<void>;
+  /// Sends a query to another gateway and dispatches the outcome.
+  auto queryPeer(serving::query_peer Query) -> net::awaitable<void>;
+  /// Applies the answer to a query. \returns false if there is none.
+  auto applyPeerAnswer(const std::string &PeerAddress,
+                       const std::optional<net::http_response> &Response)
+      -> bool;
+  /// Waits until there are changes that \p Query does not know, the targets are
+  /// not read any more, or \p Deadline has passed.
+  auto awaitChanges(const std::string &Query, time_point Deadline)
+      -> net::awaitable<void>;
   /// Listens at \p Address for calls that \p Handler answers.
   auto listenForCalls(const std::string &Address,
                       const net::call_handler &Handler)
@@ -111,6 +124,11 @@
   std::unique_ptr<net::listener> PeerListener; ///< At the link's address.
   std::unique_ptr<net::listener> SeedListener; ///< For starting gateways.
   knowledge_sync KnowledgeSync;
+  /// Connection to the gateway that reads the targets for this one.
+  std::shared_ptr<net::persistent_client> TargetReader;
+  std::string TargetReaderAddress;
+  /// Queries of other gateways that wait for changes; cancelled to check again.
+  std::vector<std::shared_ptr<net::asio::steady_timer>> WaitingQueries;
   metrics Metrics;
   std::unique_ptr<net::datagram_socket> LinkSocket;
 };
--- /dev/null
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -0,0 +1,145 @@
+/// Messages between gateways: queries for what another one has read of the
+/// platform, and datagrams.
+#include "gateway_node.h"
+
+#include "link_codec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace limpetbridge {
+
+namespace {
+
+using namespace serving;
+using net::awaitable;
+
+/// Longest wait of a query for changes that another gateway may ask for.
+constexpr std::int64_t MaxQueryWaitMs = 5000;
+/// Path of queries for what another gateway has read of the platform.
+constexpr const char *KnowledgePath = "/knowledge";
+/// Longest wait for changes, in a query, ms.
+constexpr const char *WaitField = "Wait-Ms";
+/// In an answer: age of the sender's last read of the targets, ms; below 0 if
+/// it does not read them.
+constexpr const char *TargetsReadAgeField = "Targets-Read-Age-Ms";
+constexpr std::uint16_t StatusOk = 200;
+
+/// \returns \p Default if \p Text is not a whole number.
+auto readNumber(std::string_view Text, std::int64_t Default) -> std::int64_t {
+  std::int64_t Value = Default;
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  return Parsed.ec == std::errc() && Parsed.ptr == End ? Value : Default;
+}
+
+} // namespace
+
+auto gateway_node::execute(const query_peer &Effect) -> void {
+  net::spawn(Context.get_executor(), queryPeer(Effect));
+}
+
+auto gateway_node::queryPeer(query_peer Query) -> awaitable<void> {
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = KnowledgePath;
+  Request.Fields.push_back({"Host", Query.Address});
+  Request.Body = KnowledgeSync.BuildQuery();
+  const net::asio::any_io_executor Executor = Context.get_executor();
+  const bool Waits = Query.WaitMs > 0;
+  std::optional<net::http_response> Response;
+  if (Waits) {
+    Request.Fields.push_back({WaitField, std::to_string(Query.WaitMs)});
+    if (!TargetReader || TargetReaderAddress != Query.Address)
+      TargetReader =
+          std::make_shared<net::persistent_client>(Executor, Query.Address);
+    TargetReaderAddress = Query.Address;
+    const auto Client = TargetReader;
+    Response = co_await Client->fetch(Request, Query.Deadline);
+  } else {
+    Response =
+        co_await net::fetch(Executor, Query.Address, Request, Query.Deadline);
+  }
+  const bool Answered = applyPeerAnswer(Query.Address, Response);
+  const auto Age =
+      Answered ? net::findField(Response->Head.Fields, TargetsReadAgeField)
+               : std::string_view();
+  dispatch(peer_answered{Query.Address, Waits, Answered, readNumber(Age, -1)});
+}
+
+auto gateway_node::applyPeerAnswer(
+    const std::string &PeerAddress,
+    const std::optional<net::http_response> &Response) -> bool {
+  if (!Response || Response->Head.Status != StatusOk) {
+    log(log_level::Warning, "peer_without_answer",
+        {{"peer", PeerAddress},
+         {"status", std::to_string(Response ? Response->Head.Status : 0)}});
+    return false;
+  }
+  const auto NewRows = KnowledgeSync.MergeAnswer(Response->Body);
+  if (!NewRows)
+    log(log_level::Warning, "peer_answer_unreadable",
+        {{"peer", PeerAddress}, {"error", toString(NewRows.error())}});
+  else if (NewRows.value() > 0)
+    log(log_level::Info, "learned_from_peer",
+        {{"peer", PeerAddress},
+         {"rows", std::to_string(NewRows.value())},
+         {"configuration", std::to_string(State.Configuration.Version)}});
+  return NewRows.has_value();
+}
+
+auto gateway_node::awaitChanges(const std::string &Query, time_point Deadline)
+    -> awaitable<void> {
+  while (process_clock::now() < Deadline && !KnowledgeSync.HasChanges(Query) &&
+         targetsReadAgeMs(State, process_clock::now()) >= 0) {
+    const auto Timer = std::make_shared<net::asio::steady_timer>(
+        Context, net::toSteadyTime(Deadline));
+    WaitingQueries.push_back(Timer);
+    net::error_code Cancelled; // By apply.
+    co_await Timer->async_wait(net::storeError(Cancelled));
+    std::erase(WaitingQueries, Timer);
+  }
+}
+
+auto gateway_node::handlePeerCall(net::http_request Request)
+    -> awaitable<net::http_response> {
+  net::http_response Response;
+  if (Request.Target != KnowledgePath) {
+    Response.Head.Status = describe(result_code::NotFound).HttpStatus;
+    co_return Response;
+  }
+  const auto WaitMs =
+      std::clamp(readNumber(net::findField(Request.Fields, WaitField), 0),
+                 std::int64_t{0}, MaxQueryWaitMs);
+  const auto Deadline = process_clock::now() + milliseconds(WaitMs);
+  co_await awaitChanges(Request.Body, Deadline);
+  const auto Answer = KnowledgeSync.AnswerQuery(Request.Body);
+  if (!Answer) {
+    log(log_level::Warning, "peer_question_unreadable",
+        {{"error", toString(Answer.error())}});
+    Response.Head.Status = describe(Answer.error().Code).HttpStatus;
+    co_return Response;
+  }
+  Response.Head.Status = StatusOk;
+  Response.Head.Fields.push_back(
+      {TargetsReadAgeField,
+       std::to_string(targetsReadAgeMs(State, process_clock::now()))});
+  Response.Body = Answer.value();
+  co_return Response;
+}
+
+auto gateway_node::handleLinkMessage(std::string_view Bytes) -> void {
+  auto Message = decodeLink(Bytes);
+  if (!Message) {
+    Metrics.count("messages_unreadable", "datagram");
+    log(log_level::Warning, "datagram_unreadable",
+        {{"error", toString(Message.error())}});
+    return;
+  }
+  if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
+    dispatch(std::move(*Digest));
+  else if (auto *Holdings = std::get_if<holdings_report>(&Message.value()))
+    dispatch(std::move(*Holdings));
+}
+
+} // namespace limpetbridge
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -49,7 +49,10 @@
           {"c", Digest.Configuration},
           {"s", Digest.StoreReachable},
           {"z", Digest.DataCentre.Text},
-          {"ta", Digest.TargetsReadAgeMs},
+          // Gateways of an older version must not follow this one, as they
+          // can't read its answers.
+          {"ta", -1},
+          {"tr", Digest.TargetsReadAgeMs},
           {"tv", Digest.TargetsVersion},
           {"r", Digest.ReadyInMs}};
 }
@@ -97,7 +100,7 @@
   Digest.Configuration = Object.at("c").get<std::uint64_t>();
   Digest.StoreReachable = Object.at("s").get<bool>();
   Digest.DataCentre = data_centre_name(Object.at("z").get<std::string>());
-  Digest.TargetsReadAgeMs = Object.at("ta").get<std::int64_t>();
+  Digest.TargetsReadAgeMs = Object.value("tr", std::int64_t{-1});
   Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
   // Gateways of an older version do not send it.
   Digest.ReadyInMs = Object.value("r", std::int64_t{0});
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -26,6 +26,9 @@
   /// Grace period in which a missing row may return before its target is
   /// removed.
   duration LostGrace = seconds(0);
+  /// Oldest read of the targets that another gateway may rely on: the longest
+  /// call to the store, and the pause between two of them.
+  duration MaxTargetsAge = milliseconds(1900);
   /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
   /// Gateways to query when this one starts while the store is unreachable,
@@ -112,7 +115,19 @@
   /// This gateway reads the targets from the store; the others of its data
   /// centre get them from it.
   bool ReadsTargets = true;
-  time_point TargetsReadAt;         ///< Last read of the targets.
+  /// Last read of the targets from the store; the epoch if the last call
+  /// failed or none was answered yet.
+  time_point TargetsReadAt;
+  /// Address of the gateway that was asked for the targets and has not answered
+  /// yet; empty if none was asked.
+  std::string AskedReader;
+  time_point NextReaderQuery;
+  /// Until when the rows of the gateway that reads the targets count as current
+  /// without another answer of it.
+  time_point TargetsCurrentUntil;
+  /// Gateways that left a query without an answer, and until when they are not
+  /// asked for the targets.
+  std::map<std::string, time_point> UnansweredUntil;
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
   time_point NextPeerQuery;
   std::size_t PeerQueryCount = 0; ///< Selects the next peer, round-robin.
@@ -127,6 +142,11 @@
 [[nodiscard]] auto makeGatewayState(const gateway_options &Options)
     -> gateway_state;
 
+/// Time since this gateway last read the targets from the store, ms; below 0 if
+/// it does not read them or its last call failed.
+[[nodiscard]] auto targetsReadAgeMs(const gateway_state &State, time_point Now)
+    -> std::int64_t;
+
 /// Applies one event to \p State.
 /// \returns the effects to execute, in order.
 [[nodiscard]] auto reduce(gateway_state &State, const gateway_event &Event,
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -57,9 +57,13 @@
   std::map<adapter_key, time_point> AdapterUse;
 };
 
-/// Query another gateway for the rows that it has read from the store.
+/// Query another gateway for the rows that it has read from the store. Its
+/// answer, or that there was none by the deadline, is reported.
 struct query_peer {
   std::string Address;
+  time_point Deadline;
+  /// Longest wait of the peer for changes if it has none, ms.
+  std::int64_t WaitMs = 0;
 };
 
 /// Send a digest to other gateways.
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -172,11 +172,25 @@
 /// The targets were read from the store, changed or not.
 struct targets_read {};
 
+/// A call to the store that reads the targets failed.
+struct targets_read_failed {};
+
+/// A query to another gateway was answered, or failed.
+struct peer_answered {
+  std::string Address;
+  bool Waited = false;   ///< The query let the peer wait for changes.
+  bool Answered = false; ///< The peer's rows have been applied.
+  /// Time since the peer last read the targets from the store, ms; below 0 if
+  /// it does not read them or its last call failed.
+  std::int64_t TargetsReadAgeMs = -1;
+};
+
 using gateway_event = std::variant<
     request_arrived, first_output, attempt_ended, caller_left, deadline_passed,
     configuration_read, target_updated, target_lost, store_reachability_changed,
     targets_listed, instances_listed, load_answered, holdings_report,
-    gateway_digest, targets_read, stop_began, stop_deadline_passed, tick>;
+    gateway_digest, targets_read, targets_read_failed, peer_answered,
+    stop_began, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -100,6 +100,7 @@
 auto handle(const gateway_step &Step, const holdings_report &Event) -> void;
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void;
 auto handle(const gateway_step &Step, const targets_read &Event) -> void;
+auto handle(const gateway_step &Step, const targets_read_failed &Event) -> void;
 auto handle(const gateway_step &Step, const tick &Event) -> void;
 
 /// Expected prefill time of \p Model, ms per token.
@@ -116,8 +117,10 @@
 
 // gateway_relay.cpp
 /// Decides whether this gateway reads the targets from the store or gets them
-/// from a gateway of its data centre.
+/// from a gateway of its data centre, and keeps a query open at that gateway. A
+/// gateway counts as reader only as long as it answers.
 auto chooseTargetReader(const gateway_step &Step) -> void;
+auto handle(const gateway_step &Step, const peer_answered &Event) -> void;
 
 /// Queries another gateway for configuration, targets and instances if this one
 /// cannot read the store or has an older configuration than a peer.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -244,6 +244,12 @@
   Step.State.TargetsReadAt = Step.Now;
 }
 
+auto handle(const gateway_step &Step, const targets_read_failed & /*Event*/)
+    -> void {
+  // The gateways that ask this one read the targets themselves, at once.
+  Step.State.TargetsReadAt = time_point();
+}
+
 auto handle(const gateway_step &Step, const tick &Event) -> void {
   auto &State = Step.State;
   State.TargetsVersion = std::max(State.TargetsVersion, Event.TargetsVersion);
@@ -280,8 +286,7 @@
   Digest.Configuration = State.Configuration.Version;
   Digest.StoreReachable = State.StoreReachable;
   Digest.DataCentre = State.Options.DataCentre;
-  if (State.ReadsTargets && State.TargetsReadAt != time_point())
-    Digest.TargetsReadAgeMs = toMilliseconds(Step.Now - State.TargetsReadAt);
+  Digest.TargetsReadAgeMs = targetsReadAgeMs(State, Step.Now);
   Digest.TargetsVersion = State.TargetsVersion;
   Digest.ReadyInMs = toMilliseconds(readyAt(State, Step.Now) - Step.Now);
   for (const auto &[Name, Entry] : State.Book.all())
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -14,26 +14,52 @@
 /// this gateway's own read of the store may still be in progress.
 constexpr duration StaleConfigurationGrace = milliseconds(300);
 
-/// Interval of the queries for targets at the gateway that reads them.
-constexpr duration FollowInterval = milliseconds(300);
-/// Time without a read of the targets by the gateway that reads them, besides
-/// the interval of its digests, after which this gateway reads them itself. A
-/// draining target must stop getting work within two to four seconds.
-constexpr duration MaxTargetsAge = milliseconds(1300);
+/// Time in which another gateway has to answer a query, besides its wait.
+constexpr duration PeerAnswerTime = milliseconds(600);
+/// Longest wait of the gateway that reads the targets before it answers that
+/// nothing has changed. A change is answered at once.
+constexpr duration ReaderWait = milliseconds(400);
+/// Time in which it has to answer besides: a lost packet is sent again within
+/// it. With ReaderWait it bounds how long a reader that has gone is believed.
+constexpr duration ReaderAnswerTime = milliseconds(300);
+/// Least interval of these queries, should each one be answered at once.
+constexpr duration MinReaderQueryInterval = milliseconds(50);
+/// Time from an answer until the next one has arrived or failed.
+constexpr duration AnswerValidity =
+    ReaderWait + ReaderAnswerTime + milliseconds(200);
+/// Time for which a gateway that did not answer is not asked for the targets.
+constexpr duration UnansweredAvoidTime = seconds(10);
+
+/// True if the gateway was heard to read the targets, takes part in serving and
+/// has not left a query unanswered lately.
+auto mayRead(const gateway_step &Step, const instance_name &Peer,
+             const gateway_state::peer_status &Status) -> bool {
+  const auto &State = Step.State;
+  // Digests of many gateways are rare; a reader that is gone does not answer.
+  const auto Oldest =
+      Step.Now - State.Options.MaxTargetsAge - digestInterval(State);
+  const auto Instance = State.Instances.find(Peer);
+  if (Status.DataCentre != State.Options.DataCentre ||
+      Status.TargetsReadAt < Oldest || Status.ReadyAt > Step.Now ||
+      Instance == State.Instances.end())
+    return false;
+  const auto Unanswered = State.UnansweredUntil.find(Instance->second.Address);
+  return Unanswered == State.UnansweredUntil.end() ||
+         Step.Now >= Unanswered->second;
+}
 
 /// The gateway of this data centre that reads the targets: among those whose
 /// reads are recent, this one included, the one with the highest hash. Null if
 /// it is this one or if there is none.
 auto findTargetReader(const gateway_step &Step) -> const instance_name * {
   const auto &State = Step.State;
-  const auto Oldest = Step.Now - MaxTargetsAge - digestInterval(State);
+  const auto Oldest = Step.Now - State.Options.MaxTargetsAge;
   const instance_name *Reader = nullptr;
-  auto Highest = State.TargetsReadAt < Oldest
+  auto Highest = !State.ReadsTargets || State.TargetsReadAt < Oldest
                      ? std::uint64_t{0}
                      : stableHash(State.Options.Self.Text);
   for (const auto &[Peer, Status] : State.PeerStatuses) {
-    if (Status.DataCentre != State.Options.DataCentre ||
-        Status.TargetsReadAt < Oldest || !State.Instances.contains(Peer))
+    if (!mayRead(Step, Peer, Status))
       continue;
     if (const auto Hash = stableHash(Peer.Text); Hash > Highest) {
       Highest = Hash;
@@ -70,13 +96,18 @@
 
 } // namespace
 
+auto targetsReadAgeMs(const gateway_state &State, time_point Now)
+    -> std::int64_t {
+  return State.ReadsTargets && State.TargetsReadAt != time_point()
+             ? toMilliseconds(Now - State.TargetsReadAt)
+             : -1;
+}
+
 auto chooseTargetReader(const gateway_step &Step) -> void {
   auto &State = Step.State;
   const auto *Reader = findTargetReader(Step);
-  // The first list comes from the store, so that no start depends on a peer.
-  const bool Reads =
-      Reader == nullptr || State.Configuration.Version == 0 ||
-      (State.ReadsTargets && State.TargetsReadAt == time_point());
+  const bool Reads = Reader == nullptr || State.Configuration.Version == 0 ||
+                     Step.Now >= State.TargetsCurrentUntil;
   if (std::exchange(State.ReadsTargets, Reads) != Reads) {
     addLogEntry(Step, log_level::Info, "target_reader_changed",
                 {{"reader", Reads ? State.Options.Self.Text : Reader->Text}});
@@ -84,11 +115,44 @@
     if (!Reads && !State.StoreReachable)
       handle(Step, store_reachability_changed{true});
   }
-  if (Reads || Step.Now < State.NextPeerQuery ||
-      State.PeerStatuses.at(*Reader).TargetsVersion <= State.TargetsVersion)
+  // A gateway that still reads for itself asks as well: it stops only once the
+  // reader has answered.
+  if (Reader == nullptr || !State.AskedReader.empty() ||
+      Step.Now < State.NextReaderQuery)
     return;
-  State.NextPeerQuery = Step.Now + FollowInterval;
-  Step.Effects.push_back(query_peer{State.Instances.at(*Reader).Address});
+  State.NextReaderQuery = Step.Now + MinReaderQueryInterval;
+  State.AskedReader = State.Instances.at(*Reader).Address;
+  Step.Effects.push_back(query_peer{State.AskedReader,
+                                    Step.Now + ReaderWait + ReaderAnswerTime,
+                                    toMilliseconds(ReaderWait)});
+}
+
+auto handle(const gateway_step &Step, const peer_answered &Event) -> void {
+  auto &State = Step.State;
+  if (!Event.Waited || Event.Address != State.AskedReader)
+    return;
+  State.AskedReader.clear();
+  const bool Current = Event.Answered && Event.TargetsReadAgeMs >= 0 &&
+                       milliseconds(Event.TargetsReadAgeMs) <=
+                           State.Options.MaxTargetsAge;
+  State.TargetsCurrentUntil =
+      Current ? Step.Now + AnswerValidity : time_point();
+  if (!Event.Answered) {
+    State.UnansweredUntil[Event.Address] = Step.Now + UnansweredAvoidTime;
+    addLogEntry(Step, log_level::Warning, "target_reader_silent",
+                {{"address", Event.Address}});
+  }
+  for (auto &[Peer, Status] : State.PeerStatuses)
+    if (const auto Instance = State.Instances.find(Peer);
+        Instance != State.Instances.end() &&
+        Instance->second.Address == Event.Address)
+      Status.TargetsReadAt =
+          Current ? Step.Now - milliseconds(Event.TargetsReadAgeMs)
+                  : time_point();
+  std::erase_if(State.UnansweredUntil, [&](const auto &Unanswered) {
+    return Step.Now >= Unanswered.second;
+  });
+  chooseTargetReader(Step);
 }
 
 auto queryPeers(const gateway_step &Step) -> void {
@@ -107,7 +171,8 @@
     return;
   State.NextPeerQuery = Step.Now + PeerQueryInterval;
   Step.Effects.push_back(
-      query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()]});
+      query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()],
+                 Step.Now + PeerAnswerTime});
 }
 
 } // namespace limpetbridge::serving
