Agents: a generation runs on a connection of its own

It can happen here: an agent's thread kept its connection to the engine, and the HTTP library takes what arrives late on it for the answer to the next request. A refusal read that way proves that the run was not started, so its caller is told "not run, try again", or it runs at another engine, while the engine runs it. Now each generation has a connection of its own, as calls, orders and the requests of gateways have. Evidence: engine_test run_refusalOfTheRunBeforeWrittenAgain_* failed before: the second run, which the engine answered whole, ended as refused.

--- a/libs/engine/src/target_client.cpp
+++ b/libs/engine/src/target_client.cpp
@@ -127,19 +127,6 @@
     return Client;
   }
 
-  /// Returns the keep-alive client of the calling thread. Only for runs that
-  /// may be repeated.
-  auto runClient() const -> httplib::Client & {
-    thread_local std::map<const details *, std::unique_ptr<httplib::Client>>
-        Clients;
-    auto &Client = Clients[this];
-    if (!Client) {
-      Client = makeClient(Options.ReadTimeout);
-      Client->set_keep_alive(true);
-    }
-    return *Client;
-  }
-
   auto isStopped(const attempt_id &Id) -> bool {
     const std::lock_guard Lock(Mutex);
     return Stopped.contains(Id);
@@ -160,9 +147,11 @@
       });
       return !isStopped(Effect.Attempt);
     };
-    auto &Client = runClient();
-    addRunning(Effect.Attempt, Client);
-    const auto Result = Client.send(Request);
+    // A connection of its own: on a kept one, a late second copy of the answer
+    // before would be taken for this one.
+    const auto Client = makeClient(Options.ReadTimeout);
+    addRunning(Effect.Attempt, *Client);
+    const auto Result = Client->send(Request);
     removeRunning(Effect.Attempt);
     Sink(makeEnd(Generation, Result, Result ? Result->status : 0));
   }
--- a/libs/engine/tests/engine_test.cpp
+++ b/libs/engine/tests/engine_test.cpp
@@ -3,6 +3,7 @@
 
 #include "engine/target_client.h"
 #include "engine_stand_in.h"
+#include "scripted_server.h"
 #include "service_stand_in.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -22,6 +23,9 @@
   CPPUNIT_TEST(order_oldToken_isStale);
   CPPUNIT_TEST(call_replyLost_isBrokenAndExecutedOnce);
   CPPUNIT_TEST(call_noListener_isUnsent);
+  CPPUNIT_TEST(run_refusalOfTheRunBeforeWrittenAgain_isNotTakenForThisOne);
+  CPPUNIT_TEST(call_answerCutAnywhere_isBroken);
+  CPPUNIT_TEST(run_answerCutAnywhere_isBroken);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,9 +89,68 @@
     CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Unsent);
   }
 
+  auto run_refusalOfTheRunBeforeWrittenAgain_isNotTakenForThisOne() -> void {
+    const std::string Refusal =
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    const std::string Lines =
+        "{\"offset\":0,\"pieces\":[\"a\"]}\n{\"total\":1}\n";
+    const std::string Whole =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Lines.size()) +
+        "\r\n\r\n" + Lines;
+    scripted_server Server({{Refusal, false, false, Refusal}, {Whole}});
+    const auto Client = makeClient(Server.port(), 1);
+    Client->execute(makeGeneration());
+    CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Refused);
+    usleep(200'000);
+    Client->execute(makeGeneration());
+    CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Whole);
+  }
+
+  auto call_answerCutAnywhere_isBroken() -> void {
+    for (const auto &Bytes : cutAnswers())
+      for (const bool Reset : {false, true}) {
+        scripted_server Server({{Bytes, true, Reset}});
+        const auto Client = makeClient(Server.port());
+        Client->execute(makeBooking());
+        CPPUNIT_ASSERT_MESSAGE(Bytes, waitFor<target_ended>().End ==
+                                          target_end::Broken);
+      }
+  }
+
+  auto run_answerCutAnywhere_isBroken() -> void {
+    for (const auto &Bytes : cutAnswers())
+      for (const bool Reset : {false, true}) {
+        scripted_server Server({{Bytes, true, Reset}});
+        const auto Client = makeClient(Server.port());
+        Client->execute(makeGeneration());
+        CPPUNIT_ASSERT_MESSAGE(Bytes, waitFor<target_ended>().End ==
+                                          target_end::Broken);
+      }
+  }
+
 private:
-  auto makeClient(std::uint16_t Port) -> std::unique_ptr<target_client> {
+  /// Answers that end before they are complete.
+  static auto cutAnswers() -> std::vector<std::string> {
+    const std::string Head = "HTTP/1.1 200 OK\r\n";
+    std::vector<std::string> Answers = {"", "HTTP/1.1 20"};
+    for (const auto *Rest :
+         {"", "Content-Le", "Content-Length: 10\r\n",
+          "Content-Length: 10\r\n\r", "Content-Length: 10\r\n\r\n",
+          "Content-Length: 10\r\n\r\nabc", "Connection: close\r\n",
+          "Connection: close\r\n\r",
+          "Connection: close\r\nContent-Length: 10\r\n\r\nabc",
+          "Transfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"})
+      Answers.push_back(Head + Rest);
+    return Answers;
+  }
+
+  auto makeClient(std::uint16_t Port, std::size_t Slots = 16)
+      -> std::unique_ptr<target_client> {
     target_options Options;
+    Options.Slots = Slots;
     Options.Host = "127.0.0.1";
     Options.Port = Port;
     return std::make_unique<target_client>(Options, [this](event Event) {
