Gateway requests: no error in the middle of a resumed stream

It can happen here: relayBuffered stored a server error before it looked whether the caller already had a part of the stream, the reducer had no attempt left and had the error relayed, and run wrote it as it is. Now an error in answer to a resumed stream is a stream cut short, whatever its status: another attempt goes on, or the connection is aborted, which does not look complete. Evidence: broken_answer_test stream_resumedWithAnError_* failed before with the head of the 500 behind the second event. The emulated worker writes given bytes, refuses resumed streams, and says that it leaves or for how long it refuses requests.

--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -212,13 +212,13 @@
   if (ReadResult != net::body_read::End || CallerDisconnected ||
       !Commands.empty())
     co_return makeResult(attempt_end::Unknown, Status);
+  // The caller already has the head and events of the resumed stream.
+  if (ResponseStarted)
+    co_return makeResult(attempt_end::CutShort, Status);
   if (Status >= FirstServerErrorStatus) {
     FailedResponse = std::move(Response);
     co_return makeResult(attempt_end::Failed, Status);
   }
-  // The caller already has the head of the resumed stream.
-  if (ResponseStarted)
-    co_return makeResult(attempt_end::CutShort, Status);
   CloseAfterResponse = shouldClose();
   ResponseStarted = true;
   auto Bytes = serializeResponse(Response, CloseAfterResponse);
--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -22,6 +22,7 @@
 enum class behaviour : std::uint8_t {
   Answer,        ///< A whole answer.
   Refuse,        ///< 503, not executed.
+  Misdirect,     ///< 421.
   FailAfterRun,  ///< 500 of its own.
   FalsePromise,  ///< 503 after having run.
   ResetAfterRun, ///< Runs it and resets the connection.
@@ -32,6 +33,7 @@
   UnframedCut,   ///< The same, with a reset.
   ForeignFirst,  ///< A late answer to another request comes before its own.
   Encoded,       ///< Claims a content encoding.
+  Raw,           ///< RawAnswer as it is, then the end of the connection.
   // Answers that never end, until the peer closes the connection:
   EndlessHead,      ///< Header fields.
   EndlessInterim,   ///< Informational heads.
@@ -65,7 +67,14 @@
   std::int64_t EventGapMs = 5;
   std::int64_t AnswerDelayMs = 0; ///< Of whole answers.
   std::int64_t LoadMs = 30;
-  bool Draining = false;
+  bool Draining = false;  ///< As its row says.
+  bool Leaving = false;   ///< As all its answers say.
+  std::string RetryAfter; ///< Of refusals, seconds; empty: none.
+  /// Bytes of raw answers; $ID stands for the id of the request.
+  std::string RawAnswer;
+  bool RawReset = false; ///< The connection is reset after a raw answer.
+  /// Status of the answers to streams that are resumed; 0: they go on.
+  std::uint16_t ResumeStatus = 0;
   std::set<std::string> Models;
   std::vector<std::shared_ptr<seen_request>> Requests;
   std::vector<nlohmann::json> Orders;
@@ -79,6 +88,8 @@
                 net::http_request Request) -> net::awaitable<bool>;
   auto run(std::shared_ptr<net::caller_connection> Connection,
            std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
+  auto writeRaw(std::shared_ptr<net::caller_connection> Connection,
+                const net::http_request &Request) -> net::awaitable<bool>;
   auto stream(std::shared_ptr<net::caller_connection> Connection,
               std::shared_ptr<seen_request> Seen) -> net::awaitable<bool>;
   /// Writes \p Start, and then \p Part until the peer closes.
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -97,9 +97,13 @@
     std::shared_ptr<net::caller_connection> Connection,
     net::http_request Request) -> awaitable<bool> {
   std::string Bytes;
-  if (Request.Target == "/report")
-    Bytes = serializeResponse(makeAnswer(200, report().dump()), false);
-  else if (Request.Target == "/order")
+  if (Request.Target == "/report") {
+    auto Report = makeAnswer(200, report().dump());
+    if (Leaving)
+      Report.Head.Fields.push_back({"Server-Leaving", "1"});
+    Bytes = serializeResponse(Report, false);
+  }
+  if (Request.Target == "/order")
     Bytes = serializeResponse(takeOrder(Request), false);
   if (!Bytes.empty())
     co_return co_await Connection->write(std::move(Bytes));
@@ -150,6 +154,8 @@
   Head.Status = 200;
   Head.Fields = {{"X-Limpetbridge-Attempt-Id", idOf(Request)},
                  {"X-Limpetbridge-Response-Signature", "proof-" + Id}};
+  if (Leaving)
+    Head.Fields.push_back({"Server-Leaving", "1"});
   return Head;
 }
 
@@ -161,14 +167,24 @@
                                                      Request.Target + " " +
                                                      Request.Body};
   std::string Bytes;
+  if (ResumeStatus != 0 && net::hasField(Request.Fields, "Last-Event-Id")) {
+    Answer.Head.Status = ResumeStatus;
+    Bytes = serializeResponse(Answer, false);
+    co_return co_await Connection->write(std::move(Bytes));
+  }
   switch (Behaviour) {
   case behaviour::Answer:
     if (AnswerDelayMs > 0)
       co_await net::sleepFor(milliseconds(AnswerDelayMs));
+    Answer.Head = signedHead(Request);
     Bytes = serializeResponse(Answer, false);
     break;
   case behaviour::Refuse:
-    Answer.Head = {503, "", {{"X-Limpetbridge-Not-Executed", "1"}}};
+  case behaviour::Misdirect:
+    Answer.Head.Status = Behaviour == behaviour::Refuse ? 503 : 421;
+    Answer.Head.Fields[1] = {"X-Limpetbridge-Not-Executed", "1"};
+    if (!RetryAfter.empty())
+      Answer.Head.Fields.push_back({"Retry-After", RetryAfter});
     Bytes = serializeResponse(Answer, false);
     break;
   case behaviour::FailAfterRun:
@@ -187,6 +203,8 @@
     co_await Timer.async_wait(net::asio::use_awaitable);
     co_return false;
   }
+  case behaviour::Raw:
+    co_return co_await writeRaw(Connection, Request);
   case behaviour::Stream:
   case behaviour::CutStream:
     co_return co_await stream(Connection, Seen);
@@ -218,6 +236,21 @@
   co_return co_await Connection->write(std::move(Bytes));
 }
 
+auto worker_emulator::writeRaw(
+    std::shared_ptr<net::caller_connection> Connection,
+    const net::http_request &Request) -> awaitable<bool> {
+  const std::string Placeholder = "$ID";
+  auto Bytes = RawAnswer;
+  if (const auto Start = Bytes.find(Placeholder); Start != std::string::npos)
+    Bytes.replace(Start, Placeholder.size(), idOf(Request));
+  co_await Connection->write(std::move(Bytes));
+  if (RawReset)
+    Connection->abort();
+  else
+    co_await Connection->closeGracefully();
+  co_return false;
+}
+
 auto worker_emulator::writeEndlessly(
     std::shared_ptr<net::caller_connection> Connection, std::string Start,
     std::string Part, duration Gap) -> awaitable<bool> {
