Gateways: a target missing in a list has gone as one deleted in the feed has

What callers saw: a gateway that takes up reading, or whose history the store has dropped, went on sending to targets that its list no longer had for another 1.5 s. Cause: the grace for rows that lapse while the store is away was given to every row missing in a list, although a list says of a row what the feed's deletion says. With gateways that change their reader this comes on top of the time in which they notice. Now both are handled alike: without an outage of the store just before, the target is removed at once; after one, it has the grace. gateway_test targetList_targetMissing_removedAfterGrace asked for the grace in every case. It is replaced by two: without an outage the target is gone at once (fails before), and after an outage the same grace as before is checked.

--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -84,8 +84,8 @@
   target_name Name;
 };
 
-/// The complete list of targets was read; targets that are missing in it are
-/// removed after the grace period.
+/// The complete list of targets was read; the rows of targets that are missing
+/// in it were deleted.
 struct targets_listed {
   std::vector<target> Targets;
 };
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -163,9 +163,12 @@
     Listed.insert(Target.Name);
     applyTargetUpdate(Step, Target);
   }
-  for (auto &[Name, Entry] : Step.State.Book.all())
-    if (!Listed.contains(Name) && Entry.RowMissingSince == NoDeadline)
-      Entry.RowMissingSince = Step.Now;
+  std::vector<target_name> Missing;
+  for (const auto &[Name, Entry] : Step.State.Book.all())
+    if (!Listed.contains(Name))
+      Missing.push_back(Name);
+  for (const auto &Name : Missing)
+    handle(Step, target_lost{Name});
 }
 
 auto handle(const gateway_step &Step, const instances_listed &Event) -> void {
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -34,7 +34,8 @@
   CPPUNIT_TEST(target_otherServiceAtAddress_supersedesNone);
   CPPUNIT_TEST(holdingsReport_laterIncarnation_removesTarget);
   CPPUNIT_TEST(target_readyAfterDraining_staysDraining);
-  CPPUNIT_TEST(targetList_targetMissing_removedAfterGrace);
+  CPPUNIT_TEST(targetList_targetMissing_removed);
+  CPPUNIT_TEST(targetList_targetMissingAfterAnOutage_removedAfterGrace);
   CPPUNIT_TEST(lost_justAfterTheStoreIsBack_isKeptForTheGrace);
   CPPUNIT_TEST(attempts_anyOutcomes_retriesStaySafe);
   CPPUNIT_TEST_SUITE_END();
@@ -230,9 +231,20 @@
     CPPUNIT_ASSERT(!Harness.State.Book.find(target_name("l1"))->acceptsWork());
   }
 
-  auto targetList_targetMissing_removedAfterGrace() -> void {
+  auto targetList_targetMissing_removed() -> void {
     Harness.State.Options.LostGrace = seconds(2);
     addLedgerTargets();
+    Harness.dispatch(
+        targets_listed{{Harness.State.Book.find(target_name("l2"))->Target}});
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l1")) == nullptr);
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l2")) != nullptr);
+  }
+
+  auto targetList_targetMissingAfterAnOutage_removedAfterGrace() -> void {
+    Harness.State.Options.LostGrace = seconds(2);
+    addLedgerTargets();
+    Harness.dispatch(store_reachability_changed{false});
+    Harness.dispatch(store_reachability_changed{true});
     Harness.dispatch(
         targets_listed{{Harness.State.Book.find(target_name("l2"))->Target}});
     Harness.Now += milliseconds(1900);
