Gateways: targets are believed when they say that they leave or refuse requests

New rules of the platform: a target that leaves says so in all its answers, and requests sent later than the drain time after a gateway has passed on such an answer must not reach it from there; a refusal may name the time for which the target wants nothing from this gateway. The head of every answer is looked at, whatever its status and whichever request it belongs to, and so is the head of a report to a controller. What a target says holds for the incarnation to which the request was sent, whatever its row says, and also if the row goes and comes back; the same now holds for a row that said that it drains. Other gateways hear of it in three digests. Loads that wait at a leaving target fail at once, so that the requests that wait for them go elsewhere, a controller sends it no more orders, and loads that other gateways have asked for there are not waited for. A target that refuses for a time gets no request in it: it is not picked, also not as a last resort, and a request that is still connecting goes elsewhere. A further copy of a model is loaded for it only if the pause is longer than 3 s, about the time of a load. When to refuse and when callers may return moved to gateway_refusals, unchanged otherwise.

--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -46,7 +46,7 @@
 /// Hooks of the adapter.
 struct controller_hooks {
   std::function<net::http_request()> BuildReportRequest;
-  std::function<result<serving::engine_report>(const std::string &Body)>
+  std::function<result<serving::engine_report>(const net::http_response &)>
       ParseReport;
   std::function<net::http_request(const order_facts &)> BuildOrderRequest;
   /// \p Status is that of the target's response.
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -299,7 +299,7 @@
       Request, process_clock::now() + ReportTimeout);
   if (!Response || Response->Head.Status != StatusOk)
     co_return std::nullopt;
-  auto Report = Hooks.ParseReport(Response->Body);
+  auto Report = Hooks.ParseReport(*Response);
   if (!Report) {
     log(log_level::Warning, "report_unreadable",
         {{"error", toString(Report.error())}});
@@ -318,7 +318,7 @@
 
 auto controller_node::publishHoldings(const engine_report &Report) -> void {
   holdings_report Current{Settings.ControllerTarget, Report.Incarnation,
-                          Report.Sequence, Report.Holdings};
+                          Report.Sequence, Report.Holdings, Report.Leaves};
   std::erase_if(UnloadingModels, [&](const model_name &Model) {
     return Current.Incarnation != Published.Incarnation ||
            !Current.Holdings.Models.contains(Model);
@@ -331,6 +331,7 @@
       Held->second.Adapters.erase(Adapter);
   if (Current.Incarnation == Published.Incarnation &&
       Current.Sequence == Published.Sequence &&
+      Current.Leaves == Published.Leaves &&
       Current.Holdings == Published.Holdings)
     return;
   Published = std::move(Current);
@@ -408,13 +409,14 @@
       continue;
     }
     const auto Step = nextStep(*findEngine(), *Report, Job->Job, LastUsed);
-    if (Step.Kind == step_kind::Held)
+    if (Step.Kind == step_kind::Held && !Report->Leaves)
       co_return true;
-    if (Step.Kind == step_kind::Impossible) {
+    if (Step.Kind == step_kind::Impossible || Report->Leaves) {
       log(log_level::Warning, "load_impossible",
           {{"model", Job->Job.Model.Text},
            {"adapter", Job->Job.Adapter},
            {"sequence", std::to_string(Report->Sequence)},
+           {"leaves", Report->Leaves ? "true" : "false"},
            {"held", std::to_string(Report->Holdings.Models.size())}});
       co_return false;
     }
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -59,9 +59,9 @@
     dispatch(std::move(Event));
   };
   Environment.IsDraining = [this] { return Draining; };
-  Environment.AcceptsWork = [this](const target_name &Target) {
+  Environment.AcceptsRequests = [this](const target_name &Target) {
     const auto *Entry = State.Book.find(Target);
-    return Entry != nullptr && Entry->acceptsWork();
+    return Entry != nullptr && Entry->acceptsRequests(process_clock::now());
   };
   const auto Executor = Context.get_executor();
   // Before the listeners: a signal must not end a process that has callers.
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -150,7 +150,7 @@
     co_return makeResult(attempt_end::NotSent);
   // Connecting may take a second, in which the target may have begun to drain.
   if (CallerDisconnected || !Commands.empty() ||
-      !Environment.AcceptsWork(Send.Target))
+      !Environment.AcceptsRequests(Send.Target))
     co_return makeResult(attempt_end::NotSent);
   attempt_metadata Facts;
   Facts.Target = Send.Target;
@@ -171,6 +171,7 @@
     if (!Head)
       co_return makeResult(attempt_end::Unknown);
     const auto Facts = Environment.Hooks->ParseResponseHead(*Head, Call.Id);
+    reportNotice(Send, Facts);
     if (Facts.CallIdDiffers) {
       std::string SkippedBody;
       auto ReadResult = net::body_read::Data;
@@ -201,6 +202,17 @@
   co_return makeResult(attempt_end::Unknown);
 }
 
+auto gateway_request::reportNotice(const send_attempt &Send,
+                                   const answer_metadata &Facts) -> void {
+  if (!Facts.TargetLeaves && Facts.RefusesForMs == 0)
+    return;
+  target_notice Notice{Send.Target, Send.Incarnation, Facts.TargetLeaves, {}};
+  if (Facts.RefusesForMs > 0)
+    Notice.RefusesUntil =
+        process_clock::now() + milliseconds(Facts.RefusesForMs);
+  Environment.Dispatch(std::move(Notice));
+}
+
 auto gateway_request::relayBuffered(std::uint16_t Status)
     -> awaitable<attempt_result> {
   const auto Connection = Target;
--- a/apps/limpetbridge/src/serving/gateway_request.h
+++ b/apps/limpetbridge/src/serving/gateway_request.h
@@ -22,8 +22,8 @@
   const gateway_hooks *Hooks = nullptr;
   std::function<void(serving::gateway_event)> Dispatch;
   std::function<bool()> IsDraining; ///< True: responses close the connection.
-  /// True if new work may be sent to the target.
-  std::function<bool(const target_name &)> AcceptsWork;
+  /// True if a request may be sent to the target now.
+  std::function<bool(const target_name &)> AcceptsRequests;
 };
 
 /// A request in progress.
@@ -58,6 +58,9 @@
       -> net::awaitable<attempt_result>;
   auto receiveResponse(const serving::send_attempt &Send)
       -> net::awaitable<attempt_result>;
+  /// Reports what the head of an answer says about the target itself.
+  auto reportNotice(const serving::send_attempt &Send,
+                    const serving::answer_metadata &Facts) -> void;
   /// Relays a response after its body was read completely; a server error is
   /// stored in FailedResponse instead.
   auto relayBuffered(std::uint16_t Status) -> net::awaitable<attempt_result>;
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -38,6 +38,9 @@
   json Adapters = json::array();
   for (const auto &[Target, Adapter] : Digest.AdapterUse)
     Adapters.push_back({Target.Text, Adapter.first.Text, Adapter.second});
+  json Leaving = json::array();
+  for (const auto &[Target, Incarnation] : Digest.Leaving)
+    Leaving.push_back({Target.Text, Incarnation});
   return {{KindKey, "digest"},
           {"f", Digest.From.Text},
           {"a", Digest.Address},
@@ -54,7 +57,8 @@
           {"ta", -1},
           {"tr", Digest.TargetsReadAgeMs},
           {"tv", Digest.TargetsVersion},
-          {"r", Digest.ReadyInMs}};
+          {"r", Digest.ReadyInMs},
+          {"lv", Leaving}};
 }
 
 auto toJson(const greeting &Greeting) -> json {
@@ -73,7 +77,8 @@
           {"q", Event.Sequence},
           {"m", Models},
           {"r", encodeNames(Event.Holdings.InMemory)},
-          {"o", encodeNames(Event.Holdings.OnDisk)}};
+          {"o", encodeNames(Event.Holdings.OnDisk)},
+          {"lv", Event.Leaves}};
 }
 
 auto decodeDigest(const json &Object) -> gateway_digest {
@@ -102,8 +107,12 @@
   Digest.DataCentre = data_centre_name(Object.at("z").get<std::string>());
   Digest.TargetsReadAgeMs = Object.value("tr", std::int64_t{-1});
   Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
-  // Gateways of an older version do not send it.
+  // Gateways of an older version do not send these.
   Digest.ReadyInMs = Object.value("r", std::int64_t{0});
+  if (const auto Leaving = Object.find("lv"); Leaving != Object.end())
+    for (const auto &Item : *Leaving)
+      Digest.Leaving[target_name(Item.at(0).get<std::string>())] =
+          Item.at(1).get<std::uint64_t>();
   for (const auto &Item : Object.at("u"))
     Digest.AdapterUse.emplace(
         target_name(Item.at(0).get<std::string>()),
@@ -130,6 +139,8 @@
         Item.at(2).get<std::set<std::string>>()};
   Event.Holdings.InMemory = decodeNames(Object.at("r"));
   Event.Holdings.OnDisk = decodeNames(Object.at("o"));
+  // Controllers of an older version do not send it.
+  Event.Leaves = Object.value("lv", false);
   return Event;
 }
 
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -94,6 +94,12 @@
   /// Prompt parts and adapter uses that are not in a digest yet.
   std::map<std::pair<target_name, prefix_key>, std::uint32_t> UnsentPrefixes;
   std::set<std::pair<target_name, adapter_key>> UnsentAdapterUse;
+  /// A target that said to this gateway that it leaves.
+  struct leaving_target {
+    std::uint64_t Incarnation = 0;
+    int DigestsLeft = 0; ///< That will name it, as one may be lost.
+  };
+  std::map<target_name, leaving_target> UnsentLeaving;
   /// Rows that expired while the store was unreachable may return until then.
   time_point RowGraceUntil;
   bool StoreReachable = true;
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -19,6 +19,7 @@
   request_number Number = 0;
   std::uint32_t Attempt = 0; ///< Starts at 1.
   target_name Target;
+  std::uint64_t Incarnation = 0; ///< Of the target.
   std::string Address;
   time_point Deadline; ///< Sent to the target, which stops by then.
   request_kind Kind = request_kind::NonIdempotent;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -44,6 +44,15 @@
   request_number Number = 0;
 };
 
+/// An answer of a target, to whichever request, said that the target leaves or
+/// for how long it refuses requests of this gateway.
+struct target_notice {
+  target_name Target;
+  std::uint64_t Incarnation = 0; ///< To which the request was sent.
+  bool Leaves = false;
+  time_point RefusesUntil; ///< The epoch if it does not refuse any.
+};
+
 /// An attempt ended.
 struct attempt_ended {
   request_number Number = 0;
@@ -127,6 +136,7 @@
   std::uint64_t Incarnation = 0; ///< Start of the target, Unix ms.
   std::uint64_t Sequence = 0;    ///< Orders accepted in this incarnation.
   holdings Holdings;
+  bool Leaves = false; ///< The target takes no new work until it ends.
 };
 
 /// A gateway's periodic report to the other gateways.
@@ -139,6 +149,8 @@
   std::vector<std::tuple<target_name, prefix_key, std::uint32_t>> Prefixes;
   /// Adapters used since the previous digest.
   std::set<std::pair<target_name, adapter_key>> AdapterUse;
+  /// Incarnations of targets that said to the sender that they leave.
+  std::map<target_name, std::uint64_t> Leaving;
   /// Pending model loads that the sender requested.
   std::map<target_name, model_change> Loading;
   std::uint64_t Configuration = 0; ///< Version in force.
@@ -186,11 +198,11 @@
 };
 
 using gateway_event = std::variant<
-    request_arrived, first_output, attempt_ended, caller_left, deadline_passed,
-    configuration_read, target_updated, target_lost, store_reachability_changed,
-    targets_listed, instances_listed, load_answered, holdings_report,
-    gateway_digest, targets_read, targets_read_failed, peer_answered,
-    stop_began, stop_deadline_passed, tick>;
+    request_arrived, first_output, target_notice, attempt_ended, caller_left,
+    deadline_passed, configuration_read, target_updated, target_lost,
+    store_reachability_changed, targets_listed, instances_listed, load_answered,
+    holdings_report, gateway_digest, targets_read, targets_read_failed,
+    peer_answered, stop_began, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/include/serving/order_plan.h
+++ b/libs/serving/include/serving/order_plan.h
@@ -20,7 +20,8 @@
 struct engine_report {
   std::uint64_t Incarnation = 0; ///< Start time, Unix ms.
   std::uint64_t Sequence = 0;    ///< Orders accepted by this incarnation.
-  bool Busy = false;             ///< A model is being loaded or unloaded.
+  bool Leaves = false; ///< The target takes no new work until it ends.
+  bool Busy = false;   ///< A model is being loaded or unloaded.
   holdings Holdings;
   std::set<adapter_key> PendingAdapters; ///< Being fetched from the store.
   /// Unload ordered while requests used them; they stay loaded until those
--- a/libs/serving/include/serving/picker.h
+++ b/libs/serving/include/serving/picker.h
@@ -54,12 +54,18 @@
                                   const pick_request &Request, double PrefillMs)
     -> double;
 
-/// Picks among the targets that accept work and, for a prompt, serve the model.
-/// \returns none if no target qualifies.
+/// Picks among the targets that accept requests and, for a prompt, serve the
+/// model. \returns none if no target qualifies.
 [[nodiscard]] auto pickTarget(const target_book &Book,
                               const pick_request &Request)
     -> std::optional<pick>;
 
+/// When the first target accepts requests that qualifies but for the time for
+/// which it refuses them; NoDeadline if there is none.
+[[nodiscard]] auto earliestAcceptance(const target_book &Book,
+                                      const pick_request &Request)
+    -> time_point;
+
 } // namespace limpetbridge::serving
 
 #endif // LIMPETBRIDGE_SERVING_PICKER_H
--- a/libs/serving/include/serving/protocol.h
+++ b/libs/serving/include/serving/protocol.h
@@ -33,6 +33,10 @@
   bool UnconfirmedNotRun = false;
   /// The body is not what the target produced.
   bool HasContentEncoding = false;
+  bool TargetLeaves = false; ///< It takes no new work until it ends.
+  /// Time for which a target that refused the request wants no others from
+  /// this gateway, ms; 0 if it names none.
+  std::int64_t RefusesForMs = 0;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -70,6 +70,8 @@
   /// Backoff after an attempt was refused, the target was unreachable or an
   /// adapter could not be loaded.
   time_point AvoidUntil;
+  /// Until then the target refuses requests of this gateway.
+  time_point RefusesUntil;
   time_point LoadBackoffUntil; ///< Backoff after a model failed to load.
   time_point ReportedAt; ///< Last report of the holdings by the controller.
   /// When the row disappeared from the store; the entry is kept for a grace
@@ -85,10 +87,14 @@
   /// A newer incarnation uses the address, so this one has ended even if the
   /// store still lists it.
   bool Superseded = false;
-  /// True if new work may be sent.
+  /// True if the target has not ended and is not about to.
   [[nodiscard]] auto acceptsWork() const -> bool {
     return !Target.Draining && !Superseded;
   }
+  /// True if a request may be sent at \p Now.
+  [[nodiscard]] auto acceptsRequests(time_point Now) const -> bool {
+    return acceptsWork() && Now >= RefusesUntil;
+  }
   /// True if \p Model is loaded and not about to be unloaded.
   [[nodiscard]] auto serves(const model_name &Model) const -> bool;
 };
@@ -107,7 +113,14 @@
   /// \returns true if the holdings changed.
   auto updateHoldings(target_entry &Entry, std::uint64_t Sequence,
                       const holdings &Holdings, time_point Now) -> bool;
+  /// Removes a target whose row has gone. What the target has said of itself is
+  /// kept, should the row of the same incarnation come back.
   auto remove(const target_name &Name) -> void;
+  /// Records what \p Incarnation of a target has said of itself: that it
+  /// leaves, and until when it refuses requests. It holds for that incarnation
+  /// only. \returns true if that was not known.
+  auto recordNotice(const target_name &Name, std::uint64_t Incarnation,
+                    bool Leaves, time_point RefusesUntil) -> bool;
 
   [[nodiscard]] auto find(const target_name &Name) -> target_entry *;
   [[nodiscard]] auto find(const target_name &Name) const
@@ -145,10 +158,21 @@
                           double PrefillMs, bool Failed) -> void;
 
 private:
+  /// What a target has said of itself.
+  struct notice {
+    std::uint64_t Incarnation = 0;
+    bool Leaves = false;
+    time_point RefusesUntil;
+  };
+  /// Keeps a notice of a target that is not in the table.
+  auto keepNotice(const target_name &Name, const notice &Notice) -> void;
+  /// Applies what is kept about the incarnation of \p Entry.
+  auto restoreNotice(target_entry &Entry) -> void;
   /// Updates which incarnations at \p Address are superseded.
   auto updateSuperseded(const std::string &Address) -> void;
 
   std::map<target_name, target_entry> Entries;
+  std::map<target_name, notice> Notices; ///< Of targets that are not there.
   std::map<std::string, std::set<target_name>> NamesByAddress;
   std::map<instance_name, std::vector<target_name>> TargetsByPeer;
 };
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -5,6 +5,7 @@
 #define LIMPETBRIDGE_SERVING_DETAILS_GATEWAY_PARTS_H
 
 #include "serving/gateway.h"
+#include "serving/picker.h"
 
 namespace limpetbridge::serving {
 
@@ -22,16 +23,38 @@
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
 
+// gateway_refusals.cpp
 /// Answers the request with \p Code, logs the refusal and forgets the request.
 auto refuseRequest(const gateway_step &Step, request_number Number,
                    result_code Code, std::int64_t RetryAfterMs,
                    std::string Reason) -> void;
+/// True if the caller's timeout for the first output would pass first.
+auto exceedsCallerTimeout(const request_state &Request, const pick &Pick,
+                          time_point Now) -> bool;
+/// Time until the queue at the picked target is short enough for a retry, ms.
+auto queueRetryAfterMs(const request_state &Request, const pick &Pick)
+    -> std::int64_t;
+/// When the caller of \p Request may return, if every target that could serve
+/// it refuses requests for a while; NoDeadline otherwise.
+auto earliestReturn(const gateway_step &Step, const request_state &Request)
+    -> time_point;
+/// Retry-after of a caller who waits until a target accepts requests again at
+/// \p ReturnAt, ms. Callers are spread over a short time.
+auto returnAfterMs(const gateway_step &Step, time_point ReturnAt)
+    -> std::int64_t;
+/// Retry-after of a request that its last target did not run, ms: short if
+/// another target accepts it, otherwise until one does.
+auto refusedRetryAfterMs(const gateway_step &Step, const request_state &Request)
+    -> std::int64_t;
+/// Refuses waiting requests whose deadline for the first output is near.
+auto refuseLateLoadWaits(const gateway_step &Step) -> void;
+
 /// Removes the request from the load that is counted at its target.
 auto releaseTarget(const gateway_step &Step, request_state &Request,
                    bool Failed) -> void;
-
-/// Refuses waiting requests whose deadline for the first output is near.
-auto refuseLateLoadWaits(const gateway_step &Step) -> void;
+/// Inputs of the choice of a target for \p Request; refers to it.
+auto makePickRequest(const gateway_step &Step, const request_state &Request)
+    -> pick_request;
 
 /// Interval of the digests of one gateway. It grows with the number of
 /// gateways, so that what each one receives does not.
@@ -86,6 +109,8 @@
 /// Updates the pending model change of every target from the loads that this
 /// gateway and its peers have requested.
 auto markModelChanges(gateway_state &State) -> void;
+/// Treats the pending loads at a target as failed: it leaves or has gone.
+auto failLoads(const gateway_step &Step, const target_name &Target) -> void;
 /// Treats pending loads past their deadline as failed.
 auto expireLoads(const gateway_step &Step) -> void;
 
@@ -98,6 +123,7 @@
 auto handle(const gateway_step &Step, const targets_listed &Event) -> void;
 auto handle(const gateway_step &Step, const instances_listed &Event) -> void;
 auto handle(const gateway_step &Step, const holdings_report &Event) -> void;
+auto handle(const gateway_step &Step, const target_notice &Event) -> void;
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void;
 auto handle(const gateway_step &Step, const targets_read &Event) -> void;
 auto handle(const gateway_step &Step, const targets_read_failed &Event) -> void;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -54,6 +54,8 @@
                  {"leaving", Entry.Target.Draining ? "true" : "false"},
                  {"reads_targets", State.ReadsTargets ? "true" : "false"},
                  {"models", std::to_string(Target.Holdings.Models.size())}});
+  if (WasKnown && !WasDraining && Entry.Target.Draining)
+    failLoads(Step, Target.Name);
   dispatchWaitingForChanges(Step, Before, Entry.Target.Holdings);
 }
 
@@ -64,25 +66,31 @@
     return;
   const auto &State = Step.State;
   const auto MissingSince = Entry->RowMissingSince;
-  addLogEntry(
-      Step, log_level::Warning, "target_gone",
-      {{"target", Name.Text},
-       {"address", Entry->Target.Address},
-       {"draining", Entry->Target.Draining ? "true" : "false"},
-       {"missing_ms", std::to_string(MissingSince == NoDeadline
-                                         ? 0
-                                         : toMilliseconds(Step.Now -
-                                                          MissingSince))},
-       {"reads_targets", State.ReadsTargets ? "true" : "false"},
-       {"targets_version", std::to_string(State.TargetsVersion)}});
+  addLogEntry(Step, log_level::Warning, "target_gone",
+              {{"target", Name.Text},
+               {"address", Entry->Target.Address},
+               {"draining", Entry->Target.Draining ? "true" : "false"},
+               {"missing_ms",
+                std::to_string(MissingSince == NoDeadline
+                                   ? 0
+                                   : toMilliseconds(Step.Now - MissingSince))},
+               {"reads_targets", State.ReadsTargets ? "true" : "false"},
+               {"targets_version", std::to_string(State.TargetsVersion)}});
   Step.State.Book.remove(Name);
-  std::vector<load_answered> FailedLoads;
-  if (const auto Found = Step.State.PendingLoads.find(Name);
-      Found != Step.State.PendingLoads.end())
-    for (const auto &Load : Found->second)
-      FailedLoads.push_back({Name, Load.Model, Load.Adapter, false});
-  for (const auto &FailedLoad : FailedLoads)
-    handle(Step, FailedLoad);
+  failLoads(Step, Name);
+}
+
+/// Records that a target said that it leaves, and ends what waits for it there.
+auto recordLeaving(const gateway_step &Step, const target_name &Name,
+                   std::uint64_t Incarnation, std::string Source) -> bool {
+  if (!Step.State.Book.recordNotice(Name, Incarnation, true, time_point()))
+    return false;
+  addLogEntry(Step, log_level::Info, "target_leaves",
+              {{"target", Name.Text},
+               {"born", std::to_string(Incarnation)},
+               {"source", std::move(Source)}});
+  failLoads(Step, Name);
+  return true;
 }
 
 /// Removes the gateways whose digests have stopped, with all that they
@@ -197,12 +205,30 @@
     return removeTarget(Step, Entry->Target.Name);
   if (Entry->Target.Incarnation != Event.Incarnation)
     return;
+  if (Event.Leaves)
+    recordLeaving(Step, Entry->Target.Name, Event.Incarnation, "controller");
   const auto Before = Entry->Target.Holdings;
   if (Step.State.Book.updateHoldings(*Entry, Event.Sequence, Event.Holdings,
                                      Step.Now))
     dispatchWaitingForChanges(Step, Before, Event.Holdings);
 }
 
+auto handle(const gateway_step &Step, const target_notice &Event) -> void {
+  /// Digests that name a leaving target.
+  constexpr int LeavingDigests = 3;
+  auto &State = Step.State;
+  if (Event.Leaves &&
+      recordLeaving(Step, Event.Target, Event.Incarnation, "answer"))
+    State.UnsentLeaving[Event.Target] = {Event.Incarnation, LeavingDigests};
+  if (Event.RefusesUntil != time_point() &&
+      State.Book.recordNotice(Event.Target, Event.Incarnation, false,
+                              Event.RefusesUntil))
+    addLogEntry(Step, log_level::Info, "target_refuses",
+                {{"target", Event.Target.Text},
+                 {"for_ms", std::to_string(toMilliseconds(Event.RefusesUntil -
+                                                          Step.Now))}});
+}
+
 auto handle(const gateway_step &Step, const gateway_digest &Event) -> void {
   auto &State = Step.State;
   if (Event.From == State.Options.Self)
@@ -235,6 +261,8 @@
           : Step.Now - milliseconds(Event.TargetsReadAgeMs),
       Event.TargetsVersion,
       Step.Now + milliseconds(Event.ReadyInMs)};
+  for (const auto &[Name, Incarnation] : Event.Leaving)
+    recordLeaving(Step, Name, Incarnation, Event.From.Text);
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
     if (auto *Entry = State.Book.find(Name))
       Entry->Cache.add(Key, Tokens);
@@ -299,6 +327,13 @@
   for (const auto &[Key, Tokens] : std::exchange(State.UnsentPrefixes, {}))
     Digest.Prefixes.emplace_back(Key.first, Key.second, Tokens);
   Digest.AdapterUse = std::exchange(State.UnsentAdapterUse, {});
+  for (auto &[Name, Leaving] : State.UnsentLeaving) {
+    Digest.Leaving[Name] = Leaving.Incarnation;
+    --Leaving.DigestsLeft;
+  }
+  std::erase_if(State.UnsentLeaving, [](const auto &Leaving) {
+    return Leaving.second.DigestsLeft <= 0;
+  });
   for (const auto &[Target, Loads] : State.PendingLoads)
     for (const auto &Load : Loads)
       if (Load.Adapter.empty())
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -59,7 +59,8 @@
         Targets.push_back(Target);
   for (const auto &[Peer, Loads] : State.PeerPendingLoads)
     for (const auto &[Target, Change] : Loads)
-      if (Change.Model == Model && State.Book.find(Target) != nullptr)
+      if (const auto *Entry = State.Book.find(Target);
+          Change.Model == Model && Entry != nullptr && Entry->acceptsWork())
         Targets.push_back(Target);
   return Targets;
 }
@@ -304,6 +305,17 @@
   dispatchWaiting(Step, Event.Model);
 }
 
+auto failLoads(const gateway_step &Step, const target_name &Target) -> void {
+  const auto Found = Step.State.PendingLoads.find(Target);
+  if (Found == Step.State.PendingLoads.end())
+    return;
+  std::vector<load_answered> Failed;
+  for (const auto &Load : Found->second)
+    Failed.push_back({Target, Load.Model, Load.Adapter, false});
+  for (const auto &FailedLoad : Failed)
+    handle(Step, FailedLoad);
+}
+
 auto expireLoads(const gateway_step &Step) -> void {
   std::vector<load_answered> Overdue;
   for (const auto &[Target, Loads] : Step.State.PendingLoads)
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -1,7 +1,5 @@
 #include "details/gateway_parts.h"
 
-#include "serving/picker.h"
-
 #include <algorithm>
 
 namespace limpetbridge::serving {
@@ -10,9 +8,6 @@
 
 /// Retry-after of a request that no target can take, ms.
 constexpr std::int64_t NoTargetRetryAfterMs = 500;
-/// Retry-after when a target was full, was changing its models or could not be
-/// reached: another one may have room by then, ms.
-constexpr std::int64_t RefusedRetryAfterMs = 100;
 /// Retry-after while no configuration is known: the first read takes about
 /// this long, ms.
 constexpr std::int64_t NotReadyRetryAfterMs = 500;
@@ -21,8 +16,11 @@
 /// Time for which a target is avoided that did not hold the model or had lost
 /// its address: the store reports the change after about one heartbeat.
 constexpr duration WrongTargetAvoidTime = milliseconds(1500);
-/// Time for which a full target is avoided: it completes a request every few
-/// milliseconds.
+/// Longest time for which all targets with a model may refuse requests before a
+/// further copy is loaded.
+constexpr duration MaxPauseWithoutLoad = seconds(3);
+/// Time for which a full target is avoided that names no time: it completes a
+/// request every few milliseconds.
 constexpr duration FullTargetAvoidTime = milliseconds(150);
 /// An attempt with less time than this cannot succeed.
 constexpr duration MinAttemptTime = milliseconds(5);
@@ -41,18 +39,6 @@
 /// Bounds of the prefill time, ms per token.
 constexpr double MinPrefillMsPerToken = 0.004;
 constexpr double MaxPrefillMsPerToken = 0.2;
-/// Expected times are rough, so a request is refused only if the expected time
-/// exceeds the time left by this factor.
-constexpr double EstimateTolerance = 1.2;
-/// A refused caller is told to retry when the queue will take only this share
-/// of its timeout for the first output.
-constexpr double RetryHeadroomShare = 0.5;
-constexpr std::int64_t MinRetryAfterMs = 150;
-/// A request that waits for a load is refused this long before its deadline for
-/// the first output: its prompt could not be processed in the rest, and the
-/// caller still receives the answer and can retry.
-constexpr duration LoadWaitMargin = milliseconds(400);
-
 /// Picks a service of the route at random, by weight.
 auto chooseService(gateway_state &State, const route &Route) -> service_name {
   std::uint32_t Sum = 0;
@@ -72,38 +58,6 @@
 
 } // namespace
 
-auto refuseRequest(const gateway_step &Step, request_number Number,
-                   result_code Code, std::int64_t RetryAfterMs,
-                   std::string Reason) -> void {
-  const auto Found = Step.State.Requests.find(Number);
-  // Once an attempt may have run, no refusal may claim that the request did
-  // not run.
-  if (Found != Step.State.Requests.end() && Found->second.MayHaveRun &&
-      describe(Code).Outcome == run_outcome::NotRun) {
-    Code = result_code::OutcomeUnknown;
-    RetryAfterMs = 0;
-  }
-  Step.Effects.push_back(refuse_request{Number, Code, RetryAfterMs});
-  std::vector<std::pair<std::string, std::string>> Fields = {
-      {"code", std::string(describe(Code).Name)},
-      {"reason", std::move(Reason)},
-      {"retry_after_ms", std::to_string(RetryAfterMs)}};
-  if (Found != Step.State.Requests.end()) {
-    const auto &Request = Found->second;
-    Fields.insert(Fields.begin(), {"request", Request.Call.Id});
-    Fields.emplace_back("route", Request.Route.Name);
-    Fields.emplace_back("model", Request.Call.Prompt.Model.Text);
-    Fields.emplace_back("adapter", Request.Call.Prompt.Adapter);
-    Fields.emplace_back("attempts", std::to_string(Request.Attempts));
-    Fields.emplace_back(
-        "left_ms", std::to_string(toMilliseconds(Request.Deadline - Step.Now)));
-    Fields.emplace_back("configuration",
-                        std::to_string(Step.State.Configuration.Version));
-    Step.State.Requests.erase(Found);
-  }
-  addLogEntry(Step, log_level::Warning, "request_refused", std::move(Fields));
-}
-
 auto releaseTarget(const gateway_step &Step, request_state &Request,
                    bool Failed) -> void {
   if (Request.CurrentTarget.empty())
@@ -152,10 +106,10 @@
     Entry->AdapterUse[Adapter] = Step.Now;
     Step.State.UnsentAdapterUse.emplace(Pick.Target, Adapter);
   }
-  Step.Effects.push_back(
-      send_attempt{Number, Request.Attempts, Pick.Target, Entry->Target.Address,
-                   Request.Deadline, Request.Route.Kind,
-                   Request.Route.Resumable, Request.Route.Priority});
+  Step.Effects.push_back(send_attempt{
+      Number, Request.Attempts, Pick.Target, Entry->Target.Incarnation,
+      Entry->Target.Address, Request.Deadline, Request.Route.Kind,
+      Request.Route.Resumable, Request.Route.Priority});
   addLogEntry(
       Step, log_level::Info, "attempt_sent",
       {{"request", Request.Call.Id},
@@ -171,27 +125,26 @@
         std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
 }
 
-/// True if the caller's timeout for the first output would pass first.
-auto exceedsCallerTimeout(const request_state &Request, const pick &Pick,
-                          time_point Now) -> bool {
-  const double RemainingMs = std::chrono::duration<double, std::milli>(
-                                 Request.FirstOutputDeadline - Now)
-                                 .count();
-  return Pick.ExpectedMs > EstimateTolerance * RemainingMs;
-}
+} // namespace
 
-/// Time until the queue at the picked target is short enough for a retry, ms.
-auto queueRetryAfterMs(const request_state &Request, const pick &Pick)
-    -> std::int64_t {
-  const double TimeoutMs =
-      std::chrono::duration<double, std::milli>(Request.FirstOutputDeadline -
-                                                Request.Call.Arrived)
-          .count();
-  return std::max(MinRetryAfterMs,
-                  static_cast<std::int64_t>(Pick.ExpectedMs -
-                                            RetryHeadroomShare * TimeoutMs));
+auto makePickRequest(const gateway_step &Step, const request_state &Request)
+    -> pick_request {
+  const auto &Call = Request.Call;
+  pick_request PickRequest;
+  PickRequest.Service = Request.Service;
+  PickRequest.DataCentre = Step.State.Options.DataCentre;
+  PickRequest.Prompt = Call.HasPrompt ? &Call.Prompt : nullptr;
+  PickRequest.PrefillMsPerToken =
+      prefillMsPerToken(Step.State, Call.Prompt.Model);
+  PickRequest.Rank = rankOf(Request.Route.Priority);
+  PickRequest.Keys = &Request.PrefixKeys;
+  PickRequest.Tried = &Request.TriedTargets;
+  PickRequest.Now = Step.Now;
+  return PickRequest;
 }
 
+namespace {
+
 /// Sends the request to a target, queues it until a model or an adapter is
 /// loaded, or refuses it.
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void {
@@ -202,16 +155,7 @@
   if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
     return refuseStopping(Step, Number);
   const auto &Call = Request.Call;
-  pick_request PickRequest;
-  PickRequest.Service = Request.Service;
-  PickRequest.DataCentre = Step.State.Options.DataCentre;
-  PickRequest.Prompt = Call.HasPrompt ? &Call.Prompt : nullptr;
-  PickRequest.PrefillMsPerToken =
-      prefillMsPerToken(Step.State, Call.Prompt.Model);
-  PickRequest.Rank = rankOf(Request.Route.Priority);
-  PickRequest.Keys = &Request.PrefixKeys;
-  PickRequest.Tried = &Request.TriedTargets;
-  PickRequest.Now = Step.Now;
+  const auto PickRequest = makePickRequest(Step, Request);
   const auto Pick = pickTarget(Step.State.Book, PickRequest);
   if (Pick && Call.HasPrompt && exceedsCallerTimeout(Request, *Pick, Step.Now))
     return refuseRequest(Step, Number, result_code::DeadlineUnreachable,
@@ -221,6 +165,13 @@
     return sendAttempt(Step, Number, Request, *Pick);
   if (Pick)
     return waitForAdapter(Step, Request, Pick->Target);
+  // A load takes longer than a short pause of a target that has the model.
+  const auto ReturnAt = earliestReturn(Step, Request);
+  if (ReturnAt != NoDeadline &&
+      (!Call.HasPrompt || ReturnAt - Step.Now < MaxPauseWithoutLoad))
+    return refuseRequest(Step, Number, result_code::TargetRefused,
+                         returnAfterMs(Step, ReturnAt),
+                         "every target refuses requests for a while");
   std::int64_t RetryAfterMs = NoTargetRetryAfterMs;
   if (Call.HasPrompt) {
     const auto Code = waitForModel(Step, Request, RetryAfterMs);
@@ -399,12 +350,14 @@
     if (mayRetry(Step, Request, Request.Attempts > 0))
       return dispatchRequest(Step, Event.Number);
     return refuseRequest(Step, Event.Number, result_code::TargetUnreachable,
-                         RefusedRetryAfterMs, "no connection to the target");
+                         refusedRetryAfterMs(Step, Request),
+                         "no connection to the target");
   case attempt_end::NotRun:
     if (mayRetry(Step, Request, true))
       return dispatchRequest(Step, Event.Number);
     return refuseRequest(Step, Event.Number, result_code::TargetRefused,
-                         RefusedRetryAfterMs, "the target did not run it");
+                         refusedRetryAfterMs(Step, Request),
+                         "the target did not run it");
   case attempt_end::Failed:
     if (Repeatable && mayRetry(Step, Request, true))
       return dispatchRequest(Step, Event.Number);
@@ -450,23 +403,6 @@
       0, MayHaveRun ? "the target is still at work" : "it was still waiting");
 }
 
-auto refuseLateLoadWaits(const gateway_step &Step) -> void {
-  std::vector<request_number> LateRequests;
-  for (const auto &[Number, Request] : Step.State.Requests)
-    if (Request.AwaitedLoad &&
-        Step.Now + LoadWaitMargin >=
-            std::min(Request.FirstOutputDeadline, Step.State.StopDeadline))
-      LateRequests.push_back(Number);
-  for (const auto Number : LateRequests) {
-    const auto &Request = Step.State.Requests.at(Number);
-    const auto ExpectedEnd = expectedLoadEnd(Step, Request.Call.Prompt.Model);
-    refuseRequest(
-        Step, Number, result_code::DeadlineUnreachable,
-        std::max(MinRetryAfterMs, toMilliseconds(ExpectedEnd - Step.Now)),
-        "the load comes too late");
-  }
-}
-
 auto dispatchWaiting(const gateway_step &Step, const model_name &Model)
     -> void {
   std::vector<request_number> Numbers;
--- a/libs/serving/src/picker.cpp
+++ b/libs/serving/src/picker.cpp
@@ -69,19 +69,37 @@
          (Preempts ? PreemptionMs : 0);
 }
 
+namespace {
+
+/// True if the target can serve the request, now or when it accepts requests.
+auto qualifies(const target_entry &Entry, const pick_request &Request) -> bool {
+  if (Entry.Target.Service != Request.Service || !Entry.acceptsWork() ||
+      (Request.Tried != nullptr && Request.Tried->contains(Entry.Target.Name)))
+    return false;
+  return Request.Prompt == nullptr || Entry.serves(Request.Prompt->Model);
+}
+
+} // namespace
+
+auto earliestAcceptance(const target_book &Book, const pick_request &Request)
+    -> time_point {
+  auto Earliest = NoDeadline;
+  for (const auto &[Name, Entry] : Book.all())
+    if (Request.Now < Entry.RefusesUntil && qualifies(Entry, Request))
+      Earliest = std::min(Earliest, Entry.RefusesUntil);
+  return Earliest;
+}
+
 auto pickTarget(const target_book &Book, const pick_request &Request)
     -> std::optional<pick> {
   std::optional<pick> Best;
   for (const auto &[Name, Entry] : Book.all()) {
-    if (Entry.Target.Service != Request.Service || !Entry.acceptsWork() ||
-        (Request.Tried != nullptr && Request.Tried->contains(Name)))
+    if (!Entry.acceptsRequests(Request.Now) || !qualifies(Entry, Request))
       continue;
     pick Candidate;
     Candidate.Target = Name;
     if (Request.Prompt != nullptr) {
       const auto &Prompt = *Request.Prompt;
-      if (!Entry.serves(Prompt.Model))
-        continue;
       Candidate.NeedsAdapter =
           !hasLoaded(Entry.Target, Prompt.Model, Prompt.Adapter);
       if (Candidate.NeedsAdapter && Entry.ControllerAddress.empty())
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -177,7 +177,7 @@
   std::optional<load_plan> Best;
   for (const auto &[Name, Entry] : Book.all()) {
     const auto &Target = Entry.Target;
-    if (Target.Service != Service.Name || !Entry.acceptsWork() ||
+    if (Target.Service != Service.Name || !Entry.acceptsRequests(Now) ||
         Entry.ControllerAddress.empty() || Now < Entry.LoadBackoffUntil ||
         Target.Holdings.Models.contains(Model))
       continue;
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -97,6 +97,7 @@
     Entry.Slowness = 1;
     Entry.DecodeMs = 0;
     Entry.AvoidUntil = {};
+    Entry.RefusesUntil = {};
     Entry.ReportedAt = {};
     Entry.LoadedAt.clear();
     Entry.AdapterUse.clear();
@@ -121,6 +122,7 @@
   Entry.Target.Holdings = std::move(OldHoldings);
   setHoldings(Entry, Holdings, Now);
   Entry.Target.Draining |= WasDraining;
+  restoreNotice(Entry);
   Entry.Cache.setCapacity(CacheTokens);
   updateSuperseded(Target.Address);
   return Changed;
@@ -156,12 +158,68 @@
   const auto Found = Entries.find(Name);
   if (Found == Entries.end())
     return;
-  const auto Address = Found->second.Target.Address;
+  const auto &Entry = Found->second;
+  if (Entry.Target.Draining || Entry.RefusesUntil != time_point())
+    keepNotice(Name, {Entry.Target.Incarnation, Entry.Target.Draining,
+                      Entry.RefusesUntil});
+  const auto Address = Entry.Target.Address;
   Entries.erase(Found);
   NamesByAddress[Address].erase(Name);
   updateSuperseded(Address);
 }
 
+auto target_book::recordNotice(const target_name &Name,
+                               std::uint64_t Incarnation, bool Leaves,
+                               time_point RefusesUntil) -> bool {
+  auto *Entry = find(Name);
+  if (Entry == nullptr) {
+    keepNotice(Name, {Incarnation, Leaves, RefusesUntil});
+    return false;
+  }
+  // The answer may be older or newer than the row.
+  if (Entry->Target.Incarnation != Incarnation)
+    return false;
+  const bool New =
+      (Leaves && !Entry->Target.Draining) || RefusesUntil > Entry->RefusesUntil;
+  Entry->Target.Draining |= Leaves;
+  Entry->RefusesUntil = std::max(Entry->RefusesUntil, RefusesUntil);
+  return New;
+}
+
+auto target_book::keepNotice(const target_name &Name, const notice &Notice)
+    -> void {
+  /// Targets whose rows have gone and may come back.
+  constexpr std::size_t MaxNotices = 4096;
+  auto &Kept = Notices[Name];
+  if (Notice.Incarnation < Kept.Incarnation)
+    return;
+  if (Notice.Incarnation > Kept.Incarnation)
+    Kept = {};
+  Kept.Incarnation = Notice.Incarnation;
+  Kept.Leaves |= Notice.Leaves;
+  Kept.RefusesUntil = std::max(Kept.RefusesUntil, Notice.RefusesUntil);
+  if (Notices.size() > MaxNotices)
+    Notices.erase(std::min_element(Notices.begin(), Notices.end(),
+                                   [](const auto &Left, const auto &Right) {
+                                     return Left.second.Incarnation <
+                                            Right.second.Incarnation;
+                                   }));
+}
+
+auto target_book::restoreNotice(target_entry &Entry) -> void {
+  const auto Found = Notices.find(Entry.Target.Name);
+  if (Found == Notices.end())
+    return;
+  const auto Notice = Found->second;
+  if (Notice.Incarnation > Entry.Target.Incarnation)
+    return;
+  Notices.erase(Found);
+  if (Notice.Incarnation < Entry.Target.Incarnation)
+    return;
+  Entry.Target.Draining |= Notice.Leaves;
+  Entry.RefusesUntil = std::max(Entry.RefusesUntil, Notice.RefusesUntil);
+}
+
 auto target_book::find(const target_name &Name) -> target_entry * {
   const auto Found = Entries.find(Name);
   return Found == Entries.end() ? nullptr : &Found->second;
