--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -19,6 +19,7 @@
   request_number Number = 0;
   std::uint32_t Attempt = 0; ///< Starts at 1.
   target_name Target;
+  std::uint64_t Incarnation = 0; ///< Of the target.
   std::string Address;
   time_point Deadline; ///< Sent to the target, which stops by then.
   request_kind Kind = request_kind::NonIdempotent;
@@ -57,9 +58,13 @@
   std::map<adapter_key, time_point> AdapterUse;
 };
 
-/// Query another gateway for the rows that it has read from the store.
+/// Query another gateway for the rows that it has read from the store. Its
+/// answer, or that there was none by the deadline, is reported.
 struct query_peer {
   std::string Address;
+  time_point Deadline;
+  /// Longest wait of the peer for changes if it has none, ms.
+  std::int64_t WaitMs = 0;
 };
 
 /// Send a digest to other gateways.
