--- a/libs/engine/tests/scripted_server.h
+++ b/libs/engine/tests/scripted_server.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -33,8 +34,9 @@
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Length = sizeof(Address);
-    bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
-    listen(Listener, 8);
+    if (bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) != 0 ||
+        listen(Listener, 8) != 0)
+      throw std::runtime_error("no port for a scripted server");
     getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
     Port = ntohs(Address.sin_port);
     Thread = std::thread([this] { run(); });
--- a/testing/emulator/tests/answer_notice_test.cpp
+++ b/testing/emulator/tests/answer_notice_test.cpp
@@ -64,6 +64,7 @@
     });
     // Enough at once that both targets get some.
     std::vector<std::future<client_answer>> Sending;
+    Sending.reserve(6);
     for (int I = 0; I < 6; ++I)
       Sending.push_back(
           std::async(std::launch::async, [&] { return send("/slow/x"); }));
