Gateways: one failed call to the store is enough for the grace of lapsed rows

Seen by reading, with the change to lists: rows lapse after some heartbeats while the store is away, also in an outage in which a gateway made one call only, for instance one of 4 s with calls that take 1.5 s to fail and a gateway that took up reading within it. Its first list would have removed targets at once that live and whose rows are back two seconds later; callers would have been refused.

--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -100,7 +100,8 @@
     int DigestsLeft = 0; ///< That will name it, as one may be lost.
   };
   std::map<target_name, leaving_target> UnsentLeaving;
-  /// Rows that expired while the store was unreachable may return until then.
+  /// Rows that expired while the store was unreachable may return until then;
+  /// NoDeadline while it does not answer.
   time_point RowGraceUntil;
   bool StoreReachable = true;
   /// State of another gateway according to its last digest.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -272,13 +272,18 @@
 }
 
 auto handle(const gateway_step &Step, const targets_read & /*Event*/) -> void {
-  Step.State.TargetsReadAt = Step.Now;
+  auto &State = Step.State;
+  State.TargetsReadAt = Step.Now;
+  if (State.StoreReachable && State.RowGraceUntil == NoDeadline)
+    State.RowGraceUntil = Step.Now + State.Options.LostGrace;
 }
 
 auto handle(const gateway_step &Step, const targets_read_failed & /*Event*/)
     -> void {
   // The gateways that ask this one read the targets themselves, at once.
   Step.State.TargetsReadAt = time_point();
+  // The store may be away; rows may expire until it answers again.
+  Step.State.RowGraceUntil = NoDeadline;
 }
 
 auto handle(const gateway_step &Step, const tick &Event) -> void {
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -112,7 +112,7 @@
     addLogEntry(Step, log_level::Info, "target_reader_changed",
                 {{"reader", Reads ? State.Options.Self.Text : Reader->Text}});
     // From now on the reader stands for the store.
-    if (!Reads && !State.StoreReachable)
+    if (!Reads && State.RowGraceUntil == NoDeadline)
       handle(Step, store_reachability_changed{true});
   }
   // A gateway that still reads for itself asks as well: it stops only once the
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(target_readyAfterDraining_staysDraining);
   CPPUNIT_TEST(targetList_targetMissing_removed);
   CPPUNIT_TEST(targetList_targetMissingAfterAnOutage_removedAfterGrace);
+  CPPUNIT_TEST(targetList_targetMissingAfterAFailedCall_removedAfterGrace);
   CPPUNIT_TEST(lost_justAfterTheStoreIsBack_isKeptForTheGrace);
   CPPUNIT_TEST(attempts_anyOutcomes_retriesStaySafe);
   CPPUNIT_TEST_SUITE_END();
@@ -255,6 +256,22 @@
     CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l1")) == nullptr);
   }
 
+  auto targetList_targetMissingAfterAFailedCall_removedAfterGrace() -> void {
+    Harness.State.Options.LostGrace = seconds(2);
+    addLedgerTargets();
+    Harness.dispatch(targets_read_failed{});
+    Harness.Now += seconds(4);
+    Harness.dispatch(
+        targets_listed{{Harness.State.Book.find(target_name("l2"))->Target}});
+    Harness.dispatch(targets_read{});
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l1")) != nullptr);
+    Harness.Now += milliseconds(2100);
+    Harness.dispatch(tick{});
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l1")) == nullptr);
+    Harness.dispatch(target_lost{target_name("l2")});
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l2")) == nullptr);
+  }
+
   auto lost_justAfterTheStoreIsBack_isKeptForTheGrace() -> void {
     Harness.State.Options.LostGrace = seconds(2);
     addLedgerTargets();
