--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -165,6 +165,7 @@
 }
 
 auto gateway_node::apply(const gateway_event &Event) -> void {
+  const bool ReadTargets = State.ReadsTargets;
   if (const auto *Ended = std::get_if<attempt_ended>(&Event))
     Metrics.count("attempts", nameOf(Ended->End));
   for (const auto &Effect : reduce(State, Event, process_clock::now()))
@@ -173,7 +174,8 @@
   // The queries that wait are checked once the changes of one call are applied.
   if (std::holds_alternative<targets_read>(Event) ||
       std::holds_alternative<targets_read_failed>(Event) ||
-      std::holds_alternative<configuration_read>(Event))
+      std::holds_alternative<configuration_read>(Event) ||
+      ReadTargets != State.ReadsTargets)
     for (const auto &Timer : std::exchange(WaitingQueries, {}))
       Timer->cancel();
 }
@@ -243,6 +245,7 @@
   Metrics.set("configuration_version",
               static_cast<std::int64_t>(State.Configuration.Version));
   Metrics.set("reads_targets", State.ReadsTargets ? 1 : 0);
+  Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
   Metrics.set("gateways_heard",
               static_cast<std::int64_t>(State.PeerDigestTimes.size()));
   for (const auto &[Name, Entry] : State.Book.all()) {
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -125,6 +125,8 @@
   /// Last read of the targets from the store; the epoch if the last call
   /// failed or none was answered yet.
   time_point TargetsReadAt;
+  /// Last own read of the targets, or answer of the gateway that reads them.
+  time_point TargetsKnownAt;
   /// Address of the gateway that was asked for the targets and has not answered
   /// yet; empty if none was asked.
   std::string AskedReader;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -274,6 +274,7 @@
 auto handle(const gateway_step &Step, const targets_read & /*Event*/) -> void {
   auto &State = Step.State;
   State.TargetsReadAt = Step.Now;
+  State.TargetsKnownAt = Step.Now;
   if (State.StoreReachable && State.RowGraceUntil == NoDeadline)
     State.RowGraceUntil = Step.Now + State.Options.LostGrace;
 }
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -132,11 +132,13 @@
   if (!Event.Waited || Event.Address != State.AskedReader)
     return;
   State.AskedReader.clear();
-  const bool Current = Event.Answered && Event.TargetsReadAgeMs >= 0 &&
-                       milliseconds(Event.TargetsReadAgeMs) <=
-                           State.Options.MaxTargetsAge;
+  const bool Current =
+      Event.Answered && Event.TargetsReadAgeMs >= 0 &&
+      milliseconds(Event.TargetsReadAgeMs) <= State.Options.MaxTargetsAge;
   State.TargetsCurrentUntil =
       Current ? Step.Now + AnswerValidity : time_point();
+  if (Current)
+    State.TargetsKnownAt = Step.Now;
   if (!Event.Answered) {
     State.UnansweredUntil[Event.Address] = Step.Now + UnansweredAvoidTime;
     addLogEntry(Step, log_level::Warning, "target_reader_silent",
--- a/libs/serving/tests/target_reader_test.cpp
+++ b/libs/serving/tests/target_reader_test.cpp
@@ -190,8 +190,7 @@
     run(seconds(5));
     const auto Before = readers();
     for (const auto &Name : Before)
-      perform(Processes[Name],
-              stop_began{Now + seconds(8), Now + seconds(3)});
+      perform(Processes[Name], stop_began{Now + seconds(8), Now + seconds(3)});
     run(seconds(4));
     for (const auto &Name : Before)
       Processes[Name].Alive = false;
