Gateways: a call that fails after the reader was followed starts no grace

Their last own call failed after they had begun to follow another gateway, which started the grace for lapsed rows, and nothing ended it as long as they did not read. Now a gateway that follows another one ends it, as it did when it began to follow. gateway_relay_test follow_openCallFailsLater_* fails without it.

--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -108,13 +108,13 @@
   const auto *Reader = findTargetReader(Step);
   const bool Reads = Reader == nullptr || State.Configuration.Version == 0 ||
                      Step.Now >= State.TargetsCurrentUntil;
-  if (std::exchange(State.ReadsTargets, Reads) != Reads) {
+  if (std::exchange(State.ReadsTargets, Reads) != Reads)
     addLogEntry(Step, log_level::Info, "target_reader_changed",
                 {{"reader", Reads ? State.Options.Self.Text : Reader->Text}});
-    // From now on the reader stands for the store.
-    if (!Reads && State.RowGraceUntil == NoDeadline)
-      handle(Step, store_reachability_changed{true});
-  }
+  // The reader stands for the store, also if a call of this gateway that was
+  // still open has failed since.
+  if (!Reads && State.RowGraceUntil == NoDeadline)
+    handle(Step, store_reachability_changed{true});
   // A gateway that still reads for itself asks as well: it stops only once the
   // reader has answered.
   if (Reader == nullptr || !State.AskedReader.empty() ||
--- a/libs/serving/tests/gateway_relay_test.cpp
+++ b/libs/serving/tests/gateway_relay_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(tick_peerHasNewerConfiguration_queriedAfterGrace);
   CPPUNIT_TEST(tick_startWithoutStore_queriesSeedsInTurn);
   CPPUNIT_TEST(tick_startWithStore_queriesNoPeer);
+  CPPUNIT_TEST(follow_openCallFailsLater_lostTargetsHaveNoFurtherGrace);
   CPPUNIT_TEST(digest_unknownSender_receivesDigests);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +88,31 @@
     CPPUNIT_ASSERT(QueriedAddresses.empty());
   }
 
+  auto follow_openCallFailsLater_lostTargetsHaveNoFurtherGrace() -> void {
+    Harness.State.Options.LostGrace = seconds(2);
+    Harness.addTarget("l1", "ledger", {});
+    gateway_digest Digest;
+    Digest.From = instance_name("g2");
+    Digest.DataCentre = data_centre_name("north");
+    Digest.TargetsReadAgeMs = 0;
+    Harness.dispatch(Digest);
+    Harness.dispatch(tick{});
+    Harness.dispatch(peer_answered{"g2:1", true, true, 0});
+    CPPUNIT_ASSERT(!Harness.State.ReadsTargets);
+    Harness.dispatch(targets_read_failed{});
+    Harness.dispatch(store_reachability_changed{false});
+    for (int I = 0; I < 30; ++I) {
+      Harness.Now += milliseconds(100);
+      Harness.dispatch(Digest);
+      Harness.dispatch(tick{});
+      for (const auto &Query : Harness.effectsOf<query_peer>())
+        Harness.dispatch(peer_answered{Query.Address, true, true, 0});
+    }
+    CPPUNIT_ASSERT(!Harness.State.ReadsTargets);
+    Harness.dispatch(target_lost{target_name("l1")});
+    CPPUNIT_ASSERT(Harness.State.Book.find(target_name("l1")) == nullptr);
+  }
+
   auto digest_unknownSender_receivesDigests() -> void {
     gateway_digest Digest;
     Digest.From = instance_name("g4");
