Placement: plans and demand do not grow with gateways times models

For each model of each target the plan counted the copies over all targets and summed the demand over all gateways, and each tick collected the models of all gateways' reports. Model shifts have many requests wait for plans at once. Now the copies are counted once a plan, and the demand of the other gateways is kept as a sum by model, which a digest changes only for the models that it names.

--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -42,8 +42,16 @@
   [[nodiscard]] static auto rateOf(const counter &Counter, time_point Now)
       -> model_rate;
 
+  /// Sum of the rates that the other gateways report for one model.
+  struct peer_total {
+    model_rate Sum;
+    std::size_t Peers = 0;
+  };
+  auto subtractRates(const model_rates &Rates) -> void;
+
   std::map<model_name, counter> OwnCounters;
   std::map<instance_name, model_rates> PeerRates;
+  std::map<model_name, peer_total> PeerTotals;
 };
 
 /// Number of copies of a model that its demand requires.
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -66,14 +66,29 @@
   return FreeMb;
 }
 
-auto evictionCandidates(const target_entry &Entry, const target_book &Book,
+using copy_counts = std::map<model_name, std::size_t>;
+
+/// Number of targets that serve each model and accept work.
+auto countCopies(const target_book &Book) -> copy_counts {
+  copy_counts Counts;
+  for (const auto &[Name, Entry] : Book.all())
+    for (const auto &[Model, Loaded] : Entry.Target.Holdings.Models)
+      if (Entry.acceptsWork() && Entry.serves(Model))
+        ++Counts[Model];
+  return Counts;
+}
+
+auto evictionCandidates(const target_entry &Entry,
+                        const copy_counts &CopyCounts,
                         const engine_spec &Engine, const demand &Demand,
                         time_point Now) -> std::vector<victim> {
   std::vector<victim> Candidates;
   for (const auto &[Model, Loaded] : Entry.Target.Holdings.Models) {
     if (!Entry.serves(Model))
       continue;
-    const auto Copies = static_cast<double>(Book.copyCount(Model));
+    const auto Count = CopyCounts.find(Model);
+    const auto Copies = static_cast<double>(
+        Count == CopyCounts.end() ? std::size_t{0} : Count->second);
     const auto Spec = Engine.Models.find(Model);
     const double ReloadMs = Spec == Engine.Models.end()
                                 ? 0
@@ -113,11 +128,38 @@
 
 auto demand::setPeerRates(const instance_name &Peer, const model_rates &Rates)
     -> void {
-  PeerRates[Peer] = Rates;
+  auto &Known = PeerRates[Peer];
+  subtractRates(Known);
+  for (const auto &[Model, Rate] : Rates) {
+    auto &Total = PeerTotals[Model];
+    Total.Sum.PerSecond += Rate.PerSecond;
+    Total.Sum.WorkMsPerSecond += Rate.WorkMsPerSecond;
+    ++Total.Peers;
+  }
+  Known = Rates;
 }
 
 auto demand::removePeer(const instance_name &Peer) -> void {
-  PeerRates.erase(Peer);
+  const auto Found = PeerRates.find(Peer);
+  if (Found == PeerRates.end())
+    return;
+  subtractRates(Found->second);
+  PeerRates.erase(Found);
+}
+
+auto demand::subtractRates(const model_rates &Rates) -> void {
+  for (const auto &[Model, Rate] : Rates) {
+    const auto Found = PeerTotals.find(Model);
+    auto &Total = Found->second;
+    // Rounding errors go with the last peer, and never leave a sum below 0.
+    if (--Total.Peers == 0) {
+      PeerTotals.erase(Found);
+      continue;
+    }
+    Total.Sum.PerSecond = std::max(0.0, Total.Sum.PerSecond - Rate.PerSecond);
+    Total.Sum.WorkMsPerSecond =
+        std::max(0.0, Total.Sum.WorkMsPerSecond - Rate.WorkMsPerSecond);
+  }
 }
 
 auto demand::rateOf(const counter &Counter, time_point Now) -> model_rate {
@@ -131,12 +173,9 @@
   model_rate Sum;
   if (const auto Found = OwnCounters.find(Model); Found != OwnCounters.end())
     Sum = rateOf(Found->second, Now);
-  for (const auto &[Name, Rates] : PeerRates) {
-    const auto Found = Rates.find(Model);
-    if (Found == Rates.end())
-      continue;
-    Sum.PerSecond += Found->second.PerSecond;
-    Sum.WorkMsPerSecond += Found->second.WorkMsPerSecond;
+  if (const auto Found = PeerTotals.find(Model); Found != PeerTotals.end()) {
+    Sum.PerSecond += Found->second.Sum.PerSecond;
+    Sum.WorkMsPerSecond += Found->second.Sum.WorkMsPerSecond;
   }
   return Sum;
 }
@@ -153,9 +192,8 @@
   std::set<model_name> Models;
   for (const auto &[Model, Counter] : OwnCounters)
     Models.insert(Model);
-  for (const auto &[Name, Rates] : PeerRates)
-    for (const auto &[Model, Rate] : Rates)
-      Models.insert(Model);
+  for (const auto &[Model, Total] : PeerTotals)
+    Models.insert(Model);
   return Models;
 }
 
@@ -174,6 +212,7 @@
   const auto Spec = Engine.Models.find(Model);
   if (Spec == Engine.Models.end())
     return std::nullopt;
+  const auto CopyCounts = countCopies(Book);
   std::optional<load_plan> Best;
   for (const auto &[Name, Entry] : Book.all()) {
     const auto &Target = Entry.Target;
@@ -188,7 +227,7 @@
     double Cost =
         Plan.LoadMs + ActiveRequestCostMs * Entry.load().activeCount();
     for (const auto &Victim :
-         evictionCandidates(Entry, Book, Engine, Demand, Now)) {
+         evictionCandidates(Entry, CopyCounts, Engine, Demand, Now)) {
       if (FreeMb >= Spec->second.WeightsMb)
         break;
       FreeMb += Victim.FreedMb;
