--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -38,10 +38,11 @@
   // Digests of many gateways are rare; a reader that is gone does not answer.
   const auto Oldest =
       Step.Now - State.Options.MaxTargetsAge - digestInterval(State);
-  const auto Instance = State.Instances.find(Peer);
   if (Status.DataCentre != State.Options.DataCentre ||
-      Status.TargetsReadAt < Oldest || Status.ReadyAt > Step.Now ||
-      Instance == State.Instances.end())
+      Status.TargetsReadAt < Oldest || Status.ReadyAt > Step.Now)
+    return false;
+  const auto Instance = State.Instances.find(Peer);
+  if (Instance == State.Instances.end())
     return false;
   const auto Unanswered = State.UnansweredUntil.find(Instance->second.Address);
   return Unanswered == State.UnansweredUntil.end() ||
