--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -20,7 +20,7 @@
 /// nothing has changed. A change is answered at once.
 constexpr duration ReaderWait = milliseconds(400);
 /// Time in which it has to answer besides: a lost packet is sent again within
-/// it. With ReaderWait it bounds how long a reader that has gone is believed.
+/// it. With ReaderWait it bounds the time until a reader's failure is noticed.
 constexpr duration ReaderAnswerTime = milliseconds(300);
 /// Least interval of these queries, should each one be answered at once.
 constexpr duration MinReaderQueryInterval = milliseconds(50);
@@ -30,8 +30,8 @@
 /// Time for which a gateway that did not answer is not asked for the targets.
 constexpr duration UnansweredAvoidTime = seconds(10);
 
-/// True if the gateway was heard to read the targets, takes part in serving and
-/// has not left a query unanswered lately.
+/// True if the last digest of the gateway has a recent read of the targets, and
+/// the gateway is ready and has answered recent queries.
 auto mayRead(const gateway_step &Step, const instance_name &Peer,
              const gateway_state::peer_status &Status) -> bool {
   const auto &State = Step.State;
