Gateways: attempt_ended says how the answer of a target ended

Each attempt now logs framing, bytes, events, inside_event and read_error, and two counters say how often targets use which framing and end a stream inside an event. No decision uses it yet.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -167,7 +167,7 @@
 auto gateway_node::apply(const gateway_event &Event) -> void {
   const bool ReadTargets = State.ReadsTargets;
   if (const auto *Ended = std::get_if<attempt_ended>(&Event))
-    Metrics.count("attempts", nameOf(Ended->End));
+    countAttempt(*Ended);
   for (const auto &Effect : reduce(State, Event, process_clock::now()))
     std::visit([this](const auto &TypedEffect) { execute(TypedEffect); },
                Effect);
@@ -180,6 +180,15 @@
       Timer->cancel();
 }
 
+auto gateway_node::countAttempt(const attempt_ended &Ended) -> void {
+  Metrics.count("attempts", nameOf(Ended.End));
+  if (Ended.Body.Framing == body_framing::None)
+    return;
+  Metrics.count("answer_bodies", nameOf(Ended.Body.Framing));
+  if (Ended.Body.InsideEvent)
+    Metrics.count("streams_ended_inside_event", nameOf(Ended.Body.Framing));
+}
+
 auto gateway_node::sendCommand(request_number Number,
                                gateway_request::command Command) -> void {
   const auto Found = Requests.find(Number);
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -48,6 +48,7 @@
   /// Reduces \p Event and executes its effects; an event that arrives
   /// meanwhile is reduced afterwards.
   auto dispatch(serving::gateway_event Event) -> void;
+  auto countAttempt(const serving::attempt_ended &Ended) -> void;
   auto execute(const serving::set_deadline &Effect) -> void;
   auto execute(const serving::send_attempt &Effect) -> void;
   auto execute(const serving::refuse_request &Effect) -> void;
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -136,12 +136,35 @@
 
 auto gateway_request::makeResult(attempt_end End, std::uint16_t Status) const
     -> attempt_result {
-  return {Number, End, Status, false, toMilliseconds(LongestGap)};
+  attempt_result Result;
+  Result.Number = Number;
+  Result.End = End;
+  Result.Status = Status;
+  Result.LongestGapMs = toMilliseconds(LongestGap);
+  Result.Body = describeBody();
+  return Result;
+}
+
+auto gateway_request::describeBody() const -> received_body {
+  received_body Body;
+  if (!Target || !Target->hasHead())
+    return Body;
+  Body.Framing = Target->endsWithConnection() ? body_framing::Connection
+                 : Target->isChunked()        ? body_framing::Chunked
+                                              : body_framing::Length;
+  Body.Bytes = BodyBytes;
+  Body.Events = Scanner.eventCount();
+  Body.InsideEvent = !Scanner.isBetweenEvents();
+  if (Target->readError())
+    Body.ReadError = Target->readError().message();
+  return Body;
 }
 
 auto gateway_request::runAttempt(const send_attempt &Send)
     -> awaitable<attempt_result> {
   Resumable = Send.Resumable;
+  Scanner = {};
+  BodyBytes = 0;
   Target = std::make_shared<net::target_connection>(Executor);
   const auto Connection = Target;
   if (!co_await Connection->connect(
@@ -221,6 +244,7 @@
   while (ReadResult == net::body_read::Data &&
          Response.Body.size() < MaxBufferedBytes)
     ReadResult = co_await Connection->readBody(Response.Body);
+  BodyBytes = Response.Body.size();
   if (ReadResult != net::body_read::End || CallerDisconnected ||
       !Commands.empty())
     co_return makeResult(attempt_end::Unknown, Status);
@@ -276,6 +300,8 @@
   for (;;) {
     std::string Bytes;
     auto ReadResult = co_await Connection->readBody(Bytes);
+    Scanner.scanAll(Bytes);
+    BodyBytes += Bytes.size();
     const auto Now = process_clock::now();
     if (!AwaitingFirstOutput)
       LongestGap = std::max(LongestGap, Now - LastReadAt);
--- a/apps/limpetbridge/src/serving/gateway_request.h
+++ b/apps/limpetbridge/src/serving/gateway_request.h
@@ -7,6 +7,7 @@
 #include "gateway_hooks.h"
 #include "net/caller_connection.h"
 #include "net/target_connection.h"
+#include "serving/event_scanner.h"
 #include "serving/event_stream.h"
 #include "serving/gateway_effects.h"
 
@@ -73,6 +74,8 @@
       -> net::awaitable<bool>;
   auto makeResult(serving::attempt_end End, std::uint16_t Status = 0) const
       -> attempt_result;
+  /// What the current attempt has received of its answer.
+  [[nodiscard]] auto describeBody() const -> serving::received_body;
   /// True if the connection has to close after this response.
   [[nodiscard]] auto shouldClose() const -> bool;
 
@@ -89,6 +92,8 @@
   net::response_head ResponseHead;        ///< Of the current attempt.
   net::http_response FailedResponse;      ///< For relay_failure.
   serving::event_stream Events;           ///< Of a resumable stream.
+  serving::event_scanner Scanner;         ///< Of the current attempt.
+  std::uint64_t BodyBytes = 0;            ///< Of the current attempt.
   duration LongestGap = duration::zero(); ///< Of the current attempt.
   bool Resumable = false;
   bool ResponseStarted = false;    ///< A part of it was written to the caller.
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -50,10 +50,22 @@
   /// Reads a part of the body and appends it to \p Bytes.
   auto readBody(std::string &Bytes) -> awaitable<body_read>;
 
+  /// True if the head of a response was read.
+  [[nodiscard]] auto hasHead() const -> bool;
+
   /// True if the response has neither length nor chunks, so that it ends when
   /// the connection does.
   [[nodiscard]] auto endsWithConnection() const -> bool;
 
+  /// True if the response is chunked.
+  [[nodiscard]] auto isChunked() const -> bool;
+
+  /// Why the last read of a body failed; not set if it did not. The end of the
+  /// connection is an error for bodies that have to end otherwise.
+  [[nodiscard]] auto readError() const -> const error_code & {
+    return LastReadError;
+  }
+
   /// True if the last response was read completely, nothing has arrived since
   /// and the peer has not closed the connection.
   [[nodiscard]] auto isReusable() -> bool;
@@ -76,6 +88,7 @@
   std::optional<parser_type> Parser;
   std::string RequestBytes;
   std::vector<char> ReadBuffer;
+  error_code LastReadError;
 };
 
 /// Sends requests to one peer over a persistent connection, one at a time. Only
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -85,10 +85,18 @@
   co_return std::nullopt;
 }
 
+auto target_connection::hasHead() const -> bool {
+  return Parser && Parser->is_header_done();
+}
+
 auto target_connection::endsWithConnection() const -> bool {
   return Parser && Parser->need_eof();
 }
 
+auto target_connection::isChunked() const -> bool {
+  return Parser && Parser->chunked();
+}
+
 auto target_connection::readBody(std::string &Bytes) -> awaitable<body_read> {
   const auto Self = shared_from_this();
   ReadBuffer.resize(ReadBytes);
@@ -101,8 +109,10 @@
     co_await http::async_read_some(Socket, Buffer, *Parser, storeError(Error));
     const auto Count = ReadBuffer.size() - Body.size;
     Bytes.append(ReadBuffer.data(), Count);
-    if (Error && Error != http::error::need_buffer)
+    if (Error && Error != http::error::need_buffer) {
+      LastReadError = Error;
       co_return Parser->is_done() ? body_read::End : body_read::Broken;
+    }
     if (Count > 0 && !Parser->is_done())
       co_return body_read::Data;
   }
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -39,6 +39,26 @@
 /// Name of the outcome in logs and metrics.
 [[nodiscard]] auto nameOf(attempt_end End) -> std::string_view;
 
+/// How the end of an answer's body shows.
+enum class body_framing : std::uint8_t {
+  None,      ///< There was no answer.
+  Length,    ///< It has a length, or its status allows no body.
+  Chunked,   ///< The last chunk ends it.
+  Connection ///< The end of the connection ends it.
+};
+
+/// Name of the framing in logs and metrics.
+[[nodiscard]] auto nameOf(body_framing Framing) -> std::string_view;
+
+/// What was received of the body of an answer.
+struct received_body {
+  body_framing Framing = body_framing::None;
+  std::uint64_t Bytes = 0;
+  std::uint64_t Events = 0; ///< Complete ones, if the answer is a stream.
+  bool InsideEvent = false; ///< The stream ended inside an event.
+  std::string ReadError;    ///< Why the last read failed; empty if none did.
+};
+
 /// The first byte of output arrived from the target.
 struct first_output {
   request_number Number = 0;
@@ -61,6 +81,7 @@
   bool WrongTarget = false;      ///< Another target has the address, or the
                                  ///< target does not hold the model.
   std::int64_t LongestGapMs = 0; ///< Between two chunks of the answer.
+  received_body Body;
 };
 
 /// The caller disconnected before its answer was complete.
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -24,6 +24,20 @@
   return "unknown";
 }
 
+auto nameOf(body_framing Framing) -> std::string_view {
+  switch (Framing) {
+  case body_framing::None:
+    return "none";
+  case body_framing::Length:
+    return "length";
+  case body_framing::Chunked:
+    return "chunked";
+  case body_framing::Connection:
+    return "connection";
+  }
+  return "none";
+}
+
 auto makeGatewayState(const gateway_options &Options) -> gateway_state {
   gateway_state State;
   State.Options = Options;
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -331,7 +331,12 @@
        {"route", Request.Route.Name},
        {"first_ms", std::to_string(Request.FirstOutputMs)},
        {"longest_gap_ms", std::to_string(Event.LongestGapMs)},
-       {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))}});
+       {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))},
+       {"framing", std::string(nameOf(Event.Body.Framing))},
+       {"bytes", std::to_string(Event.Body.Bytes)},
+       {"events", std::to_string(Event.Body.Events)},
+       {"inside_event", Event.Body.InsideEvent ? "true" : "false"},
+       {"read_error", Event.Body.ReadError}});
   Request.MayHaveRun |= Event.End == attempt_end::Failed ||
                         Event.End == attempt_end::Unknown ||
                         Event.End == attempt_end::CutShort;
