--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -28,7 +28,7 @@
   ResetAfterRun, ///< Runs it and resets the connection.
   Hang,          ///< Runs it and never answers.
   Stream,        ///< A whole event stream.
-  CutStream,     ///< Breaks off within the third event.
+  CutStream,     ///< Breaks off within the third event, after CutBytes of it.
   Unframed,      ///< Ends with the connection.
   UnframedCut,   ///< The same, with a reset.
   ForeignFirst,  ///< A late answer to another request comes before its own.
@@ -49,6 +49,7 @@
 struct seen_request {
   net::http_request Request;
   bool ClosedEarly = false; ///< The sender closed before the answer.
+  bool BrokenOff = false;   ///< The worker ended a stream within an event.
   time_point ArrivedAt;
   std::optional<time_point> EndedAt; ///< Answered, or closed by the sender.
 };
@@ -65,6 +66,10 @@
 
   behaviour Behaviour = behaviour::Answer;
   std::int64_t EventGapMs = 5;
+  /// Streams have neither length nor chunks; the end of the connection, without
+  /// a reset, ends also those that break off.
+  bool UnframedStreams = false;
+  std::size_t CutBytes = 10;      ///< Less than an event.
   std::int64_t AnswerDelayMs = 0; ///< Of whole answers.
   std::int64_t LoadMs = 30;
   bool Draining = false;  ///< As its row says.
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -318,18 +318,24 @@
     -> awaitable<bool> {
   auto Head = signedHead(Seen->Request);
   Head.Fields.push_back({"Content-Type", "text/event-stream"});
-  Head.Fields.push_back({"Transfer-Encoding", "chunked"});
+  if (!UnframedStreams)
+    Head.Fields.push_back({"Transfer-Encoding", "chunked"});
   std::string Bytes = serializeResponseHead(Head) + "\r\n";
+  const bool Unframed = UnframedStreams;
   const auto After =
       std::string(net::findField(Seen->Request.Fields, "Last-Event-Id"));
   for (int Number = After.empty() ? 1 : std::stoi(After) + 1; Number <= Events;
        ++Number) {
-    const auto Event = eventText(Number);
+    auto Event = eventText(Number);
     const bool Cut = Behaviour == behaviour::CutStream && Number == CutAt;
-    Bytes +=
-        net::serializeChunk(Cut ? Event.substr(0, Event.size() / 2) : Event);
-    const bool Written = co_await Connection->write(std::move(Bytes));
     if (Cut)
+      Event.resize(CutBytes);
+    Bytes += Unframed ? Event : net::serializeChunk(Event);
+    const bool Written = co_await Connection->write(std::move(Bytes));
+    Seen->BrokenOff = Cut;
+    if (Cut && Unframed)
+      co_await Connection->closeGracefully();
+    else if (Cut)
       Connection->abort();
     if (Cut || !Written)
       co_return false;
@@ -337,6 +343,10 @@
     net::asio::steady_timer Timer(Context, milliseconds(EventGapMs));
     co_await Timer.async_wait(net::asio::use_awaitable);
   }
+  if (Unframed) {
+    co_await Connection->closeGracefully();
+    co_return false;
+  }
   Bytes = "0\r\n\r\n";
   co_return co_await Connection->write(std::move(Bytes));
 }
