--- a/libs/net/include/net/asio.h
+++ b/libs/net/include/net/asio.h
@@ -20,6 +20,8 @@
 
 #include "base/time.h"
 
+#include <charconv>
+#include <cstdint>
 #include <exception>
 #include <functional>
 #include <optional>
@@ -86,13 +88,13 @@
       asio::ip::make_address(Address.substr(0, ColonPosition), Error);
   if (Error)
     return std::nullopt;
-  constexpr unsigned long MaxPort = 65535;
-  char *End = nullptr;
-  const auto Port = std::strtoul(Address.c_str() + ColonPosition + 1, &End, 10);
-  if (End == nullptr || *End != '\0' || Port > MaxPort)
+  std::uint16_t Port = 0;
+  const auto *PortEnd = Address.data() + Address.size();
+  const auto Parsed =
+      std::from_chars(Address.data() + ColonPosition + 1, PortEnd, Port);
+  if (Parsed.ec != std::errc() || Parsed.ptr != PortEnd)
     return std::nullopt;
-  return
-      typename protocol::endpoint(IpAddress, static_cast<unsigned short>(Port));
+  return typename protocol::endpoint(IpAddress, Port);
 }
 
 /// Converts a time of the process clock for Asio's timers.
