Gateways: an unreadable row is logged once a version and counted

Lists repeat rows, and another writer may change an odd one each second, so the same version of a row was logged again with every list, by the adapter, where no counter saw it. Unreadable rows are an event of the reducer now: a line and a count in decisions{kind="row_unreadable"} for each version.

containment_test rows_oddEntriesKeepChanging_othersAreFollowed: rows of targets and instances that are nested 60,000 levels deep, out of range or badly named change every 30 ms; a target that drains and a new one are followed nevertheless, and reading the whole table again reports nothing twice.

--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -114,6 +114,14 @@
   target_name Name;
 };
 
+/// A version of a row could not be read. Reported once a version.
+struct row_unreadable {
+  std::string Table;
+  std::string Key;
+  std::uint64_t Version = 0;
+  std::string Error;
+};
+
 /// The complete list of targets was read; the rows of targets that are missing
 /// in it were deleted.
 struct targets_listed {
@@ -218,12 +226,14 @@
   std::int64_t TargetsReadAgeMs = -1;
 };
 
-using gateway_event = std::variant<
-    request_arrived, first_output, target_notice, attempt_ended, caller_left,
-    deadline_passed, configuration_read, target_updated, target_lost,
-    store_reachability_changed, targets_listed, instances_listed, load_answered,
-    holdings_report, gateway_digest, targets_read, targets_read_failed,
-    peer_answered, stop_began, stop_deadline_passed, tick>;
+using gateway_event =
+    std::variant<request_arrived, first_output, target_notice, attempt_ended,
+                 caller_left, deadline_passed, configuration_read,
+                 target_updated, target_lost, row_unreadable,
+                 store_reachability_changed, targets_listed, instances_listed,
+                 load_answered, holdings_report, gateway_digest, targets_read,
+                 targets_read_failed, peer_answered, stop_began,
+                 stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -116,6 +116,7 @@
 
 // gateway_knowledge.cpp
 auto handle(const gateway_step &Step, const configuration_read &Event) -> void;
+auto handle(const gateway_step &Step, const row_unreadable &Event) -> void;
 auto handle(const gateway_step &Step, const target_updated &Event) -> void;
 auto handle(const gateway_step &Step, const target_lost &Event) -> void;
 auto handle(const gateway_step &Step, const store_reachability_changed &Event)
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -144,6 +144,14 @@
        {"services", std::to_string(State.Configuration.Services.size())}});
 }
 
+auto handle(const gateway_step &Step, const row_unreadable &Event) -> void {
+  addLogEntry(Step, log_level::Warning, "row_unreadable",
+              {{"table", Event.Table},
+               {"key", Event.Key},
+               {"version", std::to_string(Event.Version)},
+               {"error", Event.Error}});
+}
+
 auto handle(const gateway_step &Step, const target_updated &Event) -> void {
   applyTargetUpdate(Step, Event.Target);
 }
--- a/testing/emulator/tests/containment_test.cpp
+++ b/testing/emulator/tests/containment_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(datagram_anyBytes_processGoesOn);
   CPPUNIT_TEST(peerCall_deeplyNested_isRefused);
   CPPUNIT_TEST(controllerDatagram_deeplyNested_isRefused);
+  CPPUNIT_TEST(rows_oddEntriesKeepChanging_othersAreFollowed);
   CPPUNIT_TEST(attempt_unexpectedError_endsOnlyItsRequest);
   CPPUNIT_TEST(event_unexpectedError_endsOnlyItsRequest);
   CPPUNIT_TEST_SUITE_END();
@@ -88,6 +89,46 @@
     }));
   }
 
+  auto rows_oddEntriesKeepChanging_othersAreFollowed() -> void {
+    start();
+    const std::string Deep(60'000, '[');
+    const auto Valid = Fleet->Outside.call(
+        [&] { return nlohmann::json::parse(Fleet->Workers["w1"]->row()); });
+    for (int Round = 0; Round < 10; ++Round) {
+      auto BadPort = Valid;
+      BadPort["address"] = "127.0.0.1:70000";
+      auto BadNumber = Valid;
+      BadNumber["slots"] = 1e300 - Round;
+      Fleet->Outside.call([&] {
+        for (const auto *Table : {"servers", "instances"}) {
+          Fleet->Store->put(Table, "odd-1", Deep + std::to_string(Round));
+          Fleet->Store->put(Table, "odd-2", BadPort.dump());
+          Fleet->Store->put(Table, "odd-3", BadNumber.dump());
+          Fleet->Store->put(Table, "odd\r\nX-4: 1", Valid.dump());
+        }
+        return 0;
+      });
+      usleep(30'000);
+    }
+    auto &Second = Fleet->addWorker("w2", "ledger");
+    Fleet->Outside.call([&] { return Fleet->Workers["w1"]->Draining = true; });
+    Fleet->publish("w1");
+    CPPUNIT_ASSERT(eventually([&] {
+      checkServing();
+      return Fleet->Outside.call([&] { return !Second.Requests.empty(); });
+    }));
+    const std::string Count = "decisions{kind=\"row_unreadable\"}";
+    CPPUNIT_ASSERT(Fleet->metric(Count) > 0);
+    usleep(700'000);
+    const auto Reported = Fleet->metric(Count);
+    // The whole table is read again, with the same versions.
+    Fleet->Outside.call(
+        [&] { return Fleet->Store->Faults.HistoryGone = true; });
+    usleep(700'000);
+    CPPUNIT_ASSERT_EQUAL(Reported, Fleet->metric(Count));
+    checkServing();
+  }
+
   auto attempt_unexpectedError_endsOnlyItsRequest() -> void {
     const auto Failing = std::make_shared<std::atomic<bool>>(false);
     Fleet->ChangeHooks = [Failing](gateway_hooks &Hooks) {
