Entries and agents: an odd row does not hold up the list of instances

A row that cannot be decoded is logged (instance_unreadable) and leaves the others in force.

Before: platform_client_test readInstances_oddRow_othersAreListed fails (no list is reported). After: passes.

--- a/libs/platform/src/platform_client.cpp
+++ b/libs/platform/src/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_client.h"
 
+#include "base/log.h"
 #include "base/thread.h"
 #include "platform/instance_codec.h"
 
@@ -142,6 +143,17 @@
       Sink(object_replied{Ticket, store_status::Refused, false, {}});
   }
 
+  /// Adds an instance to the local list. A row that cannot be decoded leaves
+  /// the other rows of the reply in force.
+  auto addInstance(const json &Row) -> void {
+    try {
+      auto Record = decodeInstance(Row);
+      Instances[Record.Name.Text] = std::move(Record);
+    } catch (const std::exception &Error) {
+      log(log_level::Warning, "instance_unreadable", {{"error", Error.what()}});
+    }
+  }
+
   /// Applies the platform's reply to the local list. Returns the whole list if
   /// its version changed or the reply holds all rows.
   auto applyListReply(const std::string &Text)
@@ -156,10 +168,8 @@
     else if (Version == ListVersion)
       return std::nullopt;
     ListVersion = Version;
-    for (const auto &Row : Body["rows"]) {
-      auto Record = decodeInstance(Row);
-      Instances[Record.Name.Text] = std::move(Record);
-    }
+    for (const auto &Row : Body["rows"])
+      addInstance(Row);
     for (const auto &Name : Body["removed"])
       Instances.erase(Name.get<std::string>());
     instances_listed Event;
--- /dev/null
+++ b/libs/platform/tests/platform_client_test.cpp
@@ -0,0 +1,87 @@
+#include "platform/instance_codec.h"
+#include "platform/platform_client.h"
+
+#include "base/thread.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <optional>
+
+namespace {
+
+using namespace limpetbridge;
+using json = nlohmann::json;
+
+/// A client of a platform that returns one prepared list of instances.
+class platform_client_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(platform_client_test);
+  CPPUNIT_TEST(readInstances_oddRow_othersAreListed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto readInstances_oddRow_othersAreListed() -> void {
+    instance_record Record;
+    Record.Name = instance_name("agent-1");
+    for (const auto &[Key, Odd] :
+         std::vector<std::pair<std::string, json>>{{"name", 5},
+                                                   {"address", nullptr},
+                                                   {"memory", -1},
+                                                   {"memory", 1e300},
+                                                   {"incarnation", -1},
+                                                   {"incarnation", 1.5},
+                                                   {"leaving", "no"},
+                                                   {"role", "other"},
+                                                   {"kind", 7}}) {
+      auto Invalid = encodeInstance(Record);
+      Invalid[Key] = Odd;
+      const json List = {{"version", 3},
+                         {"full", true},
+                         {"rows", {Invalid, encodeInstance(Record), 7}},
+                         {"removed", json::array()}};
+      const auto Listed = readList(List.dump());
+      CPPUNIT_ASSERT_MESSAGE(Key, Listed.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Key, std::size_t{1},
+                                   Listed->Instances.size());
+      CPPUNIT_ASSERT_EQUAL(Record.Name.Text,
+                           Listed->Instances.front().Name.Text);
+    }
+  }
+
+private:
+  /// \returns the list that the client reports within a second.
+  static auto readList(const std::string &Text)
+      -> std::optional<instances_listed> {
+    httplib::Server Server;
+    Server.Get("/instances",
+               [&](const httplib::Request &, httplib::Response &To) {
+                 To.set_content(Text, "application/json");
+               });
+    platform_options Options;
+    Options.Host = "127.0.0.1";
+    Options.Port =
+        static_cast<std::uint16_t>(Server.bind_to_any_port("127.0.0.1"));
+    const thread Serving("platform", ConnectionStackBytes,
+                         [&] { Server.listen_after_bind(); });
+    std::promise<instances_listed> Promise;
+    auto Listed = Promise.get_future();
+    std::optional<instances_listed> Result;
+    {
+      platform_client Client(Options, [&](event Event) {
+        if (auto *List = std::get_if<instances_listed>(&Event))
+          Promise.set_value(std::move(*List));
+      });
+      Client.readInstances();
+      if (Listed.wait_for(std::chrono::seconds(1)) == std::future_status::ready)
+        Result = Listed.get();
+    }
+    Server.stop();
+    return Result;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_client_test);
+
+} // namespace
