Gateways: late in a stop, what may not run twice is taken only if it fits

Reported by operators of other systems: in a planned stop in calm, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated. Here nothing ends without an answer at the end of a stop, but such a request got 502: whether it took an expected time four times over was asked, not whether its timeout fits, so a slow target left its caller with work that may have run and cannot be sent again.

After the time of the load balancer, when only kept connections send requests, a request that may not run twice is taken only if its deadline comes before that of the stop; otherwise it is refused as not run and told to return at once, since another gateway is ready. Where none is, it is served as before; requests that may be repeated go by the expected time as before.

Before: gateway_test stop_lateRequestThatMayNotRunTwice_isNotTakenUnlessItFits fails (taken 3.9 s before the stop's deadline with a timeout of 4 s).

--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -73,8 +73,9 @@
   std::map<model_name, double> DecodeMsPerToken;
   /// When open requests are answered because of a stop; NoDeadline without one.
   time_point StopDeadline = NoDeadline;
-  /// Streams that arrive later are refused because of the stop.
-  time_point StreamsUntil = NoDeadline;
+  /// From then on only callers that keep a connection send requests, because of
+  /// the stop; NoDeadline without one.
+  time_point BalancerEnd = NoDeadline;
   std::map<service_name, retry_budget> RetryBudgets;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -197,9 +197,9 @@
 /// This gateway stops. Streams that are not complete by the deadline are cut.
 struct stop_began {
   time_point Deadline;
-  /// Until then the load balancer may send requests here; later streams are
-  /// refused.
-  time_point StreamsUntil;
+  /// Until then the load balancer may send requests here. Later streams are
+  /// refused, and requests that may not be repeated unless they fit.
+  time_point BalancerEnd;
 };
 
 /// The deadline of the stop has passed: every open request is answered now.
--- a/libs/serving/src/gateway_stop.cpp
+++ b/libs/serving/src/gateway_stop.cpp
@@ -48,11 +48,16 @@
     return false;
   // The time of a stream has no bound that its caller would not pass.
   if (Request.Route.Kind == request_kind::Stream &&
-      Request.Call.Arrived > State.StreamsUntil)
+      Request.Call.Arrived > State.BalancerEnd)
     return true;
   // Without another gateway, a refused caller finds nobody, while most answers
   // are complete in time.
   const bool Refusable = otherGatewayReadyAt(State) <= Now;
+  // The caller could not repeat it if the end of the stop cut it.
+  if (Refusable && Now > State.BalancerEnd &&
+      Request.Route.Kind == request_kind::NonIdempotent &&
+      Request.Deadline > State.StopDeadline)
+    return true;
   const auto ExpectedMs = expectedDurationMs(
       State, Request,
       Refusable ? static_cast<double>(toMilliseconds(Request.Deadline - Now))
@@ -79,7 +84,7 @@
 
 auto handle(const gateway_step &Step, const stop_began &Event) -> void {
   Step.State.StopDeadline = Event.Deadline;
-  Step.State.StreamsUntil = Event.StreamsUntil;
+  Step.State.BalancerEnd = Event.BalancerEnd;
 }
 
 auto handle(const gateway_step &Step, const stop_deadline_passed & /*Event*/)
--- a/libs/serving/tests/gateway_test.cpp
+++ b/libs/serving/tests/gateway_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(stop_answerWouldBeCut_isRefusedAsNotRun);
   CPPUNIT_TEST(stop_shortRequest_isServedUntilShortlyBefore);
   CPPUNIT_TEST(stop_streamAfterTheBalancersTime_isRefusedAsNotRun);
+  CPPUNIT_TEST(stop_lateRequestThatMayNotRunTwice_isNotTakenUnlessItFits);
   CPPUNIT_TEST(stop_noOtherGatewayReady_streamIsServed);
   CPPUNIT_TEST(stop_noOtherGatewayReady_callerIsToldWhenOneIs);
   CPPUNIT_TEST(stop_deadlinePassed_everyOpenRequestIsAnswered);
@@ -362,6 +363,30 @@
                    result_code::Draining);
   }
 
+  auto stop_lateRequestThatMayNotRunTwice_isNotTakenUnlessItFits() -> void {
+    Harness.addTarget("l1", "ledger", {});
+    Harness.dispatch(
+        stop_began{Harness.Now + seconds(8), Harness.Now + seconds(3)});
+    const auto Began = Harness.Now;
+    // The route's timeout is four seconds, its expected time much less.
+    for (const auto AtMs : {1000, 3900, 4100, 4900}) {
+      Harness.Now = Began + milliseconds(AtMs);
+      hearGateway(0);
+      Harness.receiveRequest(++LastNumber, "/pay/x");
+      const bool Taken = !Harness.effectsOf<send_attempt>().empty();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(AtMs), AtMs < 4000, Taken);
+      if (!Taken)
+        CPPUNIT_ASSERT(Harness.onlyEffect<refuse_request>().Code ==
+                       result_code::Draining);
+      // May be repeated by its caller.
+      Harness.receiveRequest(++LastNumber, "/read/x");
+      CPPUNIT_ASSERT(!Harness.effectsOf<send_attempt>().empty());
+    }
+    hearGateway(6000);
+    Harness.receiveRequest(++LastNumber, "/pay/x");
+    CPPUNIT_ASSERT(!Harness.effectsOf<send_attempt>().empty());
+  }
+
   auto stop_noOtherGatewayReady_streamIsServed() -> void {
     Harness.addTarget("e1", "models", {"a"});
     Harness.State.DecodeMsPerToken[model_name("a")] = 5;
