Entries: a stream that fails midway does not end with a last chunk

The error event is still sent; then the connection closes without a last chunk. Callers that read events see what they saw before.

Before: caller_stop_test stream_failsMidway_isNotFramedAsComplete fails (the body ends with the last chunk).

--- a/apps/limpetbridge/src/caller_server.cpp
+++ b/apps/limpetbridge/src/caller_server.cpp
@@ -139,13 +139,16 @@
 
   auto writeEnd(httplib::DataSink &Sink) -> bool {
     const auto &End = *Part.End;
+    const bool Whole = End.Outcome == run_outcome::Done;
     const auto Text =
-        End.Outcome == run_outcome::Done
-            ? encodeStreamEnd(Endpoint, Id, Model)
-            : "data: " + encodeError({End.Code, End.Detail}, Id) + "\n\n";
+        Whole ? encodeStreamEnd(Endpoint, Id, Model)
+              : "data: " + encodeError({End.Code, End.Detail}, Id) + "\n\n";
     const bool Written = Sink.write(Text.data(), Text.size());
-    Sink.done();
-    return Written;
+    // Without the last chunk, which callers would take for a complete answer,
+    // the connection has to close.
+    if (Whole)
+      Sink.done();
+    return Whole && Written;
   }
 
   auto writeKeepAlive(httplib::DataSink &Sink) -> bool {
--- a/apps/limpetbridge/tests/caller_stop_test.cpp
+++ b/apps/limpetbridge/tests/caller_stop_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(stop_connectionsWaitingForAThread_getAnswers);
   CPPUNIT_TEST(stop_streamInProgress_reachesItsEnd);
   CPPUNIT_TEST(accept_moreConnectionsThanTheQueueHolds_allGetAnswers);
+  CPPUNIT_TEST(stream_failsMidway_isNotFramedAsComplete);
   CPPUNIT_TEST(drain_requestInProgress_isToldThatTheConnectionCloses);
   CPPUNIT_TEST(stop_connectionPromisedToStay_hasItsNextRequestAnswered);
   CPPUNIT_TEST(stop_halfReadRequest_endsByTheDeadline);
@@ -130,6 +131,15 @@
     CPPUNIT_ASSERT_MESSAGE(Rest, Rest.ends_with("0\r\n\r\n"));
   }
 
+  auto stream_failsMidway_isNotFramedAsComplete() -> void {
+    const caller_socket Caller(Server->port());
+    beginStream(Caller);
+    endAnswer(run_outcome::Unknown);
+    const auto Rest = Caller.readUntil("0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(Rest, Rest.find("\"error\"") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(Rest, !Rest.ends_with("0\r\n\r\n"));
+  }
+
   auto drain_requestInProgress_isToldThatTheConnectionCloses() -> void {
     const caller_socket Caller(Server->port());
     Caller.sendChat(false);
@@ -210,10 +220,10 @@
     CPPUNIT_ASSERT_MESSAGE(Head, Head.find("Keep-Alive") != std::string::npos);
   }
 
-  auto endAnswer() -> void {
+  auto endAnswer(run_outcome Outcome = run_outcome::Done) -> void {
     answer_end End;
     End.Request = Open;
-    End.Outcome = run_outcome::Done;
+    End.Outcome = Outcome;
     Server->execute(End);
   }
 
