Soak: engines whose streams end with their connection, and break off

One engine of the soak sends its streams without length and chunks; another one does so now and then, and breaks off streams inside an event, at any byte. A stream that an engine broke off may end without a complete answer; one that looks complete has to be the whole stream, as before, also after it went on elsewhere.

--- a/testing/soak/stop_judge.cpp
+++ b/testing/soak/stop_judge.cpp
@@ -36,13 +36,16 @@
   return Text.str();
 }
 
-/// Whether \p Request may end without a complete answer: its time was up, or it
-/// is a stream, sent in the first 3/8 of the grace period at the latest, that a
-/// worker was still at work on in the last sixth.
+/// Whether \p Request may end without a complete answer: its time was up, a
+/// worker broke it off, or it is a stream, sent in the first 3/8 of the grace
+/// period at the latest, that a worker was still at work on in the last sixth.
 auto mayBeCut(const soak_record &Record, const sent_request &Request,
               const std::vector<worker_copy> &Copies) -> bool {
   if (Request.EndedAt && *Request.EndedAt >= Request.Deadline)
     return true;
+  if (std::any_of(Copies.begin(), Copies.end(),
+                  [](const auto &Copy) { return Copy.BrokenOff; }))
+    return true;
   const auto Stop = Record.Processes.at(Request.Process).StopAt;
   if (Request.Kind != request_kind::Stream || !Stop ||
       *Request.WrittenAt > *Stop + Record.Grace * 3 / 8)
--- a/testing/soak/stop_judge.h
+++ b/testing/soak/stop_judge.h
@@ -46,7 +46,8 @@
 /// One copy of a request at a worker.
 struct worker_copy {
   std::string Worker;
-  bool Ran = false; ///< The worker did not refuse it.
+  bool Ran = false;       ///< The worker did not refuse it.
+  bool BrokenOff = false; ///< The worker ended the answer inside an event.
   time_point ArrivedAt;
   optional_time EndedAt; ///< None while the worker is at work.
 };
--- a/testing/soak/stop_soak_driver.cpp
+++ b/testing/soak/stop_soak_driver.cpp
@@ -70,8 +70,14 @@
     {"e1", behaviour::Stream, 20, {"a"}},
     {"e2", behaviour::Stream, 100, {"a", "b"}},
     {"e3", behaviour::Stream, 300, {"b", "c"}},
+    {"e4", behaviour::Stream, 40, {"a", "c"}},
 };
 
+/// Streams end with their connection at this engine.
+constexpr const char *UnframedEngine = "e2";
+/// This one also breaks off some of them, inside an event.
+constexpr const char *BreakingEngine = "e4";
+
 /// Requests of one route, or for one model.
 struct request_plan {
   int Weight;
@@ -193,6 +199,7 @@
                 Context, Plan.Id, Plan.Models.empty() ? "ledger" : "models"));
       Worker.Behaviour = Plan.Behaviour;
       Worker.Models = Plan.Models;
+      Worker.UnframedStreams = Plan.Id == std::string(UnframedEngine);
       std::cout << Plan.Id << ' ' << Worker.address() << '\n';
     }
     std::cout << "store " << Store.address() << std::endl;
@@ -233,6 +240,11 @@
       for (const auto &Plan : WorkerPlans)
         Workers[Plan.Id]->EventGapMs = Workers[Plan.Id]->AnswerDelayMs =
             Plan.DelayMs * draw(Random, 1, 4);
+      auto &Breaking = *Workers[BreakingEngine];
+      Breaking.UnframedStreams = draw(Random, 0, 1) == 1;
+      Breaking.CutBytes = static_cast<std::size_t>(draw(Random, 1, 20));
+      Breaking.Behaviour =
+          draw(Random, 0, 1) == 1 ? behaviour::CutStream : behaviour::Stream;
       for (const auto &[Id, Worker] : Workers)
         if (const auto Row = Worker->row(); Rows[Id] != Row)
           Store.put("servers", Id, Rows[Id] = Row);
@@ -291,7 +303,7 @@
             .Copies[std::string(net::findField(Seen->Request.Fields,
                                                "X-Limpetbridge-Attempt-Id"))]
             .push_back({Id, Worker->Behaviour != behaviour::Refuse,
-                        Seen->ArrivedAt, Seen->EndedAt});
+                        Seen->BrokenOff, Seen->ArrivedAt, Seen->EndedAt});
     const auto Verdict = judge(Record);
     for (const auto &Broken : Verdict.Broken)
       std::cout << "BROKEN " << Broken << '\n';
