--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -224,11 +224,11 @@
       co_return makeResult(attempt_end::Unknown, Head->Status);
     ResponseHead = *Head;
     ResponseHead.Fields = net::endToEndFields(Head->Fields);
-    HasEvents = Send.Kind == request_kind::Stream && isSuccess(Head->Status) &&
-                isEventStream(*Head);
+    const bool IsStream =
+        Send.Kind == request_kind::Stream && isSuccess(Head->Status);
+    HasEvents = IsStream && isEventStream(*Head);
     // Only an event stream can resume, so any other body has to be whole.
-    if (HasEvents || (Send.Kind == request_kind::Stream &&
-                      isSuccess(Head->Status) && !Send.Resumable))
+    if (IsStream && (HasEvents || !Send.Resumable))
       co_return co_await relayStream(Send);
     co_return co_await relayBuffered(Head->Status);
   }
--- a/testing/emulator/tests/stream_framing_test.cpp
+++ b/testing/emulator/tests/stream_framing_test.cpp
@@ -121,6 +121,11 @@
               return "Transfer-Encoding: chunked\r\n\r\n" +
                      net::serializeChunk(Body) + "0\r\n\r\n";
             },
+            [](const std::string &Body) {
+              return "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n"
+                     "Connection: close\r\n\r\n" +
+                     net::serializeChunk(Body) + "0\r\nX-T: 1\r\n\r\n";
+            },
             [](const std::string &Body) {
               return "Content-Length: " + std::to_string(Body.size()) +
                      "\r\n\r\n" + Body;
