Streams: a byte order mark stands at the start of the whole stream only

Read again as a newcomer: the mark of a resumed run's answer would have come into the middle of the caller's stream, and hid the first event's id, so that a stream cut in its second event would have begun anew. The mark is looked past, and left out when the stream goes on (event_stream_test feed_byteOrderMark_*; fails before, as the id is not found).

--- a/libs/serving/src/event_scanner.cpp
+++ b/libs/serving/src/event_scanner.cpp
@@ -26,7 +26,7 @@
 }
 
 auto event_scanner::endLine(char Byte) -> void {
-  const bool EndsEvent = std::exchange(LineEmpty, true) && !LineIsComment;
+  const bool EndsEvent = std::exchange(LineEmpty, true);
   LineIsComment = false;
   const auto LineBefore = PreviousEnd;
   AfterCr = Byte == '\r';
--- a/libs/serving/src/event_stream.cpp
+++ b/libs/serving/src/event_stream.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
 /// Id of \p Event, the last one if there are several; empty if there is none.
 auto idOf(std::string_view Event) -> std::string_view {
   std::string_view Id;
@@ -52,12 +54,21 @@
 }
 
 auto event_stream::takeEvent(std::string &Complete) -> void {
-  const auto Id = idOf(Pending);
+  std::string_view Event = Pending;
+  std::string_view Mark;
+  if (Scanner.eventCount() <= 1 && Event.starts_with(ByteOrderMark)) {
+    Mark = Event.substr(0, ByteOrderMark.size());
+    Event.remove_prefix(Mark.size());
+  }
+  const auto Id = idOf(Event);
   const auto Number = toNumber(Id);
   const auto Last = toNumber(LastId);
   const bool Repeated = Number && Last && *Number <= *Last;
   if (!Repeated) {
-    Complete += Pending;
+    // The mark may only stand at the start of the whole stream.
+    if (LastId.empty())
+      Complete += Mark;
+    Complete += Event;
     if (!Id.empty())
       LastId = std::string(Id);
   }
--- a/libs/serving/tests/parts_test.cpp
+++ b/libs/serving/tests/parts_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(event_stream_test);
   CPPUNIT_TEST(feed_partialEvent_isHeldBack);
   CPPUNIT_TEST(feed_resumedStream_dropsRepeatedEvents);
+  CPPUNIT_TEST(feed_byteOrderMark_isKeptAtTheStartOnly);
   CPPUNIT_TEST(feed_anyChunkSizes_returnsAllEvents);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +38,17 @@
                          Stream.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
   }
 
+  auto feed_byteOrderMark_isKeptAtTheStartOnly() -> void {
+    const std::string Mark = "\xEF\xBB\xBF";
+    const std::string First = "id: 1\rdata: a\r\r";
+    const std::string Second = "id: 2\r\ndata: b\r\n\r\n";
+    event_stream Stream;
+    CPPUNIT_ASSERT_EQUAL(Mark + First, Stream.feed(Mark + First));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Stream.lastId());
+    Stream.beginAttempt();
+    CPPUNIT_ASSERT_EQUAL(Second, Stream.feed(Mark + Second));
+  }
+
   auto feed_anyChunkSizes_returnsAllEvents() -> void {
     const bool Passed = rc::check("chunk sizes do not change the events", [] {
       const auto Count = *rc::gen::inRange(1, 12);
