--- a/libs/serving/tests/event_scanner_test.cpp
+++ b/libs/serving/tests/event_scanner_test.cpp
@@ -4,11 +4,14 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <vector>
 
 namespace {
 
 using namespace limpetbridge::serving;
 
+const std::string ByteOrderMark = "\xEF\xBB\xBF";
+
 class event_scanner_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(event_scanner_test);
   CPPUNIT_TEST(scan_everyLineEnd_endsLinesAndEvents);
@@ -19,12 +22,11 @@
 
 public:
   auto scan_everyLineEnd_endsLinesAndEvents() -> void {
-    for (const std::string Input :
-         {"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "data: a\r\r",
-          "data: a\n\r", "data: a\r\n\n", "data: a\n\r\n", "data: a\r\r\n",
-          "\xEF\xBB\xBF"
-          "data: a\n\n",
-          ": c\ndata: a\n: c\n\n", "data\n\n"}) {
+    for (const auto &Input : std::vector<std::string>{
+             "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "data: a\r\r",
+             "data: a\n\r", "data: a\r\n\n", "data: a\n\r\n", "data: a\r\r\n",
+             ByteOrderMark + "data: a\n\n", ": c\ndata: a\n: c\n\n",
+             "data\n\n"}) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Input, std::uint64_t{1},
                                    scanned(Input).eventCount());
       CPPUNIT_ASSERT_MESSAGE(Input, scanned(Input).isBetweenEvents());
