--- a/libs/serving/include/serving/call.h
+++ b/libs/serving/include/serving/call.h
@@ -28,6 +28,11 @@
   std::vector<prompt_part> Parts;
 };
 
+/// Ids of \p Parts for logs: hexadecimal, separated by commas; the first ones
+/// and the number of the others if there are many.
+[[nodiscard]] auto describeParts(const std::vector<prompt_part> &Parts)
+    -> std::string;
+
 /// A request that was received completely.
 struct call {
   std::string Id; ///< Chosen by the caller for each of its attempts.
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -241,6 +241,37 @@
     Update(Entry->DecodeMs, DecodeMs);
 }
 
+/// Logs how an attempt at \p Target ended; what the request asked for only if
+/// it failed, as that may be the cause.
+auto logAttemptEnd(const gateway_step &Step, const request_state &Request,
+                   const target_name &Target, const attempt_ended &Event)
+    -> void {
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"request", Request.Call.Id},
+      {"attempt", std::to_string(Request.Attempts)},
+      {"target", Target.Text},
+      {"end", std::string(nameOf(Event.End))},
+      {"status", std::to_string(Event.Status)},
+      {"route", Request.Route.Name},
+      {"first_ms", std::to_string(Request.FirstOutputMs)},
+      {"longest_gap_ms", std::to_string(Event.LongestGapMs)},
+      {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))},
+      {"framing", std::string(nameOf(Event.Body.Framing))},
+      {"bytes", std::to_string(Event.Body.Bytes)},
+      {"events", std::to_string(Event.Body.Events)},
+      {"inside_event", Event.Body.InsideEvent ? "true" : "false"},
+      {"read_error", Event.Body.ReadError}};
+  const bool Answered = Event.End == attempt_end::Answered;
+  const auto &Prompt = Request.Call.Prompt;
+  if (!Answered && Request.Call.HasPrompt) {
+    Fields.emplace_back("model", Prompt.Model.Text);
+    Fields.emplace_back("adapter", Prompt.Adapter);
+    Fields.emplace_back("parts", describeParts(Prompt.Parts));
+  }
+  addLogEntry(Step, Answered ? log_level::Info : log_level::Warning,
+              "attempt_ended", std::move(Fields));
+}
+
 /// True if \p End counts as a failure of the target.
 auto isFailure(attempt_end End) -> bool {
   return End == attempt_end::NotSent || End == attempt_end::Failed ||
@@ -319,24 +350,7 @@
     recordDecodeTime(Step, Request);
   const auto Target = Request.CurrentTarget;
   releaseTarget(Step, Request, isFailure(Event.End));
-  addLogEntry(
-      Step,
-      Event.End == attempt_end::Answered ? log_level::Info : log_level::Warning,
-      "attempt_ended",
-      {{"request", Request.Call.Id},
-       {"attempt", std::to_string(Request.Attempts)},
-       {"target", Target.Text},
-       {"end", std::string(nameOf(Event.End))},
-       {"status", std::to_string(Event.Status)},
-       {"route", Request.Route.Name},
-       {"first_ms", std::to_string(Request.FirstOutputMs)},
-       {"longest_gap_ms", std::to_string(Event.LongestGapMs)},
-       {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))},
-       {"framing", std::string(nameOf(Event.Body.Framing))},
-       {"bytes", std::to_string(Event.Body.Bytes)},
-       {"events", std::to_string(Event.Body.Events)},
-       {"inside_event", Event.Body.InsideEvent ? "true" : "false"},
-       {"read_error", Event.Body.ReadError}});
+  logAttemptEnd(Step, Request, Target, Event);
   Request.MayHaveRun |= Event.End == attempt_end::Failed ||
                         Event.End == attempt_end::Unknown ||
                         Event.End == attempt_end::CutShort;
