Reproduction: a prompt part that crashes every target that answers it

Two gateways, eight emulated engines. A worker crashes as it begins to answer a prompt with the part: it resets every connection, its row goes a second later and another engine comes in its place. The part is first or in the middle, with other first parts, one or two at once, at a route that may be resumed; the head or one event is written before the crash, or nothing; a gateway is replaced.

--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -79,6 +80,13 @@
   /// Bytes of raw answers; $ID stands for the id of the request.
   std::string RawAnswer;
   bool RawReset = false; ///< The connection is reset after a raw answer.
+  /// Ids of prompt parts, in hexadecimal. The worker crashes as it begins to
+  /// answer a request with one of them, unless it is the last of its prompt.
+  std::set<std::string> CrashParts;
+  bool CrashesBeforeHead = false; ///< Nothing of the answer is written.
+  int EventsBeforeCrash = 0;      ///< Written before it crashes.
+  /// Called when the worker has crashed.
+  std::function<void()> OnCrash = [] {};
   /// Status of the answers to streams that are resumed; 0: they go on.
   std::uint16_t ResumeStatus = 0;
   std::set<std::string> Models;
@@ -86,6 +94,10 @@
   std::vector<nlohmann::json> Orders;
   std::size_t EndlessBytes = 0; ///< Written by the endless behaviours.
   int OpenRequests = 0;         ///< Requests in progress.
+  bool Crashed = false;
+
+  /// Resets every connection and accepts no more.
+  auto crash() -> void;
 
 private:
   auto serve(std::shared_ptr<net::caller_connection> Connection)
@@ -105,6 +117,11 @@
   auto runEndless(std::shared_ptr<net::caller_connection> Connection,
                   const net::http_request &Request) -> net::awaitable<bool>;
   auto takeOrder(const net::http_request &Request) -> net::http_response;
+  /// Writes what comes before the crash, and crashes.
+  auto crashOnAnswer(std::shared_ptr<net::caller_connection> Connection,
+                     const net::http_request &Request) -> net::awaitable<bool>;
+  [[nodiscard]] auto hasCrashPart(const net::http_request &Request) const
+      -> bool;
   [[nodiscard]] auto report() const -> nlohmann::json;
   [[nodiscard]] auto signedHead(const net::http_request &Request) const
       -> net::response_head;
@@ -115,6 +132,7 @@
   std::uint64_t Sequence = 0;
   bool Busy = false;
   std::unique_ptr<net::listener> Listener;
+  std::set<std::shared_ptr<net::caller_connection>> Connections;
 };
 
 /// Text of the worker's whole stream.
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -1,5 +1,8 @@
 #include "emulator/worker_emulator.h"
 
+#include <algorithm>
+#include <sstream>
+
 namespace limpetbridge::emulator {
 
 namespace {
@@ -54,6 +57,45 @@
       });
 }
 
+auto worker_emulator::crash() -> void {
+  Crashed = true;
+  Listener->stop();
+  for (const auto &Connection : Connections)
+    Connection->abort();
+  OnCrash();
+}
+
+auto worker_emulator::hasCrashPart(const net::http_request &Request) const
+    -> bool {
+  std::istringstream Parts(std::string(
+      net::findField(Request.Fields, "X-Limpetbridge-Prompt-Prefix")));
+  std::vector<std::string> Ids;
+  for (std::string Part; std::getline(Parts, Part, ',');)
+    Ids.push_back(Part.substr(0, Part.find(':')));
+  if (!Ids.empty())
+    Ids.pop_back();
+  return std::any_of(Ids.begin(), Ids.end(), [&](const std::string &Id) {
+    return CrashParts.contains(Id);
+  });
+}
+
+auto worker_emulator::crashOnAnswer(
+    std::shared_ptr<net::caller_connection> Connection,
+    const net::http_request &Request) -> awaitable<bool> {
+  auto Head = signedHead(Request);
+  Head.Fields.push_back({"Content-Type", "text/event-stream"});
+  Head.Fields.push_back({"Transfer-Encoding", "chunked"});
+  std::string Bytes = serializeResponseHead(Head) + "\r\n";
+  for (int Number = 1; Number <= EventsBeforeCrash; ++Number)
+    Bytes += net::serializeChunk(eventText(Number));
+  if (!CrashesBeforeHead)
+    co_await Connection->write(std::move(Bytes));
+  // A reset discards what the peer has not read yet.
+  co_await net::sleepFor(milliseconds(EventGapMs));
+  crash();
+  co_return false;
+}
+
 auto worker_emulator::address() const -> std::string {
   return "127.0.0.1:" + std::to_string(Listener->port());
 }
@@ -82,15 +124,17 @@
 auto worker_emulator::serve(std::shared_ptr<net::caller_connection> Connection)
     -> awaitable<void> {
   const net::connection_limits Limits;
-  for (;;) {
+  Connections.insert(Connection);
+  bool Open = !Crashed;
+  while (Open) {
     auto Outcome = co_await Connection->readRequest(Limits);
     if (Outcome.End != net::read_end::Request)
       break;
-    const bool Open = co_await serveOne(Connection, std::move(Outcome.Request));
-    if (!Open)
-      co_return;
+    Open = co_await serveOne(Connection, std::move(Outcome.Request));
   }
-  co_await Connection->closeGracefully();
+  Connections.erase(Connection);
+  if (Open && !Crashed)
+    co_await Connection->closeGracefully();
 }
 
 auto worker_emulator::serveOne(
@@ -167,6 +211,8 @@
                                                      Request.Target + " " +
                                                      Request.Body};
   std::string Bytes;
+  if (hasCrashPart(Request))
+    co_return co_await crashOnAnswer(Connection, Request);
   if (ResumeStatus != 0 && net::hasField(Request.Fields, "Last-Event-Id")) {
     Answer.Head.Status = ResumeStatus;
     Bytes = serializeResponse(Answer, false);
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -71,7 +71,10 @@
     CutOff->requestStop();
   if (Controller)
     Controller->requestStop();
+  for (const auto &Added : MoreGateways)
+    Added->requestStop();
   GatewayThread.reset();
+  MoreGatewayThreads.clear();
   CutOffThread.reset();
   ControllerThread.reset();
   Outside.Context.stop();
@@ -115,6 +118,17 @@
                                            [this] { Gateway->run(); });
 }
 
+auto fleet::addGateway() -> gateway_node & {
+  auto Settings = makeSettings(Store->address(), "gateway");
+  Settings.Name = "gateway-" + std::to_string(MoreGateways.size() + 2);
+  ChangeSettings(Settings);
+  auto &Added = *MoreGateways.emplace_back(std::make_unique<gateway_node>(
+      Settings, adapter::makeGatewayHooks(Settings)));
+  MoreGatewayThreads.push_back(std::make_unique<thread>(
+      "gateway", LoopStackBytes, [&Added] { Added.run(); }));
+  return Added;
+}
+
 auto fleet::startCutOffGateway() -> void {
   // Nobody listens on the discard port.
   auto Settings = makeSettings("127.0.0.1:9", "gateway");
@@ -207,6 +221,12 @@
                   serializeRequest(makeRequest(Path, Body, std::move(More))));
 }
 
+auto fleet::sendTo(const gateway_node &Receiver, const std::string &Path,
+                   net::header_fields More) -> client_answer {
+  return exchange(Receiver.callerAddress(),
+                  serializeRequest(makeRequest(Path, "", std::move(More))));
+}
+
 auto fleet::sendToCutOff(const std::string &Path) -> client_answer {
   return exchange(CutOff->callerAddress(),
                   serializeRequest(makeRequest(Path, "", {})));
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace limpetbridge::emulator {
 
@@ -94,6 +95,8 @@
   auto publish(const char *Id) -> void;
   auto publishConfiguration() -> void;
   auto startGateway() -> void;
+  /// Starts a further gateway.
+  auto addGateway() -> gateway_node &;
   /// Starts a second gateway that cannot reach the store and only knows the
   /// first one.
   auto startCutOffGateway() -> void;
@@ -115,6 +118,9 @@
   /// Sends a request and reads the answer, or as much as comes.
   auto send(const std::string &Path, const std::string &Body = "",
             net::header_fields More = {}) -> client_answer;
+  /// The same through \p Receiver.
+  auto sendTo(const gateway_node &Receiver, const std::string &Path,
+              net::header_fields More) -> client_answer;
   /// The same through the gateway that cannot reach the store.
   auto sendToCutOff(const std::string &Path) -> client_answer;
   /// Sends \p Bytes as they are. \returns all that comes back.
@@ -140,6 +146,7 @@
   std::unique_ptr<store_emulator> Store;
   std::map<std::string, std::unique_ptr<worker_emulator>> Workers;
   std::unique_ptr<gateway_node> Gateway;
+  std::vector<std::unique_ptr<gateway_node>> MoreGateways;
   std::unique_ptr<gateway_node> CutOff;
   std::unique_ptr<controller_node> Controller;
 
@@ -152,6 +159,7 @@
   std::uint64_t LastId = 0;
   std::string SettingsFile;
   std::unique_ptr<thread> GatewayThread;
+  std::vector<std::unique_ptr<thread>> MoreGatewayThreads;
   std::unique_ptr<thread> CutOffThread;
   std::unique_ptr<thread> ControllerThread;
 };
