--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -39,6 +39,9 @@
   Options.Retries.Extra = static_cast<double>(Settings.RetryExtra);
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
+  Options.Quarantine.Crashes =
+      static_cast<std::uint32_t>(Settings.QuarantineCrashes);
+  Options.Quarantine.Hold = milliseconds(Settings.QuarantineHoldMs);
   Options.MaxTargetsAge = milliseconds(Settings.StoreWaitMs + StoreReadSlackMs);
   Options.Seed = stableHash(Settings.Name);
   std::istringstream Seeds(Settings.GatewaySeeds);
@@ -243,8 +246,10 @@
                     static_cast<double>(Effect.LongestGapMs));
 }
 
-auto gateway_node::handleMetricsCall(net::http_request /*Request*/)
+auto gateway_node::handleMetricsCall(net::http_request Request)
     -> awaitable<net::http_response> {
+  if (Request.Target.starts_with(QuarantinePath))
+    co_return handleQuarantineCall(Request);
   const auto Now = process_clock::now();
   Metrics.set("ready", !Draining && State.Configuration.Version > 0 ? 1 : 0);
   Metrics.set("requests_in_progress",
@@ -257,6 +262,11 @@
   Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
   Metrics.set("gateways_heard",
               static_cast<std::int64_t>(State.PeerDigestTimes.size()));
+  Metrics.set("suspects",
+              static_cast<std::int64_t>(State.Crashes.suspects().size()));
+  Metrics.set("suspects_quarantined",
+              static_cast<std::int64_t>(
+                  State.Crashes.quarantined(State.Options.Quarantine).size()));
   for (const auto &[Name, Entry] : State.Book.all()) {
     const auto Label = "{target=\"" + Name.Text + "\"}";
     const auto Load = Entry.load();
@@ -398,6 +408,7 @@
   const auto Options = toOptions(Changed);
   State.Options.Retries = Options.Retries;
   State.Options.LostGrace = Options.LostGrace;
+  State.Options.Quarantine = Options.Quarantine;
   State.Options.Seeds = Options.Seeds;
   Settings.BalancerWaitMs = Changed.BalancerWaitMs;
   Settings.StopGraceMs = Changed.StopGraceMs;
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -25,6 +25,9 @@
 /// One gateway. Runs on the thread that calls run.
 class gateway_node {
 public:
+  /// Page of what is charged with crashes of targets.
+  static constexpr std::string_view QuarantinePath = "/quarantine";
+
   /// Handles SIGTERM, SIGINT and SIGHUP from then on; run acts on them.
   /// \throws std::exception if an address cannot be bound.
   gateway_node(const node_settings &NodeSettings, gateway_hooks NodeHooks);
@@ -55,6 +58,8 @@
   auto execute(const serving::relay_failure &Effect) -> void;
   auto execute(const serving::request_load &Effect) -> void;
   auto execute(const serving::query_peer &Effect) -> void;
+  auto execute(const serving::check_target &Effect) -> void;
+  auto execute(const serving::send_crash_report &Effect) -> void;
   auto execute(const serving::send_digest &Effect) -> void;
   auto execute(const serving::subscribe_to_controllers &Effect) -> void;
   auto execute(const serving::record_attempt_times &Effect) -> void;
@@ -72,9 +77,14 @@
       -> net::awaitable<net::http_response>;
   auto handleMetricsCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
+  /// Lists what is charged with crashes of targets, or lifts a quarantine.
+  auto handleQuarantineCall(const net::http_request &Request)
+      -> net::http_response;
   auto handlePeerCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto requestLoad(serving::request_load Effect) -> net::awaitable<void>;
+  /// Connects to a target and dispatches what came of it.
+  auto checkTarget(serving::check_target Check) -> net::awaitable<void>;
   /// Sends a query to another gateway and dispatches the outcome.
   auto queryPeer(serving::query_peer Query) -> net::awaitable<void>;
   /// Applies the answer to a query. \returns false if there is none.
--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -138,6 +138,8 @@
   }
   if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
     dispatch(std::move(*Digest));
+  else if (auto *Report = std::get_if<crash_report>(&Message.value()))
+    dispatch(std::move(*Report));
   else if (auto *Holdings = std::get_if<holdings_report>(&Message.value()))
     dispatch(std::move(*Holdings));
 }
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -303,7 +303,10 @@
     -> awaitable<attempt_result> {
   const auto Connection = Target;
   const auto Status = ResponseHead.Status;
+  /// From this event on the target has begun its answer without harm.
+  constexpr std::uint64_t ContinuingEvent = 2;
   bool AwaitingFirstOutput = true;
+  bool Continued = false;
   auto LastReadAt = process_clock::now();
   LongestGap = duration::zero();
   for (;;) {
@@ -325,6 +328,9 @@
     } else if (HasEvents) {
       Events.follow(Bytes);
     }
+    if (HasEvents && Events.scanner().eventCount() >= ContinuingEvent &&
+        !std::exchange(Continued, true))
+      Environment.Dispatch(output_continued{Number});
     if (HasEvents && ReadResult == net::body_read::End &&
         !Events.mayEnd(Connection->endsWithConnection()))
       ReadResult = net::body_read::Broken;
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace limpetbridge {
 
 namespace {
@@ -81,6 +83,46 @@
           {"lv", Event.Leaves}};
 }
 
+auto toJson(const crash_report &Report) -> json {
+  json Suspects = json::array();
+  for (const auto &Item : Report.Suspects) {
+    json Charges = json::array();
+    for (const auto &Charge : Item.Charges)
+      Charges.push_back({Charge.Run.Target.Text, Charge.Run.Incarnation,
+                         Charge.AgeMs, Charge.AnswerBegun});
+    Suspects.push_back(
+        {toString(Item.Suspect), Item.ServedAgeMs, std::move(Charges)});
+  }
+  return {{KindKey, "crashes"}, {"f", Report.From.Text}, {"s", Suspects}};
+}
+
+/// Reads an age. \throws json::exception if it is no whole number.
+auto decodeAge(const json &Item) -> std::int64_t {
+  constexpr std::int64_t MaxAgeMs = std::int64_t{7} * 24 * 3600 * 1000;
+  return std::clamp(Item.get<std::int64_t>(), std::int64_t{-1}, MaxAgeMs);
+}
+
+auto decodeCrashes(const json &Object) -> crash_report {
+  crash_report Report;
+  Report.From = instance_name(Object.at("f").get<std::string>());
+  for (const auto &Item : Object.at("s")) {
+    const auto Suspect = parseSuspect(Item.at(0).get<std::string>());
+    if (!Suspect) // Of a newer version.
+      continue;
+    suspect_report Known;
+    Known.Suspect = *Suspect;
+    Known.ServedAgeMs = decodeAge(Item.at(1));
+    for (const auto &Charge : Item.at(2))
+      Known.Charges.push_back(
+          {{target_name(Charge.at(0).get<std::string>()),
+            Charge.at(1).get<std::uint64_t>()},
+           std::max(std::int64_t{0}, decodeAge(Charge.at(2))),
+           Charge.at(3).get<bool>()});
+    Report.Suspects.push_back(std::move(Known));
+  }
+  return Report;
+}
+
 auto decodeDigest(const json &Object) -> gateway_digest {
   gateway_digest Digest;
   Digest.From = instance_name(Object.at("f").get<std::string>());
@@ -167,6 +209,8 @@
                    Object.at("a").get<std::string>()});
     if (Kind == "holds")
       return link_message(decodeHoldings(Object));
+    if (Kind == "crashes")
+      return link_message(decodeCrashes(Object));
     return failure(result_code::MalformedRequest, "message kind " + Kind);
   } catch (const json::exception &Error) {
     return failure(result_code::MalformedRequest, Error.what());
--- a/apps/limpetbridge/src/serving/link_codec.h
+++ b/apps/limpetbridge/src/serving/link_codec.h
@@ -24,7 +24,8 @@
 
 /// Content of a datagram.
 using link_message =
-    std::variant<serving::gateway_digest, greeting, serving::holdings_report>;
+    std::variant<serving::gateway_digest, greeting, serving::holdings_report,
+                 serving::crash_report>;
 
 [[nodiscard]] auto encodeLink(const link_message &Message) -> std::string;
 [[nodiscard]] auto decodeLink(std::string_view Bytes) -> result<link_message>;
--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -42,6 +42,7 @@
   StaleIncarnation = 2011,
   CallerGone = 2012,
   TargetDrained = 2013,
+  PromptQuarantined = 2014,
 
   OutcomeUnknown = 3001,
   AnswerCutShort = 3002,
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -131,6 +131,13 @@
                 "Repeats beyond the ratio in a window, over all gateways."},
     setting_row{"retry", "window_ms", &s::RetryWindowMs, "10000", "ms", 1,
                 HourMs, "", "Window of the retry budget."},
+    setting_row{"quarantine", "crashes", &s::QuarantineCrashes, "3", "", 0, 6,
+                "",
+                "Crashes of targets that quarantine a part of prompts; 0: "
+                "never."},
+    setting_row{"quarantine", "hold_ms", &s::QuarantineHoldMs, "120000", "ms",
+                1000, HourMs, "",
+                "Time until a request with a quarantined part is tried."},
     setting_row{"loads", "window_ms", &s::LoadWindowMs, "5000", "ms", 1, HourMs,
                 "", "Window of the limit on loads from the weight store."},
     setting_row{"loads", "overrun", &s::LoadOverrun, "1", "", 0, 10, "",
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -39,6 +39,10 @@
   auto connect(const std::string &Address, time_point Deadline)
       -> awaitable<bool>;
 
+  /// True if the peer refused or reset the connection that connect tried to
+  /// open: its machine is there, and nothing listens.
+  [[nodiscard]] auto isRefused() const -> bool;
+
   /// Starts to send \p Bytes. The response may be read meanwhile, since a
   /// target may respond before it has read the complete request.
   auto startSend(std::string Bytes) -> void;
@@ -88,6 +92,7 @@
   std::optional<parser_type> Parser;
   std::string RequestBytes;
   std::vector<char> ReadBuffer;
+  error_code ConnectError;
   error_code LastReadError;
 };
 
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -39,16 +39,21 @@
     if (const auto This = Weak.lock(); This && !Error)
       This->close();
   });
-  error_code Error;
-  co_await Socket.async_connect(*Endpoint, storeError(Error));
+  co_await Socket.async_connect(*Endpoint, storeError(ConnectError));
   Timer.cancel();
-  if (Error || !Socket.is_open())
+  if (ConnectError || !Socket.is_open())
     co_return false;
+  error_code Error;
   Socket.set_option(tcp::no_delay(true), Error);
   setKeepAlive(Socket);
   co_return true;
 }
 
+auto target_connection::isRefused() const -> bool {
+  return ConnectError == asio::error::connection_refused ||
+         ConnectError == asio::error::connection_reset;
+}
+
 auto target_connection::startSend(std::string Bytes) -> void {
   RequestBytes = std::move(Bytes);
   asio::async_write(Socket, asio::buffer(RequestBytes),
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -31,6 +31,7 @@
   duration MaxTargetsAge = milliseconds(1900);
   /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
+  quarantine_policy Quarantine;
   /// Gateways to query when this one starts while the store is unreachable,
   /// ip:port.
   std::vector<std::string> Seeds;
@@ -53,7 +54,11 @@
   double ExpectedFirstOutputMs = 0; ///< Estimated when it was sent.
   bool MayHaveRun = false;          ///< In an earlier attempt.
   time_point SentAt;
-  std::int64_t FirstOutputMs = -1; ///< Since SentAt; below 0: none yet.
+  std::int64_t FirstOutputMs = -1;   ///< Since SentAt; below 0: none yet.
+  std::uint64_t SentIncarnation = 0; ///< Of CurrentTarget.
+  bool OutputContinued = false;      ///< The current attempt's has.
+  /// While it is tried, no other request that has this may be in progress here.
+  std::optional<suspect> TriedSuspect;
   /// Load that the request waits for: target, and adapter or empty.
   std::optional<std::pair<target_name, std::string>> AwaitedLoad;
   std::uint32_t LoadRequests = 0; ///< Loads requested for this request.
@@ -105,6 +110,21 @@
   /// NoDeadline while it does not answer.
   time_point RowGraceUntil;
   bool StoreReachable = true;
+  crash_ledger Crashes;
+  /// Attempts that ended together at one target, with little or no answer. They
+  /// count once the target is known to have ended.
+  struct possible_crash {
+    struct attempt {
+      std::vector<suspect> Suspects;
+      bool AnswerBegun = false;
+    };
+    std::uint64_t Incarnation = 0;
+    time_point LastEndAt;
+    std::vector<attempt> Attempts;
+    bool IsChecked = false; ///< A check of the target is in progress.
+  };
+  std::map<target_name, possible_crash> PossibleCrashes;
+  suspect LastReportedSuspect; ///< The next periodic report begins after it.
   /// State of another gateway according to its last digest.
   struct peer_status {
     std::uint64_t Configuration = 0; ///< Version in force.
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -67,6 +67,20 @@
   std::int64_t WaitMs = 0;
 };
 
+/// Check whether a target still accepts connections.
+struct check_target {
+  target_name Target;
+  std::uint64_t Incarnation = 0;
+  std::string Address;
+  time_point Deadline;
+};
+
+/// Send what is known of requests that may crash targets to other gateways.
+struct send_crash_report {
+  std::vector<std::string> Addresses;
+  crash_report Report;
+};
+
 /// Send a digest to other gateways.
 struct send_digest {
   std::vector<std::string> Addresses;
@@ -96,8 +110,9 @@
 
 using gateway_effect =
     std::variant<set_deadline, send_attempt, refuse_request, relay_failure,
-                 request_load, query_peer, send_digest,
-                 subscribe_to_controllers, record_attempt_times, write_note>;
+                 request_load, query_peer, check_target, send_crash_report,
+                 send_digest, subscribe_to_controllers, record_attempt_times,
+                 write_note>;
 using gateway_effects = std::vector<gateway_effect>;
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -5,6 +5,7 @@
 
 #include "serving/call.h"
 #include "serving/configuration.h"
+#include "serving/crash_ledger.h"
 #include "serving/target.h"
 #include "serving/target_book.h"
 
@@ -64,6 +65,37 @@
   request_number Number = 0;
 };
 
+/// The second event of a stream arrived: its target lives on after it has begun
+/// to answer.
+struct output_continued {
+  request_number Number = 0;
+};
+
+/// Whether something accepts connections at an address.
+enum class port_state : std::uint8_t {
+  Open,
+  Closed, ///< The machine refuses connections.
+  Silent  ///< Neither, in time.
+};
+
+/// The result of a check whether a target still accepts connections.
+struct target_checked {
+  target_name Target;
+  std::uint64_t Incarnation = 0; ///< As known when the check began.
+  port_state State = port_state::Silent;
+};
+
+/// What another gateway knows of requests that may crash targets.
+struct crash_report {
+  instance_name From;
+  std::vector<suspect_report> Suspects;
+};
+
+/// An operator lifted a quarantine.
+struct quarantine_lifted {
+  suspect Suspect;
+};
+
 /// An answer of a target, to whichever request, said that the target leaves or
 /// for how long it refuses requests of this gateway.
 struct target_notice {
@@ -227,13 +259,14 @@
 };
 
 using gateway_event =
-    std::variant<request_arrived, first_output, target_notice, attempt_ended,
-                 caller_left, deadline_passed, configuration_read,
-                 target_updated, target_lost, row_unreadable,
-                 store_reachability_changed, targets_listed, instances_listed,
-                 load_answered, holdings_report, gateway_digest, targets_read,
-                 targets_read_failed, peer_answered, stop_began,
-                 stop_deadline_passed, tick>;
+    std::variant<request_arrived, first_output, output_continued,
+                 target_checked, crash_report, quarantine_lifted, target_notice,
+                 attempt_ended, caller_left, deadline_passed,
+                 configuration_read, target_updated, target_lost,
+                 row_unreadable, store_reachability_changed, targets_listed,
+                 instances_listed, load_answered, holdings_report,
+                 gateway_digest, targets_read, targets_read_failed,
+                 peer_answered, stop_began, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- /dev/null
+++ b/libs/serving/src/crash_ledger.cpp
@@ -0,0 +1,290 @@
+#include "serving/crash_ledger.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// By the values of suspect_kind.
+constexpr std::array<std::string_view, 2> KindNames = {"part", "prompt"};
+/// Crashes within this time count as one: they may have one cause that is not
+/// in the prompts, such as the loss of several machines.
+constexpr duration SameCrashSpan = milliseconds(100);
+/// Crashes beyond the policy's that are needed without any answer that had
+/// begun.
+constexpr std::uint32_t MoreWithoutAnswer = 2;
+/// Crashes by trials after which no further request is tried.
+constexpr std::uint32_t MaxTrials = 2;
+/// Suspects that are kept, and the latest crashes of one of them.
+constexpr std::size_t MaxSuspects = 512;
+constexpr std::size_t MaxCharges = 8;
+/// Time after which a suspect is forgotten that was served, that has too few
+/// crashes, or that is quarantined and does not come any more.
+constexpr duration ServedMemory = seconds(60);
+constexpr duration SuspicionMemory = seconds(600);
+constexpr duration QuarantineMemory = seconds(3600);
+
+auto holdOf(const quarantine_policy &Policy, std::uint32_t ExcessCrashes)
+    -> duration {
+  return Policy.Hold * (1U << std::min(ExcessCrashes, MaxTrials));
+}
+
+} // namespace
+
+auto crash_ledger::record::isCharged() const -> bool {
+  return std::any_of(Charges.begin(), Charges.end(), [&](const auto &Charge) {
+    return Charge.second.At > ServedAt;
+  });
+}
+
+auto crash_ledger::record::lastCrashAt() const -> time_point {
+  auto Last = time_point::min();
+  for (const auto &[Run, Charge] : Charges)
+    Last = std::max(Last, Charge.At);
+  return Last;
+}
+
+auto nameOf(admission Admission) -> std::string_view {
+  switch (Admission) {
+  case admission::Allowed:
+    return "allowed";
+  case admission::OneAtATime:
+    return "one_at_a_time";
+  case admission::Trial:
+    return "trial";
+  case admission::Refused:
+    return "refused";
+  }
+  return "allowed";
+}
+
+auto toString(const suspect &Suspect) -> std::string {
+  std::ostringstream Text;
+  Text << KindNames[static_cast<std::size_t>(Suspect.Kind)] << ":" << std::hex
+       << Suspect.Id;
+  return Text.str();
+}
+
+auto parseSuspect(std::string_view Text) -> std::optional<suspect> {
+  constexpr int HexadecimalBase = 16;
+  const auto Colon = Text.find(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  const auto *Name =
+      std::find(KindNames.begin(), KindNames.end(), Text.substr(0, Colon));
+  if (Name == KindNames.end())
+    return std::nullopt;
+  suspect Suspect{static_cast<suspect_kind>(Name - KindNames.begin())};
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data() + Colon + 1, End, Suspect.Id,
+                                      HexadecimalBase);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Suspect;
+}
+
+auto crash_ledger::charge(const suspect &Suspect, const target_run &Run,
+                          const crash_charge &Charge) -> bool {
+  auto &Record = Records[Suspect];
+  const auto [Known, New] = Record.Charges.emplace(Run, Charge);
+  bool Changed = New;
+  if (!New) {
+    // Of two times the earlier one had the shorter way.
+    Known->second.At = std::min(Known->second.At, Charge.At);
+    Changed |= Charge.AnswerBegun && !Known->second.AnswerBegun;
+    Known->second.AnswerBegun |= Charge.AnswerBegun;
+  }
+  if (Record.Charges.size() > MaxCharges)
+    Record.Charges.erase(
+        std::min_element(Record.Charges.begin(), Record.Charges.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return Left.second.At < Right.second.At;
+                         }));
+  limitSize();
+  return Changed;
+}
+
+auto crash_ledger::markServed(const suspect &Suspect, time_point At) -> bool {
+  const auto Found = Records.find(Suspect);
+  if (Found == Records.end())
+    return false;
+  const bool WasCharged = Found->second.isCharged();
+  Found->second.ServedAt = std::max(Found->second.ServedAt, At);
+  return WasCharged && !Found->second.isCharged();
+}
+
+auto crash_ledger::merge(const suspect_report &Report, time_point Now) -> bool {
+  bool Changed = false;
+  for (const auto &Charge : Report.Charges)
+    Changed |= charge(Report.Suspect, Charge.Run,
+                      {Now - milliseconds(Charge.AgeMs), Charge.AnswerBegun});
+  if (Report.ServedAgeMs >= 0)
+    Changed |=
+        markServed(Report.Suspect, Now - milliseconds(Report.ServedAgeMs));
+  return Changed;
+}
+
+auto crash_ledger::report(const suspect &Suspect, time_point Now) const
+    -> suspect_report {
+  suspect_report Report;
+  Report.Suspect = Suspect;
+  const auto Found = Records.find(Suspect);
+  if (Found == Records.end())
+    return Report;
+  const auto &Record = Found->second;
+  if (Record.ServedAt != time_point::min())
+    Report.ServedAgeMs = toMilliseconds(Now - Record.ServedAt);
+  for (const auto &[Run, Charge] : Record.Charges)
+    Report.Charges.push_back(
+        {Run, toMilliseconds(Now - Charge.At), Charge.AnswerBegun});
+  return Report;
+}
+
+auto crash_ledger::hasBegunAnswer(const target_run &Run) const -> bool {
+  return std::any_of(Records.begin(), Records.end(), [&](const auto &Known) {
+    const auto Found = Known.second.Charges.find(Run);
+    return Found != Known.second.Charges.end() && Found->second.AnswerBegun;
+  });
+}
+
+auto crash_ledger::countCrashes(const record &Record, bool BegunOnly) const
+    -> std::uint32_t {
+  std::vector<time_point> Times;
+  for (const auto &[Run, Charge] : Record.Charges)
+    if (Charge.At > Record.ServedAt &&
+        (Charge.AnswerBegun || (!BegunOnly && !hasBegunAnswer(Run))))
+      Times.push_back(Charge.At);
+  std::sort(Times.begin(), Times.end());
+  std::uint32_t Count = 0;
+  time_point Counted;
+  for (const auto At : Times)
+    if (Count == 0 || At - Counted >= SameCrashSpan) {
+      ++Count;
+      Counted = At;
+    }
+  return Count;
+}
+
+auto crash_ledger::excessCrashes(const record &Record,
+                                 const quarantine_policy &Policy) const
+    -> std::optional<std::uint32_t> {
+  if (Policy.Crashes == 0 || Record.Charges.size() < Policy.Crashes)
+    return std::nullopt;
+  if (const auto Begun = countCrashes(Record, true); Begun >= Policy.Crashes)
+    return Begun - Policy.Crashes;
+  const auto Needed = Policy.Crashes + MoreWithoutAnswer;
+  if (Record.Charges.size() < Needed)
+    return std::nullopt;
+  if (const auto All = countCrashes(Record, false); All >= Needed)
+    return All - Needed;
+  return std::nullopt;
+}
+
+auto crash_ledger::crashesOf(const suspect &Suspect) const
+    -> std::set<target_run> {
+  std::set<target_run> Runs;
+  if (const auto Found = Records.find(Suspect); Found != Records.end())
+    for (const auto &[Run, Charge] : Found->second.Charges)
+      if (Charge.At > Found->second.ServedAt)
+        Runs.insert(Run);
+  return Runs;
+}
+
+auto crash_ledger::isExplained(const suspect &Suspect,
+                               const std::set<suspect> &Suspects,
+                               const quarantine_policy &Policy) const -> bool {
+  const auto Crashes = crashesOf(Suspect);
+  return std::any_of(Records.begin(), Records.end(), [&](const auto &Known) {
+    if (Suspects.contains(Known.first) || !excessCrashes(Known.second, Policy))
+      return false;
+    const auto Others = crashesOf(Known.first);
+    return std::includes(Others.begin(), Others.end(), Crashes.begin(),
+                         Crashes.end());
+  });
+}
+
+auto crash_ledger::decide(const std::vector<suspect> &Suspects,
+                          const quarantine_policy &Policy, time_point Now) const
+    -> suspect_verdict {
+  suspect_verdict Verdict;
+  std::set<suspect> Known;
+  for (const auto &Suspect : Suspects)
+    if (Records.contains(Suspect))
+      Known.insert(Suspect);
+  for (const auto &Suspect : Known) {
+    const auto &Record = Records.at(Suspect);
+    const auto Excess = excessCrashes(Record, Policy);
+    if (!Excess)
+      continue;
+    auto HoldUntil = Record.lastCrashAt() + holdOf(Policy, *Excess);
+    auto Admission = admission::Refused;
+    if (*Excess >= MaxTrials)
+      HoldUntil = std::max(HoldUntil, Now + Policy.Hold);
+    if (Now >= HoldUntil)
+      Admission = admission::Trial;
+    else if (isExplained(Suspect, Known, Policy))
+      Admission = admission::OneAtATime;
+    if (Admission > Verdict.Admission)
+      Verdict = {Admission, Suspect, HoldUntil};
+  }
+  return Verdict;
+}
+
+auto crash_ledger::markRefused(const suspect &Suspect, time_point At) -> void {
+  if (const auto Found = Records.find(Suspect); Found != Records.end())
+    Found->second.RefusedAt = std::max(Found->second.RefusedAt, At);
+}
+
+auto crash_ledger::expire(const quarantine_policy &Policy, time_point Now)
+    -> void {
+  std::erase_if(Records, [&](const auto &Known) {
+    const auto &Record = Known.second;
+    const auto LastAt = std::max(Record.lastCrashAt(), Record.RefusedAt);
+    if (!Record.isCharged())
+      return Now - std::max(LastAt, Record.ServedAt) >= ServedMemory;
+    return Now - LastAt >=
+           (excessCrashes(Record, Policy) ? QuarantineMemory : SuspicionMemory);
+  });
+}
+
+auto crash_ledger::limitSize() -> void {
+  if (Records.size() <= MaxSuspects)
+    return;
+  const auto Rank = [this](const record &Record) {
+    return std::pair(countCrashes(Record, true), Record.lastCrashAt());
+  };
+  Records.erase(std::min_element(
+      Records.begin(), Records.end(), [&](const auto &Left, const auto &Right) {
+        return Rank(Left.second) < Rank(Right.second);
+      }));
+}
+
+auto crash_ledger::suspects() const -> std::vector<suspect> {
+  std::vector<suspect> Suspects;
+  Suspects.reserve(Records.size());
+  for (const auto &[Suspect, Record] : Records)
+    Suspects.push_back(Suspect);
+  return Suspects;
+}
+
+auto crash_ledger::isQuarantined(const suspect &Suspect,
+                                 const quarantine_policy &Policy) const
+    -> bool {
+  const auto Found = Records.find(Suspect);
+  return Found != Records.end() && excessCrashes(Found->second, Policy);
+}
+
+auto crash_ledger::quarantined(const quarantine_policy &Policy) const
+    -> std::vector<suspect> {
+  std::vector<suspect> Suspects;
+  for (const auto &[Suspect, Record] : Records)
+    if (excessCrashes(Record, Policy))
+      Suspects.push_back(Suspect);
+  return Suspects;
+}
+
+} // namespace limpetbridge::serving
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -66,6 +66,30 @@
 /// Dispatches the requests that wait for \p Model or one of its adapters.
 auto dispatchWaiting(const gateway_step &Step, const model_name &Model) -> void;
 
+// gateway_quarantine.cpp
+auto handle(const gateway_step &Step, const output_continued &Event) -> void;
+auto handle(const gateway_step &Step, const target_checked &Event) -> void;
+auto handle(const gateway_step &Step, const crash_report &Event) -> void;
+auto handle(const gateway_step &Step, const quarantine_lifted &Event) -> void;
+/// Refuses the request if it has a quarantined suspect. To be asked before each
+/// attempt. \returns true if it was refused.
+auto refuseIfQuarantined(const gateway_step &Step, request_number Number)
+    -> bool;
+/// Notes an attempt whose connection ended, in case its target crashed.
+auto notePossibleCrash(const gateway_step &Step, const request_state &Request,
+                       const attempt_ended &Event) -> void;
+/// Charges the suspects of the noted attempts with the end of \p Entry, which
+/// has ended without leaving.
+auto confirmCrash(const gateway_step &Step, const target_entry &Entry) -> void;
+/// Records that the request did not crash its target.
+auto recordServed(const gateway_step &Step, const request_state &Request)
+    -> void;
+/// Forgets what is too old to count.
+auto expireCrashes(const gateway_step &Step) -> void;
+/// Sends some of the suspects to the other gateways: datagrams get lost, and
+/// a gateway may have been away.
+auto sendCrashReport(const gateway_step &Step) -> void;
+
 // gateway_stop.cpp
 auto handle(const gateway_step &Step, const stop_began &Event) -> void;
 auto handle(const gateway_step &Step, const stop_deadline_passed &Event)
@@ -139,6 +163,9 @@
 auto expectedWorkMs(const gateway_state &State, const service_name &Service,
                     const prompt &Prompt) -> double;
 
+/// Addresses of the other gateways.
+auto gatewayAddresses(const gateway_state &State) -> std::vector<std::string>;
+
 /// Number of known gateways, including this one.
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -55,6 +55,14 @@
   return static_cast<std::size_t>(Others) + 1;
 }
 
+auto gatewayAddresses(const gateway_state &State) -> std::vector<std::string> {
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Instance] : State.Instances)
+    if (Name != State.Options.Self && Instance.Role == instance_role::Gateway)
+      Addresses.push_back(Instance.Address);
+  return Addresses;
+}
+
 auto digestInterval(const gateway_state &State) -> duration {
   /// Gateways whose digests arrive at the least interval.
   constexpr std::size_t FullRateGateways = 10;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -39,6 +39,10 @@
   const auto Before = Known == nullptr ? holdings() : Known->Target.Holdings;
   const bool WasDraining = Known != nullptr && Known->Target.Draining;
   const bool WasKnown = Known != nullptr;
+  // It started again under its name.
+  if (WasKnown && !WasDraining &&
+      Target.Incarnation > Known->Target.Incarnation)
+    confirmCrash(Step, *Known);
   if (!State.Book.update(Target, cacheTokens(State, Target.Service), Step.Now))
     return;
   auto &Entry = *State.Book.find(Target.Name);
@@ -76,6 +80,8 @@
                                    : toMilliseconds(Step.Now - MissingSince))},
                {"reads_targets", State.ReadsTargets ? "true" : "false"},
                {"targets_version", std::to_string(State.TargetsVersion)}});
+  if (!Entry->Target.Draining)
+    confirmCrash(Step, *Entry);
   Step.State.Book.remove(Name);
   failLoads(Step, Name);
 }
@@ -314,17 +320,18 @@
     removeTarget(Step, Name);
   if (Step.Now >= State.NextSubscription)
     subscribeToControllers(Step);
-  if (Step.Now >= State.NextDigest)
+  expireCrashes(Step);
+  if (Step.Now >= State.NextDigest) {
     sendDigest(Step);
+    sendCrashReport(Step);
+  }
 }
 
 auto sendDigest(const gateway_step &Step) -> void {
   auto &State = Step.State;
   State.NextDigest = Step.Now + digestInterval(State);
   send_digest Effect;
-  for (const auto &[Name, Instance] : State.Instances)
-    if (Name != State.Options.Self && Instance.Role == instance_role::Gateway)
-      Effect.Addresses.push_back(Instance.Address);
+  Effect.Addresses = gatewayAddresses(State);
   auto &Digest = Effect.Digest;
   Digest.From = State.Options.Self;
   Digest.Address = State.Options.Address;
--- /dev/null
+++ b/libs/serving/src/gateway_quarantine.cpp
@@ -0,0 +1,389 @@
+/// Crashes of targets that requests cause: how they are noticed, pooled
+/// with the other gateways, and kept from the remaining targets.
+#include "details/gateway_parts.h"
+
+#include <algorithm>
+#include <set>
+
+namespace limpetbridge::serving {
+
+namespace {
+
+/// Attempts of which at most so many events arrived may have ended their
+/// target; the answers to others had begun without harm.
+constexpr std::uint64_t MaxEventsBeforeCrash = 1;
+/// Attempts that end within this time may have ended with their target.
+constexpr duration CommonEndSpan = milliseconds(500);
+/// Time for a check whether a target still accepts connections.
+constexpr duration CheckTime = milliseconds(300);
+/// Time within which the row of a crashed target goes; attempts that ended
+/// earlier did not end with it.
+constexpr duration RowExpiryTime = seconds(10);
+/// Attempts at one target that are noted, and parts of one prompt.
+constexpr std::size_t MaxNotedAttempts = 64;
+constexpr std::size_t MaxPartsPerPrompt = 64;
+/// Charges in one message, so that it fits into one packet.
+constexpr std::size_t MaxReportedCharges = 16;
+/// Gateways that a periodic report is sent to.
+constexpr std::size_t ReportedGateways = 3;
+/// Retry-after of a request that waits for the outcome of another one with the
+/// same suspect, ms.
+constexpr std::int64_t TriedRetryAfterMs = 1000;
+/// Least retry-after of a request with a quarantined suspect, ms.
+constexpr std::int64_t MinHeldRetryAfterMs = 10'000;
+
+/// What may crash a target in \p Call: its parts, and all of them together. The
+/// last part belongs to the request or its session.
+auto suspectsOf(const call &Call) -> std::vector<suspect> {
+  std::vector<suspect> Suspects;
+  suspect Whole{suspect_kind::Prompt};
+  for (const auto &Part : Call.Prompt.Parts) {
+    Whole.Id = stableHash(std::to_string(Part.Id), Whole.Id);
+    if (Suspects.size() < MaxPartsPerPrompt)
+      Suspects.push_back({suspect_kind::Part, Part.Id});
+  }
+  if (!Suspects.empty())
+    Suspects.push_back(Whole);
+  return Suspects;
+}
+
+auto decide(const gateway_step &Step, const call &Call) -> suspect_verdict {
+  const auto &State = Step.State;
+  if (State.Crashes.empty())
+    return {};
+  return State.Crashes.decide(suspectsOf(Call), State.Options.Quarantine,
+                              Step.Now);
+}
+
+/// True if this gateway is the one that tries a request with \p Suspect: of
+/// those that are heard, the one with the highest hash.
+auto triesRequests(const gateway_step &Step, const suspect &Suspect) -> bool {
+  const auto &State = Step.State;
+  const auto HashOf = [&](const instance_name &Name) {
+    return stableHash(Name.Text, Suspect.Id);
+  };
+  const auto Own = HashOf(State.Options.Self);
+  return std::none_of(State.PeerStatuses.begin(), State.PeerStatuses.end(),
+                      [&](const auto &Peer) {
+                        return Peer.second.ReadyAt <= Step.Now &&
+                               HashOf(Peer.first) > Own;
+                      });
+}
+
+/// True if another request with \p Suspect is tried here and its outcome is
+/// open.
+auto isTried(const gateway_state &State, const suspect &Suspect,
+             request_number But) -> bool {
+  return std::any_of(
+      State.Requests.begin(), State.Requests.end(), [&](const auto &Known) {
+        const auto &Request = Known.second;
+        return Known.first != But && Request.TriedSuspect == Suspect &&
+               !Request.OutputContinued;
+      });
+}
+
+auto suspectsText(const std::vector<suspect> &Suspects) -> std::string {
+  std::string Text;
+  for (const auto &Suspect : Suspects)
+    Text += (Text.empty() ? "" : ",") + toString(Suspect);
+  return Text;
+}
+
+/// Refuses a request with a quarantined suspect.
+auto refuseForSuspect(const gateway_step &Step, request_number Number,
+                      const suspect_verdict &Verdict) -> void {
+  auto &Request = Step.State.Requests.at(Number);
+  // An attempt in progress may be running.
+  Request.MayHaveRun |= !Request.CurrentTarget.empty();
+  releaseTarget(Step, Request, false);
+  Step.State.Crashes.markRefused(Verdict.Suspect, Step.Now);
+  auto RetryAfterMs = TriedRetryAfterMs;
+  if (Verdict.Admission != admission::OneAtATime)
+    RetryAfterMs = std::max(MinHeldRetryAfterMs,
+                            toMilliseconds(Verdict.HoldUntil - Step.Now));
+  refuseRequest(Step, Number, result_code::PromptQuarantined, RetryAfterMs,
+                toString(Verdict.Suspect) + " is quarantined");
+}
+
+/// Ends the open requests with a quarantined suspect: those that wait, and
+/// those whose target may be about to begin its answer.
+auto refuseOpenRequests(const gateway_step &Step) -> void {
+  std::vector<std::pair<request_number, suspect_verdict>> Refused;
+  for (const auto &[Number, Request] : Step.State.Requests) {
+    if (!Request.Call.HasPrompt || Request.OutputContinued)
+      continue;
+    const auto Verdict = decide(Step, Request.Call);
+    if (Verdict.Admission == admission::Refused)
+      Refused.emplace_back(Number, Verdict);
+  }
+  for (const auto &[Number, Verdict] : Refused)
+    refuseForSuspect(Step, Number, Verdict);
+}
+
+auto logSuspect(const gateway_step &Step, log_level Level, std::string Event,
+                const suspect &Suspect, std::string Source) -> void {
+  std::string Targets;
+  for (const auto &Run : Step.State.Crashes.crashesOf(Suspect))
+    Targets += (Targets.empty() ? "" : ",") + Run.Target.Text;
+  const auto Verdict = Step.State.Crashes.decide(
+      {Suspect}, Step.State.Options.Quarantine, Step.Now);
+  addLogEntry(
+      Step, Level, std::move(Event),
+      {{"suspect", toString(Suspect)},
+       {"crashed", std::move(Targets)},
+       {"admission", std::string(nameOf(Verdict.Admission))},
+       {"hold_ms",
+        std::to_string(Verdict.Admission == admission::Allowed
+                           ? 0
+                           : toMilliseconds(Verdict.HoldUntil - Step.Now))},
+       {"source", std::move(Source)}});
+}
+
+auto sendSuspects(const gateway_step &Step,
+                  const std::vector<suspect> &Suspects,
+                  std::vector<std::string> Addresses) -> void {
+  send_crash_report Effect;
+  Effect.Addresses = std::move(Addresses);
+  Effect.Report.From = Step.State.Options.Self;
+  for (const auto &Suspect : Suspects)
+    Effect.Report.Suspects.push_back(
+        Step.State.Crashes.report(Suspect, Step.Now));
+  if (!Effect.Addresses.empty() && !Suspects.empty())
+    Step.Effects.push_back(std::move(Effect));
+}
+
+/// Sends \p Suspects to all gateways, in as many messages as they need.
+auto sendAtOnce(const gateway_step &Step, const std::vector<suspect> &Suspects)
+    -> void {
+  const auto Addresses = gatewayAddresses(Step.State);
+  std::vector<suspect> Message;
+  std::size_t Charges = 0;
+  for (const auto &Suspect : Suspects) {
+    const auto Count =
+        Step.State.Crashes.report(Suspect, Step.Now).Charges.size();
+    if (Charges > 0 && Charges + Count > MaxReportedCharges) {
+      sendSuspects(Step, std::exchange(Message, {}), Addresses);
+      Charges = 0;
+    }
+    Message.push_back(Suspect);
+    Charges += Count;
+  }
+  sendSuspects(Step, Message, Addresses);
+}
+
+/// Those of \p Suspects that are quarantined.
+auto quarantinedAmong(const gateway_state &State,
+                      const std::vector<suspect> &Suspects)
+    -> std::set<suspect> {
+  std::set<suspect> Quarantined;
+  for (const auto &Suspect : Suspects)
+    if (State.Crashes.isQuarantined(Suspect, State.Options.Quarantine))
+      Quarantined.insert(Suspect);
+  return Quarantined;
+}
+
+/// Logs which of \p Suspects were quarantined or released by a change, and ends
+/// the requests that may not be sent any more.
+auto applyChange(const gateway_step &Step, const std::vector<suspect> &Suspects,
+                 const std::set<suspect> &Before, const std::string &Source)
+    -> void {
+  const auto After = quarantinedAmong(Step.State, Suspects);
+  bool Added = false;
+  for (const auto &Suspect : After)
+    if (!Before.contains(Suspect)) {
+      Added = true;
+      logSuspect(Step, log_level::Warning, "suspect_quarantined", Suspect,
+                 Source);
+    }
+  for (const auto &Suspect : Before)
+    if (!After.contains(Suspect))
+      logSuspect(Step, log_level::Info, "suspect_released", Suspect, Source);
+  if (Added)
+    refuseOpenRequests(Step);
+}
+
+/// Records that \p Suspects were served, and tells the other gateways of those
+/// that were charged with crashes.
+auto markServed(const gateway_step &Step, const std::vector<suspect> &Suspects,
+                const std::string &Source) -> void {
+  auto &State = Step.State;
+  const auto Before = quarantinedAmong(State, Suspects);
+  std::vector<suspect> Cleared;
+  for (const auto &Suspect : Suspects)
+    if (State.Crashes.markServed(Suspect, Step.Now))
+      Cleared.push_back(Suspect);
+  if (Cleared.empty())
+    return;
+  addLogEntry(Step, log_level::Info, "suspects_cleared",
+              {{"suspects", suspectsText(Cleared)}, {"source", Source}});
+  sendAtOnce(Step, Cleared);
+  applyChange(Step, Cleared, Before, Source);
+}
+
+} // namespace
+
+auto refuseIfQuarantined(const gateway_step &Step, request_number Number)
+    -> bool {
+  auto &Request = Step.State.Requests.at(Number);
+  if (!Request.Call.HasPrompt)
+    return false;
+  const auto Verdict = decide(Step, Request.Call);
+  Request.TriedSuspect.reset();
+  if (Verdict.Admission == admission::Allowed)
+    return false;
+  const bool Refused = Verdict.Admission == admission::Refused ||
+                       (Verdict.Admission == admission::Trial &&
+                        !triesRequests(Step, Verdict.Suspect)) ||
+                       isTried(Step.State, Verdict.Suspect, Number);
+  if (Refused) {
+    refuseForSuspect(Step, Number, Verdict);
+    return true;
+  }
+  Request.TriedSuspect = Verdict.Suspect;
+  logSuspect(Step, log_level::Info, "suspect_tried", Verdict.Suspect,
+             Request.Call.Id);
+  return false;
+}
+
+auto notePossibleCrash(const gateway_step &Step, const request_state &Request,
+                       const attempt_ended &Event) -> void {
+  auto &State = Step.State;
+  const auto *Entry = State.Book.find(Request.CurrentTarget);
+  const bool BrokeOff =
+      Event.End == attempt_end::Unknown || Event.End == attempt_end::CutShort;
+  if (!BrokeOff || !Request.Call.HasPrompt || Entry == nullptr ||
+      Entry->Target.Draining ||
+      Entry->Target.Incarnation != Request.SentIncarnation ||
+      Event.Body.Events > MaxEventsBeforeCrash)
+    return;
+  auto Suspects = suspectsOf(Request.Call);
+  if (Suspects.empty())
+    return;
+  auto &Possible = State.PossibleCrashes[Request.CurrentTarget];
+  if (Possible.Incarnation != Request.SentIncarnation ||
+      Step.Now - Possible.LastEndAt > CommonEndSpan)
+    Possible.Attempts.clear();
+  Possible.Incarnation = Request.SentIncarnation;
+  Possible.LastEndAt = Step.Now;
+  if (Possible.Attempts.size() < MaxNotedAttempts)
+    Possible.Attempts.push_back({std::move(Suspects), Event.Status != 0});
+  if (std::exchange(Possible.IsChecked, true))
+    return;
+  Step.Effects.push_back(
+      check_target{Request.CurrentTarget, Request.SentIncarnation,
+                   Entry->Target.Address, Step.Now + CheckTime});
+}
+
+auto handle(const gateway_step &Step, const target_checked &Event) -> void {
+  const auto Found = Step.State.PossibleCrashes.find(Event.Target);
+  if (Found == Step.State.PossibleCrashes.end())
+    return;
+  Found->second.IsChecked = false;
+  // Without a clear answer the target's row tells later.
+  const auto *Entry = Step.State.Book.find(Event.Target);
+  if (Event.State == port_state::Closed && Entry != nullptr &&
+      Entry->Target.Incarnation == Event.Incarnation)
+    confirmCrash(Step, *Entry);
+}
+
+auto confirmCrash(const gateway_step &Step, const target_entry &Entry) -> void {
+  auto &State = Step.State;
+  const auto Node = State.PossibleCrashes.extract(Entry.Target.Name);
+  if (Node.empty())
+    return;
+  const auto &Possible = Node.mapped();
+  if (Possible.Incarnation != Entry.Target.Incarnation ||
+      Possible.Attempts.empty() ||
+      Step.Now - Possible.LastEndAt > RowExpiryTime)
+    return;
+  const target_run Run{Entry.Target.Name, Entry.Target.Incarnation};
+  const bool AnswerBegun =
+      std::any_of(Possible.Attempts.begin(), Possible.Attempts.end(),
+                  [](const auto &Attempt) { return Attempt.AnswerBegun; });
+  std::set<suspect> Charged;
+  for (const auto &Attempt : Possible.Attempts)
+    // Next to an answer that had begun, requests without one were waiting.
+    if (Attempt.AnswerBegun == AnswerBegun)
+      Charged.insert(Attempt.Suspects.begin(), Attempt.Suspects.end());
+  const std::vector<suspect> Suspects(Charged.begin(), Charged.end());
+  const auto Before = quarantinedAmong(State, Suspects);
+  for (const auto &Suspect : Suspects)
+    State.Crashes.charge(Suspect, Run, {Possible.LastEndAt, AnswerBegun});
+  addLogEntry(Step, log_level::Warning, "target_crashed",
+              {{"target", Run.Target.Text},
+               {"born", std::to_string(Run.Incarnation)},
+               {"answer_begun", AnswerBegun ? "true" : "false"},
+               {"attempts", std::to_string(Possible.Attempts.size())},
+               {"suspects", suspectsText(Suspects)}});
+  sendAtOnce(Step, Suspects);
+  applyChange(Step, Suspects, Before, State.Options.Self.Text);
+}
+
+auto recordServed(const gateway_step &Step, const request_state &Request)
+    -> void {
+  if (Request.Call.HasPrompt && !Step.State.Crashes.empty())
+    markServed(Step, suspectsOf(Request.Call), Request.Call.Id);
+}
+
+auto handle(const gateway_step &Step, const output_continued &Event) -> void {
+  const auto Found = Step.State.Requests.find(Event.Number);
+  if (Found == Step.State.Requests.end())
+    return;
+  Found->second.OutputContinued = true;
+  recordServed(Step, Found->second);
+}
+
+auto handle(const gateway_step &Step, const crash_report &Event) -> void {
+  auto &State = Step.State;
+  if (Event.From == State.Options.Self)
+    return;
+  std::vector<suspect> Suspects;
+  for (const auto &Report : Event.Suspects)
+    Suspects.push_back(Report.Suspect);
+  const auto Before = quarantinedAmong(State, Suspects);
+  bool Changed = false;
+  for (const auto &Report : Event.Suspects)
+    Changed |= State.Crashes.merge(Report, Step.Now);
+  if (Changed)
+    applyChange(Step, Suspects, Before, Event.From.Text);
+}
+
+auto handle(const gateway_step &Step, const quarantine_lifted &Event) -> void {
+  markServed(Step, {Event.Suspect}, "operator");
+}
+
+auto expireCrashes(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  State.Crashes.expire(State.Options.Quarantine, Step.Now);
+  std::erase_if(State.PossibleCrashes, [&](const auto &Possible) {
+    return Step.Now - Possible.second.LastEndAt > RowExpiryTime;
+  });
+}
+
+auto sendCrashReport(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  if (State.Crashes.empty())
+    return;
+  const auto Known = State.Crashes.suspects();
+  // From where the last report ended, all of them in turn.
+  const auto First =
+      std::upper_bound(Known.begin(), Known.end(), State.LastReportedSuspect);
+  std::vector<suspect> Suspects;
+  std::size_t Charges = 0;
+  for (std::size_t I = 0; I < Known.size(); ++I) {
+    const auto Offset = static_cast<std::size_t>(First - Known.begin()) + I;
+    const auto Suspect = Known[Offset % Known.size()];
+    Charges += State.Crashes.report(Suspect, Step.Now).Charges.size();
+    if (!Suspects.empty() && Charges > MaxReportedCharges)
+      break;
+    Suspects.push_back(Suspect);
+    State.LastReportedSuspect = Suspect;
+  }
+  // A few gateways at a time: what is new was sent to all of them at once.
+  auto Addresses = gatewayAddresses(State);
+  std::shuffle(Addresses.begin(), Addresses.end(), State.Random);
+  Addresses.resize(std::min(Addresses.size(), ReportedGateways));
+  sendSuspects(Step, Suspects, std::move(Addresses));
+}
+
+} // namespace limpetbridge::serving
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -96,6 +96,8 @@
   Request.AwaitedLoad.reset();
   Request.SentAt = Step.Now;
   Request.FirstOutputMs = -1;
+  Request.SentIncarnation = Entry->Target.Incarnation;
+  Request.OutputContinued = false;
   Step.State.Book.recordAttemptSent(Pick.Target, rankOf(Request.Route.Priority),
                                     Pick.PrefillMs);
   if (Request.Call.HasPrompt)
@@ -154,6 +156,8 @@
                          "no time is left");
   if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
     return refuseStopping(Step, Number);
+  if (refuseIfQuarantined(Step, Number))
+    return;
   const auto &Call = Request.Call;
   const auto PickRequest = makePickRequest(Step, Request);
   const auto Pick = pickTarget(Step.State.Book, PickRequest);
@@ -272,6 +276,12 @@
               "attempt_ended", std::move(Fields));
 }
 
+auto isSuccess(std::uint16_t Status) -> bool {
+  constexpr std::uint16_t FirstSuccessStatus = 200;
+  constexpr std::uint16_t FirstRedirectStatus = 300;
+  return Status >= FirstSuccessStatus && Status < FirstRedirectStatus;
+}
+
 /// True if \p End counts as a failure of the target.
 auto isFailure(attempt_end End) -> bool {
   return End == attempt_end::NotSent || End == attempt_end::Failed ||
@@ -304,6 +314,9 @@
                      Event.Call.Arrived +
                          milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
+  // Before it counts as demand for its model.
+  if (refuseIfQuarantined(Step, Event.Number))
+    return;
   if (Event.Call.HasPrompt) {
     const auto &Prompt = Event.Call.Prompt;
     Request.PrefixKeys = prefixKeys(Prompt);
@@ -348,6 +361,9 @@
   applyAttemptOutcome(Step, Request, Event);
   if (Event.End == attempt_end::Answered)
     recordDecodeTime(Step, Request);
+  if (Event.End == attempt_end::Answered && isSuccess(Event.Status))
+    recordServed(Step, Request);
+  notePossibleCrash(Step, Request, Event);
   const auto Target = Request.CurrentTarget;
   releaseTarget(Step, Request, isFailure(Event.End));
   logAttemptEnd(Step, Request, Target, Event);
--- /dev/null
+++ b/testing/emulator/tests/crash_report_test.cpp
@@ -0,0 +1,93 @@
+#include "base/message_pack.h"
+#include "link_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace limpetbridge;
+using namespace limpetbridge::serving;
+using json = nlohmann::json;
+
+/// The message in which gateways tell each other of crashes.
+class crash_report_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(crash_report_test);
+  CPPUNIT_TEST(decode_whatWasEncoded_isTheSame);
+  CPPUNIT_TEST(decode_fullMessage_fitsIntoOnePacket);
+  CPPUNIT_TEST(decode_suspectOfAnotherKind_isSkipped);
+  CPPUNIT_TEST(decode_oddAges_areClamped);
+  CPPUNIT_TEST(decode_cutAnywhere_isRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  auto decode_whatWasEncoded_isTheSame() -> void {
+    const auto Report = decode(encodeLink(makeReport(1, 1)));
+    CPPUNIT_ASSERT_EQUAL(std::string("g1"), Report.From.Text);
+    const auto &Suspect = Report.Suspects.at(0);
+    CPPUNIT_ASSERT(Suspect.Suspect == (suspect{suspect_kind::Part, 0xd1}));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, Suspect.ServedAgeMs);
+    const auto &Charge = Suspect.Charges.at(0);
+    CPPUNIT_ASSERT(Charge.Run ==
+                   (target_run{target_name("i-0123456789"), 1771104970931}));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{250}, Charge.AgeMs);
+    CPPUNIT_ASSERT(Charge.AnswerBegun);
+  }
+
+  auto decode_fullMessage_fitsIntoOnePacket() -> void {
+    constexpr std::size_t PacketBytes = 1400;
+    CPPUNIT_ASSERT(encodeLink(makeReport(16, 1)).size() <= PacketBytes);
+    CPPUNIT_ASSERT(encodeLink(makeReport(2, 8)).size() <= PacketBytes);
+  }
+
+  auto decode_suspectOfAnotherKind_isSkipped() -> void {
+    auto Json = parseMessagePack(encodeLink(makeReport(2, 1))).value();
+    Json["s"][0][0] = "model:d1";
+    const auto Report = decode(toMessagePack(Json));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Report.Suspects.size());
+  }
+
+  auto decode_oddAges_areClamped() -> void {
+    for (const auto Age : {INT64_MIN, std::int64_t{-5}, INT64_MAX}) {
+      auto Json = parseMessagePack(encodeLink(makeReport(1, 1))).value();
+      Json["s"][0][1] = Age;
+      Json["s"][0][2][0][2] = Age;
+      const auto Report = decode(toMessagePack(Json));
+      crash_ledger Ledger;
+      Ledger.merge(Report.Suspects.at(0), time_point(seconds(1)));
+      CPPUNIT_ASSERT(!Ledger.empty());
+    }
+  }
+
+  auto decode_cutAnywhere_isRefused() -> void {
+    const auto Bytes = encodeLink(makeReport(2, 2));
+    for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+      CPPUNIT_ASSERT(!decodeLink(std::string_view(Bytes).substr(0, Length)));
+  }
+
+private:
+  static auto makeReport(std::size_t Suspects, std::size_t Charges)
+      -> crash_report {
+    crash_report Report;
+    Report.From = instance_name("g1");
+    for (std::size_t I = 0; I < Suspects; ++I) {
+      suspect_report Suspect;
+      Suspect.Suspect.Id = 0xd1 + I;
+      for (std::size_t J = 0; J < Charges; ++J)
+        Suspect.Charges.push_back(
+            {{target_name("i-0123456789"), 1771104970931 + J}, 250, true});
+      Report.Suspects.push_back(Suspect);
+    }
+    return Report;
+  }
+
+  static auto decode(const std::string &Bytes) -> crash_report {
+    const auto Message = decodeLink(Bytes);
+    CPPUNIT_ASSERT(Message.has_value());
+    return std::get<crash_report>(Message.value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_report_test);
+
+} // namespace
--- a/testing/emulator/tests/crashing_prompt_test.cpp
+++ b/testing/emulator/tests/crashing_prompt_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(prompts_targetsCrashAfterOneEvent_isNotSentOn);
   CPPUNIT_TEST(prompts_gatewayIsReplaced_isNotSentOn);
   CPPUNIT_TEST(prompts_targetsCrashForOtherReasons_areServed);
+  CPPUNIT_TEST(quarantinePage_lifted_isServedByBothGateways);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +123,25 @@
     }
   }
 
+  auto quarantinePage_lifted_isServedByBothGateways() -> void {
+    setCrashParts({"d1"});
+    sendUntilCrashes({SharedPart, "d1"});
+    setCrashParts({});
+    CPPUNIT_ASSERT(!isServed({SharedPart, "d1"}));
+    const auto Page = call("GET", "/quarantine");
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200}, Page.Head.Status);
+    CPPUNIT_ASSERT(Page.Body.find("\"part:d1\"") != std::string::npos);
+    CPPUNIT_ASSERT(Page.Body.find("\"refused\"") != std::string::npos);
+    for (const auto *Path : {"/quarantine/part:d2", "/quarantine/d1",
+                             "/quarantine/", "/quarantine"})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Path, std::uint16_t{404},
+                                   call("DELETE", Path).Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                         call("DELETE", "/quarantine/part:d1").Head.Status);
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT(eventually([&] { return isServed({SharedPart, "d1"}); }));
+  }
+
 private:
   using parts = std::vector<std::string>;
 
@@ -185,6 +205,23 @@
                                 : Fleet->sendTo(*Second, Path, Fields);
   }
 
+  /// Calls a page of the first gateway.
+  auto call(const char *Method, const char *Page) -> net::http_response {
+    net::http_request Request;
+    Request.Method = Method;
+    Request.Target = Page;
+    Request.Fields.push_back({"Host", "h"});
+    const net::asio::any_io_executor Executor =
+        Fleet->Outside.Context.get_executor();
+    const auto Address = Fleet->Gateway->metricsAddress();
+    const auto Answer =
+        Fleet->Outside.await<std::optional<net::http_response>>([&] {
+          return net::fetch(Executor, Address, Request,
+                            process_clock::now() + seconds(1));
+        });
+    return Answer.value_or(net::http_response());
+  }
+
   auto isServed(const parts &Parts) -> bool {
     const auto Answer = send(Parts);
     return Answer.Head.Status == 200 && Answer.Whole;
--- a/testing/pages/tests/pages_test.cpp
+++ b/testing/pages/tests/pages_test.cpp
@@ -66,8 +66,8 @@
     const auto Page = pageText("docs/OPERATIONS.md");
     for (const auto &Row : settingsTable()) {
       static const std::set<std::string_view> Sections = {
-          "instance", "gateway", "link",  "metrics", "store",
-          "retry",    "loads",   "drain", "log",     "controller"};
+          "instance", "gateway", "link", "metrics",    "store",     "retry",
+          "loads",    "drain",   "log",  "controller", "quarantine"};
       if (!Sections.contains(Row.Section))
         continue;
       const auto Cell =
