Settings: fractions of the retry budget, and times in seconds

The platform gives its bounds as whole numbers or fractions; the setting was a whole number, and the templates appended 000 to seconds, which turns a fraction into nonsense.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -36,7 +36,7 @@
   Options.Self = instance_name(Settings.Name);
   Options.DataCentre = data_centre_name(Settings.DataCentre);
   Options.Retries.Ratio = Settings.RetryRatio;
-  Options.Retries.Extra = static_cast<double>(Settings.RetryExtra);
+  Options.Retries.Extra = Settings.RetryExtra;
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
   Options.Quarantine.Crashes =
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <numeric>
 #include <optional>
@@ -97,6 +98,14 @@
          (Row.Unit.empty() ? "" : " " + std::string(Row.Unit));
 }
 
+/// Parses a number that is the whole of \p Text.
+template <typename number>
+auto parseWhole(std::string_view Text, number &Value) -> bool {
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  return Parsed.ec == std::errc() && Parsed.ptr == End;
+}
+
 /// Visitor of setting_slot that parses Text and stores it in Settings. It
 /// returns a description of the expected value if Text is invalid, else none.
 struct slot_writer {
@@ -116,23 +125,33 @@
 
   auto operator()(std::int64_t node_settings::*Slot) const
       -> std::optional<std::string> {
+    if (Row.Unit == "ms" && Text.ends_with('s'))
+      return storeSeconds(Slot);
     std::int64_t Value = 0;
-    const auto *End = Text.data() + Text.size();
-    const auto Parsed = std::from_chars(Text.data(), End, Value);
-    if (Parsed.ec != std::errc() || Parsed.ptr != End || !inRange(Row, Value))
+    if (!parseWhole(Text, Value) || !inRange(Row, Value))
       return "a whole number from " + rangeText(Row);
     Settings.*Slot = Value;
     return std::nullopt;
   }
 
+  auto storeSeconds(std::int64_t node_settings::*Slot) const
+      -> std::optional<std::string> {
+    constexpr double MsPerSecond = 1000;
+    double Value = 0;
+    const bool IsNumber = parseWhole(Text.substr(0, Text.size() - 1), Value);
+    const double Ms = std::round(Value * MsPerSecond);
+    if (!IsNumber || !(Ms >= static_cast<double>(Row.Min) &&
+                       Ms <= static_cast<double>(Row.Max)))
+      return "seconds within " + rangeText(Row);
+    Settings.*Slot = static_cast<std::int64_t>(Ms);
+    return std::nullopt;
+  }
+
   auto operator()(double node_settings::*Slot) const
       -> std::optional<std::string> {
     double Value = 0;
-    const auto *End = Text.data() + Text.size();
-    const auto Parsed = std::from_chars(Text.data(), End, Value);
-    if (Parsed.ec != std::errc() || Parsed.ptr != End ||
-        !(Value >= static_cast<double>(Row.Min) &&
-          Value <= static_cast<double>(Row.Max)))
+    if (!parseWhole(Text, Value) || !(Value >= static_cast<double>(Row.Min) &&
+                                      Value <= static_cast<double>(Row.Max)))
       return "a number from " + rangeText(Row);
     Settings.*Slot = Value;
     return std::nullopt;
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(parse_emptyOrCutOff_isRefused);
   CPPUNIT_TEST(parse_misspeltKey_namesLineAndNearest);
   CPPUNIT_TEST(parse_numberOutOfRange_namesRange);
+  CPPUNIT_TEST(parse_fractionOfTheRetryBudget_isTaken);
+  CPPUNIT_TEST(parse_timeInSeconds_isTaken);
   CPPUNIT_TEST(parse_wordOutsideChoices_namesChoices);
   CPPUNIT_TEST(parse_brokenSyntax_namesLine);
   CPPUNIT_TEST(print_defaults_parseBackToTheSame);
@@ -79,6 +81,27 @@
                    std::string::npos);
   }
 
+  auto parse_fractionOfTheRetryBudget_isTaken() -> void {
+    const auto Settings =
+        parseSettings("[retry]\nextra = 36.1764705882353\n", "f");
+    CPPUNIT_ASSERT(Settings.has_value());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(36.1764705882353, Settings.value().RetryExtra,
+                                 1e-9);
+  }
+
+  auto parse_timeInSeconds_isTaken() -> void {
+    const auto WindowOf = [](const std::string &Text) -> std::int64_t {
+      const auto Settings =
+          parseSettings("[retry]\nwindow_ms = " + Text + "\n", "f");
+      return Settings ? Settings.value().RetryWindowMs : -1;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7500}, WindowOf("7.5s"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{10000}, WindowOf("10s"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{10000}, WindowOf("10000"));
+    for (const auto *Text : {"s", "-1s", "7.5", "1e9s", "nans", "7.5ms", "1 s"})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, std::int64_t{-1}, WindowOf(Text));
+  }
+
   auto parse_wordOutsideChoices_namesChoices() -> void {
     const auto Settings = parseSettings("[instance]\nrole = chief\n", "f");
     CPPUNIT_ASSERT(!Settings.has_value());
