Gateways: a first part is not refused for two parts beside it

Two parts that crash targets, under one first part that comes rarely: after the third crash the first part alone has three, so sound requests with it were refused for the hold, and neither culprit was ever found, as all their requests have it. quarantine_test crashes_twoPartsUnderARareFirstPart fails on the code before.

A suspect is tried, one request at a time, if one or two others that the request does not have were there at all its crashes; before, only one that was quarantined itself. The first answer clears the first part everywhere, and the culprits are found with three crashes each. A culprit under many first parts is refused as before: theirs do not cover its crashes. Charges of requests that just waited beside an answer that had begun do not explain anything.

--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -87,8 +87,8 @@
 /// Whether a request may be sent, as far as its suspects decide it.
 enum class admission : std::uint8_t {
   Allowed,
-  /// Another suspect explains the crashes as well, and this request does not
-  /// have it: sent if no such request is in progress.
+  /// One or two other suspects explain the crashes as well, and this request
+  /// does not have them: sent if no such request is in progress.
   OneAtATime,
   Trial,  ///< The hold is over: one gateway may send one request.
   Refused ///< It has a quarantined suspect.
@@ -164,6 +164,11 @@
     [[nodiscard]] auto lastCrashAt() const -> time_point;
   };
 
+  /// True if the crash of \p Run counts against the suspect of \p Record: it
+  /// was not served since, and did not just wait beside an answer that had
+  /// begun.
+  [[nodiscard]] auto isCounted(const record &Record,
+                               const target_run &Run) const -> bool;
   /// Crashes at different times that are charged since the suspect was last
   /// served; with \p BegunOnly those under an answer that had begun.
   [[nodiscard]] auto countCrashes(const record &Record, bool BegunOnly) const
@@ -172,11 +177,11 @@
   [[nodiscard]] auto excessCrashes(const record &Record,
                                    const quarantine_policy &Policy) const
       -> std::optional<std::uint32_t>;
-  /// True if a suspect that is not among \p Suspects has all the crashes of \p
-  /// Suspect and is quarantined.
+  /// True if one or two suspects that are not among \p Suspects have all the
+  /// crashes of \p Suspect, of which there is one at least.
   [[nodiscard]] auto isExplained(const suspect &Suspect,
-                                 const std::set<suspect> &Suspects,
-                                 const quarantine_policy &Policy) const -> bool;
+                                 const std::set<suspect> &Suspects) const
+      -> bool;
   /// True if an answer had begun under some suspect when \p Run crashed.
   [[nodiscard]] auto hasBegunAnswer(const target_run &Run) const -> bool;
   /// Removes the suspect with the fewest crashes, if there are too many.
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -164,12 +164,19 @@
   });
 }
 
+auto crash_ledger::isCounted(const record &Record, const target_run &Run) const
+    -> bool {
+  const auto Found = Record.Charges.find(Run);
+  return Found != Record.Charges.end() && Found->second.At > Record.ServedAt &&
+         (Found->second.AnswerBegun || !hasBegunAnswer(Run));
+}
+
 auto crash_ledger::countCrashes(const record &Record, bool BegunOnly) const
     -> std::uint32_t {
   std::vector<time_point> Times;
   for (const auto &[Run, Charge] : Record.Charges)
-    if (Charge.At > Record.ServedAt &&
-        (Charge.AnswerBegun || (!BegunOnly && !hasBegunAnswer(Run))))
+    if (BegunOnly ? Charge.AnswerBegun && Charge.At > Record.ServedAt
+                  : isCounted(Record, Run))
       Times.push_back(Charge.At);
   std::sort(Times.begin(), Times.end());
   std::uint32_t Count = 0;
@@ -208,16 +215,34 @@
 }
 
 auto crash_ledger::isExplained(const suspect &Suspect,
-                               const std::set<suspect> &Suspects,
-                               const quarantine_policy &Policy) const -> bool {
-  const auto Crashes = crashesOf(Suspect);
-  return std::any_of(Records.begin(), Records.end(), [&](const auto &Known) {
-    if (Suspects.contains(Known.first) || !excessCrashes(Known.second, Policy))
-      return false;
-    const auto Others = crashesOf(Known.first);
-    return std::includes(Others.begin(), Others.end(), Crashes.begin(),
-                         Crashes.end());
-  });
+                               const std::set<suspect> &Suspects) const
+    -> bool {
+  const auto OthersAt = [&](const target_run &Run) {
+    std::vector<const record *> Others;
+    for (const auto &[Other, Record] : Records)
+      if (!Suspects.contains(Other) && isCounted(Record, Run))
+        Others.push_back(&Record);
+    return Others;
+  };
+  const auto RunsWithout = [&](std::set<target_run> Runs, const record &Other) {
+    std::erase_if(Runs, [&](const auto &Run) { return isCounted(Other, Run); });
+    return Runs;
+  };
+  const auto &Known = Records.at(Suspect);
+  auto Crashes = crashesOf(Suspect);
+  std::erase_if(Crashes,
+                [&](const auto &Run) { return !isCounted(Known, Run); });
+  if (Crashes.empty())
+    return false;
+  for (const auto *First : OthersAt(*Crashes.begin())) {
+    const auto Rest = RunsWithout(Crashes, *First);
+    if (Rest.empty())
+      return true;
+    for (const auto *Second : OthersAt(*Rest.begin()))
+      if (RunsWithout(Rest, *Second).empty())
+        return true;
+  }
+  return false;
 }
 
 auto crash_ledger::decide(const std::vector<suspect> &Suspects,
@@ -239,7 +264,7 @@
       HoldUntil = std::max(HoldUntil, Now + Policy.Hold);
     if (Now >= HoldUntil)
       Admission = admission::Trial;
-    else if (isExplained(Suspect, Known, Policy))
+    else if (isExplained(Suspect, Known))
       Admission = admission::OneAtATime;
     if (Admission > Verdict.Admission)
       Verdict = {Admission, Suspect, HoldUntil};
--- a/libs/serving/tests/quarantine_test.cpp
+++ b/libs/serving/tests/quarantine_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(crashes_sameRequestComesAgain_fewEnginesAreLost);
   CPPUNIT_TEST(crashes_firstPartIsShared_soundRequestsAreServed);
   CPPUNIT_TEST(crashes_rareFirstPart_isTriedAndServed);
+  CPPUNIT_TEST(crashes_twoPartsUnderARareFirstPart_isTriedAndServed);
   CPPUNIT_TEST(crashes_everyGatewayIsRestartedInTurn_staysQuarantined);
   CPPUNIT_TEST(crashes_ofHalfOfTheEngines_quarantineNothing);
   CPPUNIT_TEST(crashes_ofSingleEngines_quarantineNothing);
@@ -165,6 +166,29 @@
       CPPUNIT_ASSERT(Fleet.quarantined(I) == std::vector<suspect>{CulpritPart});
   }
 
+  auto crashes_twoPartsUnderARareFirstPart_isTriedAndServed() -> void {
+    constexpr std::uint64_t Second = 0xd2;
+    crash_fleet Fleet(4, 18);
+    Fleet.CrashParts = {Culprit, Second};
+    for (const auto Part : {Culprit, Second, Culprit}) {
+      Fleet.send(Part % 4, {System, Part});
+      Fleet.run(milliseconds(400));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Fleet.CrashCount);
+    const auto Sound = Fleet.send(3, {System, 0xc00});
+    Fleet.run(seconds(1));
+    CPPUNIT_ASSERT(Fleet.Served.contains(Sound));
+    for (std::size_t I = 0; I < 20; ++I) {
+      Fleet.send(I % 4, {System, I % 2 == 0 ? Culprit : Second});
+      Fleet.send(I % 4, {System, 0xc00});
+      Fleet.run(milliseconds(400));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Fleet.CrashCount) + " crashes",
+                           Fleet.CrashCount <= 7);
+    for (std::size_t I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Fleet.quarantined(I).size());
+  }
+
   auto crashes_everyGatewayIsRestartedInTurn_staysQuarantined() -> void {
     crash_fleet Fleet(4, 18);
     quarantineCulprit(Fleet);
