Loads: only a load that was ordered is charged with a crash

Controllers say in their answer whether they have ordered the load, and answer after 0.6 s without a report of a target that was loading, instead of at the end of the job's time. Only such a load is charged. A reset of the connection that checks a target is no proof any more that nothing listens there: a full target resets as well.

loads_targetHadCrashedBefore_areNotCharged fails without the condition; load_targetCrashesOnIt_isCharged goes through a controller.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -17,6 +17,8 @@
 /// The target is on the same machine.
 constexpr duration ReportTimeout = milliseconds(500);
 constexpr duration OrderTimeout = milliseconds(1000);
+/// Time without a report after which a target that was loading is given up.
+constexpr duration TargetLostTime = milliseconds(600);
 /// Delays between reports while an order is executed: an adapter takes some
 /// milliseconds, a model some hundred or more.
 constexpr duration AdapterReportDelay = milliseconds(6);
@@ -270,6 +272,8 @@
     co_await Timer->async_wait(net::storeError(Cancelled));
   }
   Response.Head.Status = Job->Held ? StatusOk : StatusUnavailable;
+  if (Job->LoadOrdered)
+    Response.Head.Fields.push_back({LoadOrderedField, "1"});
   if (Published.Sequence > 0)
     Response.Body = encodeLink(Published);
   co_return Response;
@@ -402,12 +406,18 @@
   const auto ReportDelay = ForAdapter ? AdapterReportDelay : ModelReportDelay;
   if (ForAdapter)
     LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
+  auto LastReportAt = process_clock::now();
   while (!Job->Done && process_clock::now() < Deadline) {
     const auto Report = co_await readReport(Queue);
+    // It may have crashed on the load.
+    if (!Report && Job->LoadOrdered &&
+        process_clock::now() - LastReportAt >= TargetLostTime)
+      co_return false;
     if (!Report || findEngine() == nullptr) {
       co_await net::sleepFor(ReportDelay);
       continue;
     }
+    LastReportAt = process_clock::now();
     const auto Step = nextStep(*findEngine(), *Report, Job->Job, LastUsed);
     if (Step.Kind == step_kind::Held && !Report->Leaves)
       co_return true;
@@ -445,6 +455,10 @@
     const auto Outcome = co_await sendOrder(*Job, Step, Report->Sequence);
     if (Outcome == order_end::WrongTarget)
       co_return false;
+    const bool IsLoad =
+        Step.Kind == step_kind::Load || Step.Kind == step_kind::LoadAdapter;
+    Job->LoadOrdered |= IsLoad && (Outcome == order_end::Accepted ||
+                                   Outcome == order_end::Unknown);
     if (Outcome == order_end::Accepted)
       recordUnloadOrder(Step, *Report);
     co_await net::sleepFor(ReportDelay);
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -46,7 +46,8 @@
     target_name Target;
     bool Done = false;
     bool OrderSent = false;
-    bool Held = false; ///< The target holds the model or adapter.
+    bool LoadOrdered = false; ///< The target may have begun to load it.
+    bool Held = false;        ///< The target holds the model or adapter.
     /// Cancelled when the job is done.
     std::vector<std::shared_ptr<net::asio::steady_timer>> Waiters;
   };
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -307,7 +307,10 @@
   // The body lists what the target holds, also when the load failed.
   if (Response && !Response->Body.empty())
     handleLinkMessage(Response->Body);
-  dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held});
+  const bool Ordered =
+      Response && net::hasField(Response->Head.Fields, LoadOrderedField);
+  dispatch(load_answered{Effect.Target, Effect.Model, Effect.Adapter, Held,
+                         Ordered});
 }
 
 auto gateway_node::runTicks() -> awaitable<void> {
--- a/apps/limpetbridge/src/serving/link_codec.h
+++ b/apps/limpetbridge/src/serving/link_codec.h
@@ -41,6 +41,9 @@
   std::map<serving::adapter_key, std::int64_t> AdapterAgesMs;
 };
 
+/// In the answer to a load request: the target was ordered to load it.
+inline constexpr const char *LoadOrderedField = "Load-Ordered";
+
 [[nodiscard]] auto encodeLoad(const load_request &Request) -> std::string;
 [[nodiscard]] auto decodeLoad(std::string_view Bytes) -> result<load_request>;
 
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -39,8 +39,8 @@
   auto connect(const std::string &Address, time_point Deadline)
       -> awaitable<bool>;
 
-  /// True if the peer refused or reset the connection that connect tried to
-  /// open: its machine is there, and nothing listens.
+  /// True if the peer refused the connection that connect tried to open: its
+  /// machine is there, and nothing listens.
   [[nodiscard]] auto isRefused() const -> bool;
 
   /// Starts to send \p Bytes. The response may be read meanwhile, since a
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -50,8 +50,7 @@
 }
 
 auto target_connection::isRefused() const -> bool {
-  return ConnectError == asio::error::connection_refused ||
-         ConnectError == asio::error::connection_reset;
+  return ConnectError == asio::error::connection_refused;
 }
 
 auto target_connection::startSend(std::string Bytes) -> void {
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -182,6 +182,8 @@
   model_name Model;
   std::string Adapter;
   bool Loaded = false; ///< The target holds it now.
+  /// The controller has ordered it, so the target was there when it began.
+  bool Ordered = false;
 };
 
 /// Demand for one model.
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -23,8 +23,8 @@
 /// Crashes on a load from which on it is held back: targets also crash for
 /// other reasons, and a load takes seconds. The hold grows by a factor up to a
 /// limit.
-constexpr std::size_t LoadCrashes = 2;
-constexpr duration LoadHold = seconds(2);
+constexpr std::size_t LoadCrashes = 3;
+constexpr duration LoadHold = seconds(10);
 constexpr int LoadHoldGrowth = 4;
 constexpr duration MaxLoadHold = seconds(120);
 /// Suspects that are kept, and the latest crashes of one of them.
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -297,7 +297,7 @@
       HeldModel.Adapters.insert(Event.Adapter);
     recordLoaded(Step, Event.Model, Event.Adapter);
   }
-  if (Entry != nullptr && !Event.Loaded)
+  if (Entry != nullptr && !Event.Loaded && Event.Ordered)
     noteFailedLoad(Step, *Entry, Event.Model, Event.Adapter);
   addLogEntry(Step, Event.Loaded ? log_level::Info : log_level::Warning,
               "load_answered",
@@ -305,6 +305,7 @@
                {"model", Event.Model.Text},
                {"adapter", Event.Adapter},
                {"held", Event.Loaded ? "true" : "false"},
+               {"ordered", Event.Ordered ? "true" : "false"},
                {"suspect", Event.Loaded ? std::string()
                                         : toString(loadSuspect(
                                               Event.Model, Event.Adapter))}});
@@ -321,7 +322,7 @@
     return;
   std::vector<load_answered> Failed;
   for (const auto &Load : Found->second)
-    Failed.push_back({Target, Load.Model, Load.Adapter, false});
+    Failed.push_back({Target, Load.Model, Load.Adapter, false, false});
   for (const auto &FailedLoad : Failed)
     handle(Step, FailedLoad);
 }
@@ -331,7 +332,7 @@
   for (const auto &[Target, Loads] : Step.State.PendingLoads)
     for (const auto &Load : Loads)
       if (Load.Deadline <= Step.Now)
-        Overdue.push_back({Target, Load.Model, Load.Adapter, false});
+        Overdue.push_back({Target, Load.Model, Load.Adapter, false, false});
   for (const auto &OverdueLoad : Overdue)
     handle(Step, OverdueLoad);
 }
--- a/libs/serving/tests/quarantine_test.cpp
+++ b/libs/serving/tests/quarantine_test.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(loads_modelCrashesItsTargets_fewEnginesAreLost);
   CPPUNIT_TEST(loads_adapterCrashesItsTargets_fewEnginesAreLost);
   CPPUNIT_TEST(loads_adapterIsHeldElsewhere_isServedThere);
+  CPPUNIT_TEST(loads_targetHadCrashedBefore_areNotCharged);
   CPPUNIT_TEST(loads_modelIsRepaired_isLoadedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -392,6 +393,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Fleet.CrashCount);
   }
 
+  auto loads_targetHadCrashedBefore_areNotCharged() -> void {
+    for (const bool Ordered : {false, true}) {
+      crash_fleet Fleet(1, 6);
+      for (int I = 0; I < 3; ++I) {
+        const auto Name = Fleet.aliveEngines().front();
+        Fleet.crash(Name);
+        Fleet.dispatch(
+            0, load_answered{Name, model_name("a"), "x", false, Ordered});
+        Fleet.run(milliseconds(200));
+      }
+      const auto HeldUntil = Fleet.Gateways[0]->State.Crashes.loadHeldUntil(
+          loadSuspect(model_name("a"), "x"));
+      CPPUNIT_ASSERT_EQUAL(Ordered, Fleet.Now < HeldUntil);
+    }
+  }
+
   auto loads_modelIsRepaired_isLoadedAgain() -> void {
     crash_fleet Fleet(4, 18);
     Fleet.CrashLoads = {"c"};
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -181,9 +181,12 @@
   const auto Timer =
       std::make_shared<net::asio::steady_timer>(Context, milliseconds(LoadMs));
   Timer->async_wait([this, Timer, Order](net::error_code Error) {
-    if (Error)
+    if (Error || Crashed)
       return;
     Busy = false;
+    if (Order.at("operation") == "model_loading" &&
+        CrashLoads.contains(Order.at("model")))
+      return crash();
     if (Order.at("operation") == "model_loading")
       Models.insert(Order.at("model"));
     else
--- a/testing/emulator/tests/controller_path_test.cpp
+++ b/testing/emulator/tests/controller_path_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(controller_path_test);
   CPPUNIT_TEST(load_missingModel_isOrderedAndServed);
   CPPUNIT_TEST(load_noRoom_unloadsAnotherModelFirst);
+  CPPUNIT_TEST(load_targetCrashesOnIt_isCharged);
   CPPUNIT_TEST(metrics_afterOrders_countThem);
   CPPUNIT_TEST(restart_fencingToken_rises);
   CPPUNIT_TEST_SUITE_END();
@@ -59,6 +60,15 @@
     }));
   }
 
+  auto load_targetCrashesOnIt_isCharged() -> void {
+    Fleet->Outside.call([&] { return Engine->CrashLoads.insert("b").second; });
+    CPPUNIT_ASSERT(!served("b"));
+    CPPUNIT_ASSERT(eventually([&] { return Fleet->metric("suspects") == 1; }));
+    const auto Page =
+        Fleet->get(Fleet->Gateway->metricsAddress(), "/quarantine");
+    CPPUNIT_ASSERT(Page && Page->Body.find("\"load:") != std::string::npos);
+  }
+
   auto metrics_afterOrders_countThem() -> void {
     CPPUNIT_ASSERT(served("b"));
     const auto Page =
