--- a/testing/emulator/tests/crashing_prompt_test.cpp
+++ b/testing/emulator/tests/crashing_prompt_test.cpp
@@ -148,8 +148,8 @@
   /// Adds an engine, which another one replaces after its crash. To be called
   /// on the thread of the emulators.
   auto addEngine() -> int {
-    constexpr duration RowLease = milliseconds(1000);
-    constexpr duration RestartTime = milliseconds(600);
+    static constexpr duration RowLease = milliseconds(1000);
+    static constexpr duration RestartTime = milliseconds(600);
     const auto Id = "e" + std::to_string(++LastEngine);
     auto &Context = Fleet->Outside.Context;
     auto &Engine = *(Fleet->Workers[Id] = std::make_unique<worker_emulator>(
