Gateways: a quarantine that one gateway needs is not forgotten by the others

A quarantined suspect is kept while requests are refused for it, but only the gateway that refused them knew. After an hour the others forgot it and learned it again with the next message, ten times a second, with a line in the log each time. Reports carry the age of the last refusal now; expire_refusedByAnotherGateway_isKept fails without it.

--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -90,8 +90,8 @@
     for (const auto &Charge : Item.Charges)
       Charges.push_back({Charge.Run.Target.Text, Charge.Run.Incarnation,
                          Charge.AgeMs, Charge.AnswerBegun});
-    Suspects.push_back(
-        {toString(Item.Suspect), Item.ServedAgeMs, std::move(Charges)});
+    Suspects.push_back({toString(Item.Suspect), Item.ServedAgeMs,
+                        Item.RefusedAgeMs, std::move(Charges)});
   }
   return {{KindKey, "crashes"}, {"f", Report.From.Text}, {"s", Suspects}};
 }
@@ -112,7 +112,8 @@
     suspect_report Known;
     Known.Suspect = *Suspect;
     Known.ServedAgeMs = decodeAge(Item.at(1));
-    for (const auto &Charge : Item.at(2))
+    Known.RefusedAgeMs = decodeAge(Item.at(2));
+    for (const auto &Charge : Item.at(3))
       Known.Charges.push_back(
           {{target_name(Charge.at(0).get<std::string>()),
             Charge.at(1).get<std::uint64_t>()},
--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -70,6 +70,7 @@
   };
   suspect Suspect;
   std::int64_t ServedAgeMs = -1; ///< Below 0: not served since the first crash.
+  std::int64_t RefusedAgeMs = -1; ///< Below 0: no request was refused for it.
   std::vector<charge> Charges;
 };
 
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -138,6 +138,8 @@
   if (Report.ServedAgeMs >= 0)
     Changed |=
         markServed(Report.Suspect, Now - milliseconds(Report.ServedAgeMs));
+  if (Report.RefusedAgeMs >= 0)
+    markRefused(Report.Suspect, Now - milliseconds(Report.RefusedAgeMs));
   return Changed;
 }
 
@@ -151,6 +153,8 @@
   const auto &Record = Found->second;
   if (Record.ServedAt != time_point::min())
     Report.ServedAgeMs = toMilliseconds(Now - Record.ServedAt);
+  if (Record.RefusedAt != time_point::min())
+    Report.RefusedAgeMs = toMilliseconds(Now - Record.RefusedAt);
   for (const auto &[Run, Charge] : Record.Charges)
     Report.Charges.push_back(
         {Run, toMilliseconds(Now - Charge.At), Charge.AnswerBegun});
--- a/libs/serving/tests/crash_ledger_test.cpp
+++ b/libs/serving/tests/crash_ledger_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(decide_afterTheHold_triesOne);
   CPPUNIT_TEST(decide_afterFurtherCrashes_holdsLongerAndThenForGood);
   CPPUNIT_TEST(expire_quarantinedSuspectThatStillComes_isKept);
+  CPPUNIT_TEST(expire_refusedByAnotherGateway_isKept);
   CPPUNIT_TEST(expire_suspect_isForgotten);
   CPPUNIT_TEST(charge_manySuspects_keepsTheQuarantined);
   CPPUNIT_TEST(merge_reportOfTheOther_quarantinesAsWell);
@@ -155,6 +156,19 @@
     CPPUNIT_ASSERT(Ledger.empty());
   }
 
+  auto expire_refusedByAnotherGateway_isKept() -> void {
+    crash({Culprit}, 5);
+    crash_ledger Peer;
+    Peer.merge(Ledger.report(Culprit, Now), Now);
+    for (int I = 0; I < 10; ++I) {
+      Now += seconds(1800);
+      Peer.markRefused(Culprit, Now);
+      Ledger.merge(Peer.report(Culprit, Now), Now);
+      Ledger.expire(Policy, Now);
+      CPPUNIT_ASSERT(admissionOf({Culprit}) == admission::Refused);
+    }
+  }
+
   auto expire_suspect_isForgotten() -> void {
     crash({Culprit}, 2);
     crash({Other}, 1);
--- a/testing/emulator/tests/crash_report_test.cpp
+++ b/testing/emulator/tests/crash_report_test.cpp
@@ -27,6 +27,7 @@
     const auto &Suspect = Report.Suspects.at(0);
     CPPUNIT_ASSERT(Suspect.Suspect == (suspect{suspect_kind::Part, 0xd1}));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, Suspect.ServedAgeMs);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{70}, Suspect.RefusedAgeMs);
     const auto &Charge = Suspect.Charges.at(0);
     CPPUNIT_ASSERT(Charge.Run ==
                    (target_run{target_name("i-0123456789"), 1771104970931}));
@@ -51,7 +52,8 @@
     for (const auto Age : {INT64_MIN, std::int64_t{-5}, INT64_MAX}) {
       auto Json = parseMessagePack(encodeLink(makeReport(1, 1))).value();
       Json["s"][0][1] = Age;
-      Json["s"][0][2][0][2] = Age;
+      Json["s"][0][2] = Age;
+      Json["s"][0][3][0][2] = Age;
       const auto Report = decode(toMessagePack(Json));
       crash_ledger Ledger;
       Ledger.merge(Report.Suspects.at(0), time_point(seconds(1)));
@@ -73,6 +75,7 @@
     for (std::size_t I = 0; I < Suspects; ++I) {
       suspect_report Suspect;
       Suspect.Suspect.Id = 0xd1 + I;
+      Suspect.RefusedAgeMs = 70;
       for (std::size_t J = 0; J < Charges; ++J)
         Suspect.Charges.push_back(
             {{target_name("i-0123456789"), 1771104970931 + J}, 250, true});
