--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -107,8 +107,8 @@
 /// Definitions of all settings, in the order of `--print-settings`.
 [[nodiscard]] auto settingsTable() -> std::span<const setting_row>;
 
-/// Parses the settings in \p Text. A time in ms may also be given in seconds, as
-/// a number followed by `s`. Error messages name \p File as its source.
+/// Parses the settings in \p Text. A time in ms may also be given in seconds,
+/// as a number followed by `s`. Error messages name \p File as its source.
 /// \returns UnknownSetting, InvalidSetting or FileUnreadable with file, line
 /// and key in the detail. A text without a section or without a line end at its
 /// end is refused as FileUnreadable: the file is empty or was cut off.
