--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -157,7 +157,8 @@
 private:
   struct record {
     std::map<target_run, crash_charge> Charges;
-    time_point ServedAt = time_point::min(); ///< That if it was not served.
+    /// When it was last served and last refused; the minimum if it was not.
+    time_point ServedAt = time_point::min();
     time_point RefusedAt = time_point::min();
 
     /// True if a crash is charged since the suspect was last served.
