--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -80,8 +80,8 @@
   /// quarantined; 0: never. Two more if no answer had begun.
   std::uint32_t Crashes = 3;
   /// Time from the last crash until one request with the suspect is tried. It
-  /// doubles with each further crash; after the second one that a trial caused,
-  /// only an operator or time lifts the quarantine.
+  /// doubles with each further crash; from the second further one on, only an
+  /// operator or time lifts the quarantine.
   duration Hold = seconds(120);
 };
 
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -18,8 +18,8 @@
 /// Crashes beyond the policy's that are needed without any answer that had
 /// begun.
 constexpr std::uint32_t MoreWithoutAnswer = 2;
-/// Crashes by trials after which no further request is tried.
-constexpr std::uint32_t MaxTrials = 2;
+/// Crashes beyond the policy's from which on no request is tried.
+constexpr std::uint32_t MaxExcessCrashes = 2;
 /// Crashes on a load from which on it is held back: targets also crash for
 /// other reasons, and a load takes seconds. The hold grows by a factor up to a
 /// limit.
@@ -38,7 +38,7 @@
 
 auto holdOf(const quarantine_policy &Policy, std::uint32_t ExcessCrashes)
     -> duration {
-  return Policy.Hold * (1U << std::min(ExcessCrashes, MaxTrials));
+  return Policy.Hold * (1U << std::min(ExcessCrashes, MaxExcessCrashes));
 }
 
 } // namespace
@@ -264,7 +264,7 @@
       continue;
     auto HoldUntil = Record.lastCrashAt() + holdOf(Policy, *Excess);
     auto Admission = admission::Refused;
-    if (*Excess >= MaxTrials)
+    if (*Excess >= MaxExcessCrashes)
       HoldUntil = std::max(HoldUntil, Now + Policy.Hold);
     if (Now >= HoldUntil)
       Admission = admission::Trial;
