Gateways: logs tell lag, lost digests, failed calls and the age of the view

Cause: of two gateways that knew of leaving targets seconds after their neighbours, no log said whether they lacked processor time or packets, what their own calls to the store did, or how old their view was when they sent.

Metrics loop_delay_ms and digests_lost.

No decision changes.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -100,6 +100,7 @@
   LinkSocket = std::make_unique<net::datagram_socket>(
       Context, Settings.LinkAddress,
       [this](const std::string & /*From*/, std::string_view Bytes) {
+        Loop.countDatagram();
         handleLinkMessage(Bytes);
       });
 }
@@ -260,6 +261,8 @@
               static_cast<std::int64_t>(State.Configuration.Version));
   Metrics.set("reads_targets", State.ReadsTargets ? 1 : 0);
   Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
+  Metrics.set("loop_delay_ms", Loop.lastDelayMs());
+  Metrics.set("digests_lost", static_cast<std::int64_t>(State.LostDigests));
   Metrics.set("gateways_heard",
               static_cast<std::int64_t>(State.PeerDigestTimes.size()));
   Metrics.set("suspects",
@@ -315,11 +318,32 @@
 
 auto gateway_node::runTicks() -> awaitable<void> {
   for (;;) {
+    const auto Due = process_clock::now() + TickInterval;
     co_await net::sleepFor(TickInterval);
+    if (const auto Report = Loop.recordTimer(Due, process_clock::now()))
+      logLag(*Report);
     dispatch(tick{KnowledgeSync.TargetsVersion()});
   }
 }
 
+auto gateway_node::logLag(const loop_report &Report) -> void {
+  /// Delay from which on a report is logged, ms.
+  constexpr std::int64_t NotableDelayMs = 50;
+  const auto LostDigests =
+      State.LostDigests - std::exchange(LostDigestsLogged, State.LostDigests);
+  if (Report.LongestDelayMs < NotableDelayMs && LostDigests == 0)
+    return;
+  const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
+  log(log_level::Info, "loop_lag",
+      {{"delay_ms", std::to_string(Report.LongestDelayMs)},
+       {"busy_ms", std::to_string(Report.BusyMs)},
+       {"datagrams", std::to_string(Report.Datagrams)},
+       {"digests_lost", std::to_string(LostDigests)},
+       {"peers", std::to_string(State.PeerDigestTimes.size())},
+       {"targets_age_ms", std::to_string(toMilliseconds(TargetsAge))},
+       {"requests", std::to_string(State.Requests.size())}});
+}
+
 auto gateway_node::connectionLimits() const -> net::connection_limits {
   const auto &Limits = State.Configuration.Limits;
   return {Limits.HeaderBytes, Limits.BodyBytes, Limits.HeaderTimeoutMs,
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -8,6 +8,7 @@
 #include "base/settings.h"
 #include "gateway_hooks.h"
 #include "gateway_request.h"
+#include "loop_monitor.h"
 #include "net/server.h"
 #include "net/target_connection.h"
 #include "serving/gateway.h"
@@ -100,6 +101,8 @@
                       const net::call_handler &Handler)
       -> std::unique_ptr<net::listener>;
   auto handleLinkMessage(std::string_view Bytes) -> void;
+  /// Logs \p Report if this process lags behind or has lost digests.
+  auto logLag(const loop_report &Report) -> void;
   /// Dispatches a tick at a fixed interval.
   auto runTicks() -> net::awaitable<void>;
   /// Drains: fails the readiness check, waits for the load balancer, then
@@ -141,6 +144,8 @@
   /// Queries of other gateways that wait for changes; cancelled to check again.
   std::vector<std::shared_ptr<net::asio::steady_timer>> WaitingQueries;
   metrics Metrics;
+  loop_monitor Loop{process_clock::now()};
+  std::uint64_t LostDigestsLogged = 0;
   std::unique_ptr<net::datagram_socket> LinkSocket;
 };
 
--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -47,6 +47,8 @@
   Request.Body = KnowledgeSync.BuildQuery();
   const net::asio::any_io_executor Executor = Context.get_executor();
   const bool Waits = Query.WaitMs > 0;
+  const auto AskedAt = process_clock::now();
+  auto Stage = net::exchange_stage::Connecting;
   std::optional<net::http_response> Response;
   if (Waits) {
     Request.Fields.push_back({WaitField, std::to_string(Query.WaitMs)});
@@ -55,11 +57,17 @@
           std::make_shared<net::persistent_client>(Executor, Query.Address);
     TargetReaderAddress = Query.Address;
     const auto Client = TargetReader;
-    Response = co_await Client->fetch(Request, Query.Deadline);
+    Response = co_await Client->fetch(Request, Query.Deadline, Stage);
   } else {
-    Response =
-        co_await net::fetch(Executor, Query.Address, Request, Query.Deadline);
+    Response = co_await net::fetch(Executor, Query.Address, Request,
+                                   Query.Deadline, Stage);
   }
+  if (!Response)
+    log(log_level::Warning, "peer_without_answer",
+        {{"peer", Query.Address},
+         {"stage", std::string(net::nameOf(Stage))},
+         {"took_ms",
+          std::to_string(toMilliseconds(process_clock::now() - AskedAt))}});
   const bool Answered = applyPeerAnswer(Query.Address, Response);
   const auto Age =
       Answered ? net::findField(Response->Head.Fields, TargetsReadAgeField)
@@ -70,10 +78,12 @@
 auto gateway_node::applyPeerAnswer(
     const std::string &PeerAddress,
     const std::optional<net::http_response> &Response) -> bool {
-  if (!Response || Response->Head.Status != StatusOk) {
-    log(log_level::Warning, "peer_without_answer",
+  if (!Response)
+    return false;
+  if (Response->Head.Status != StatusOk) {
+    log(log_level::Warning, "peer_refused_query",
         {{"peer", PeerAddress},
-         {"status", std::to_string(Response ? Response->Head.Status : 0)}});
+         {"status", std::to_string(Response->Head.Status)}});
     return false;
   }
   const auto NewRows = KnowledgeSync.MergeAnswer(Response->Body);
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -46,6 +46,7 @@
   return {{KindKey, "digest"},
           {"f", Digest.From.Text},
           {"a", Digest.Address},
+          {"n", Digest.Sequence},
           {"l", Loads},
           {"d", Demand},
           {"p", Prefixes},
@@ -128,6 +129,7 @@
   gateway_digest Digest;
   Digest.From = instance_name(Object.at("f").get<std::string>());
   Digest.Address = Object.at("a").get<std::string>();
+  Digest.Sequence = Object.value("n", std::uint64_t{0});
   for (const auto &Item : Object.at("l"))
     Digest.Loads[target_name(Item.at(0).get<std::string>())] = {
         Item.at(1).get<std::array<double, RankCount>>(),
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -26,6 +26,17 @@
   Broken ///< The connection ended early or the message is malformed.
 };
 
+/// What an exchange was waiting for when it ended.
+enum class exchange_stage : std::uint8_t {
+  Connecting,
+  AwaitingHead,
+  ReadingBody,
+  Complete ///< The whole response was read.
+};
+
+/// Name of the stage in logs.
+[[nodiscard]] auto nameOf(exchange_stage Stage) -> std::string_view;
+
 /// One exchange, or several in sequence with a peer that is trusted to respond
 /// in order. To be used on its io_context's thread only.
 class target_connection
@@ -108,7 +119,10 @@
 
   /// Sends \p Request and reads the complete response. If the peer has closed
   /// the connection meanwhile, this call fails and the next one reconnects.
+  /// \param Stage set to the last stage of the exchange.
   /// \returns none if there was no complete response before \p Deadline.
+  auto fetch(const http_request &Request, time_point Deadline,
+             exchange_stage &Stage) -> awaitable<std::optional<http_response>>;
   auto fetch(const http_request &Request, time_point Deadline)
       -> awaitable<std::optional<http_response>>;
 
@@ -119,7 +133,11 @@
 };
 
 /// Sends \p Request to \p Address on a new connection and reads the complete
-/// response. \returns none if there was none before \p Deadline.
+/// response. \param Stage set to the last stage of the exchange.
+/// \returns none if there was none before \p Deadline.
+auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
+           const http_request &Request, time_point Deadline,
+           exchange_stage &Stage) -> awaitable<std::optional<http_response>>;
 auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
            const http_request &Request, time_point Deadline)
     -> awaitable<std::optional<http_response>>;
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -25,6 +25,20 @@
 
 } // namespace
 
+auto nameOf(exchange_stage Stage) -> std::string_view {
+  switch (Stage) {
+  case exchange_stage::Connecting:
+    return "connecting";
+  case exchange_stage::AwaitingHead:
+    return "awaiting_head";
+  case exchange_stage::ReadingBody:
+    return "reading_body";
+  case exchange_stage::Complete:
+    return "complete";
+  }
+  return "connecting";
+}
+
 target_connection::target_connection(const asio::any_io_executor &Executor)
     : Socket(Executor), Timer(Executor) {}
 
@@ -146,8 +160,10 @@
 /// Sends \p Request on an open \p Connection and reads the response.
 auto sendAndReceive(std::shared_ptr<target_connection> Connection,
                     const asio::any_io_executor &Executor,
-                    const http_request &Request, time_point Deadline)
+                    const http_request &Request, time_point Deadline,
+                    exchange_stage &Stage)
     -> awaitable<std::optional<http_response>> {
+  Stage = exchange_stage::AwaitingHead;
   asio::steady_timer Timer(Executor, toSteadyTime(Deadline));
   Timer.async_wait([Weak = std::weak_ptr(Connection)](error_code Error) {
     if (const auto This = Weak.lock(); This && !Error)
@@ -157,6 +173,7 @@
   const auto Head = co_await Connection->readResponseHead();
   if (!Head)
     co_return std::nullopt;
+  Stage = exchange_stage::ReadingBody;
   http_response Response{*Head, {}};
   auto ReadResult = body_read::Data;
   while (ReadResult == body_read::Data &&
@@ -164,6 +181,7 @@
     ReadResult = co_await Connection->readBody(Response.Body);
   if (ReadResult != body_read::End)
     co_return std::nullopt;
+  Stage = exchange_stage::Complete;
   co_return Response;
 }
 
@@ -172,18 +190,34 @@
 auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
            const http_request &Request, time_point Deadline)
     -> awaitable<std::optional<http_response>> {
+  exchange_stage Ignored{};
+  co_return co_await fetch(Executor, Address, Request, Deadline, Ignored);
+}
+
+auto fetch(const asio::any_io_executor &Executor, const std::string &Address,
+           const http_request &Request, time_point Deadline,
+           exchange_stage &Stage) -> awaitable<std::optional<http_response>> {
+  Stage = exchange_stage::Connecting;
   const auto Connection = std::make_shared<target_connection>(Executor);
   const bool Connected = co_await Connection->connect(Address, Deadline);
   if (!Connected)
     co_return std::nullopt;
   auto Response =
-      co_await sendAndReceive(Connection, Executor, Request, Deadline);
+      co_await sendAndReceive(Connection, Executor, Request, Deadline, Stage);
   Connection->close();
   co_return Response;
 }
 
 auto persistent_client::fetch(const http_request &Request, time_point Deadline)
     -> awaitable<std::optional<http_response>> {
+  exchange_stage Ignored{};
+  co_return co_await fetch(Request, Deadline, Ignored);
+}
+
+auto persistent_client::fetch(const http_request &Request, time_point Deadline,
+                              exchange_stage &Stage)
+    -> awaitable<std::optional<http_response>> {
+  Stage = exchange_stage::Connecting;
   if (!Connection || !Connection->isReusable()) {
     if (Connection)
       Connection->close();
@@ -195,7 +229,7 @@
     }
   }
   auto Response =
-      co_await sendAndReceive(Connection, Executor, Request, Deadline);
+      co_await sendAndReceive(Connection, Executor, Request, Deadline, Stage);
   if (!Response) {
     Connection->close();
     Connection.reset();
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -97,6 +97,9 @@
   std::map<target_name, std::vector<pending_load>> PendingLoads;
   std::map<instance_name, std::map<target_name, model_change>> PeerPendingLoads;
   std::map<instance_name, time_point> PeerDigestTimes; ///< Of the last one.
+  std::map<instance_name, std::uint64_t> PeerDigestSequences;
+  std::uint64_t LostDigests = 0;    ///< Of those that peers have sent.
+  std::uint64_t DigestSequence = 0; ///< Of the last own one.
   /// Prompt parts and adapter uses that are not in a digest yet.
   std::map<std::pair<target_name, prefix_key>, std::uint32_t> UnsentPrefixes;
   std::set<std::pair<target_name, adapter_key>> UnsentAdapterUse;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -206,6 +206,8 @@
 struct gateway_digest {
   instance_name From;
   std::string Address; ///< Of the sender, ip:port.
+  /// Number of the digest since the sender started; 0 if it sends none.
+  std::uint64_t Sequence = 0;
   std::map<target_name, target_load> Loads;
   model_rates Demand;
   /// Prompt parts sent to targets since the previous digest.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -99,6 +99,17 @@
   return true;
 }
 
+/// Counts the digests of the sender that did not arrive.
+auto countLostDigests(const gateway_step &Step, const gateway_digest &Event)
+    -> void {
+  auto &State = Step.State;
+  auto &Last = State.PeerDigestSequences[Event.From];
+  // A lower number comes from a process that has started since, or late.
+  if (Last > 0 && Event.Sequence > Last)
+    State.LostDigests += Event.Sequence - Last - 1;
+  Last = Event.Sequence;
+}
+
 /// Removes the gateways whose digests have stopped, with all that they
 /// reported: the loads that they requested may never complete.
 auto expirePeers(const gateway_step &Step) -> void {
@@ -110,6 +121,7 @@
       SilentPeers.push_back(Peer);
   for (const auto &Peer : SilentPeers) {
     State.PeerDigestTimes.erase(Peer);
+    State.PeerDigestSequences.erase(Peer);
     State.PeerPendingLoads.erase(Peer);
     State.PeerStatuses.erase(Peer);
     State.Demand.removePeer(Peer);
@@ -247,6 +259,7 @@
   auto &State = Step.State;
   if (Event.From == State.Options.Self)
     return;
+  countLostDigests(Step, Event);
   State.Book.setPeerLoads(Event.From, Event.Loads);
   State.Demand.setPeerRates(Event.From, Event.Demand);
   auto &Loading = State.PeerPendingLoads[Event.From];
@@ -335,6 +348,7 @@
   auto &Digest = Effect.Digest;
   Digest.From = State.Options.Self;
   Digest.Address = State.Options.Address;
+  Digest.Sequence = ++State.DigestSequence;
   Digest.Configuration = State.Configuration.Version;
   Digest.StoreReachable = State.StoreReachable;
   Digest.DataCentre = State.Options.DataCentre;
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -123,6 +123,8 @@
        {"read_ms", std::to_string(static_cast<int>(Pick.PrefillMs))},
        {"output_tokens", std::to_string(Request.Call.Prompt.MaxOutputTokens)},
        {"target_sequence", std::to_string(Entry->Target.Sequence)},
+       {"targets_age_ms",
+        std::to_string(toMilliseconds(Step.Now - Step.State.TargetsKnownAt))},
        {"waited_ms",
         std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
 }
