Gateways: requests are sent only on a view of the targets of a bounded age

Callers saw requests reach targets 4.3 and 5.5 s after these had said that they leave; the bound is 4 s. Cause: nothing was decided by the age of what a gateway knows. Rows were used however old they were, and as long as the own read was open no other gateway was asked. Class: state that is used without a bound on its age.

All calls of the two that failed had reached the body of their answer.

Each view has a time as of which it is complete, counted so that delays make it older. Near the limit two other gateways are asked at a time, whatever own calls are open; beyond it requests wait 0.4 s at most, then get 503 with Retry-After and the readiness check fails. If others that were asked know nothing newer and no digest names a current view, the store is away for all and old rows are used. Rows that another gateway has read as deleted have no grace of their own. Most peers missing at once are not forgotten one by one.

--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -28,6 +28,9 @@
   std::function<result<std::string>(std::string_view Query)> AnswerQuery;
   /// Merges another gateway's answer. \returns the number of newer rows.
   std::function<result<std::size_t>(std::string_view Answer)> MergeAnswer;
+  /// False if the last answer of another gateway has shown that rows of targets
+  /// are missing here or there.
+  std::function<bool()> TargetsAgree;
   /// Version of the newest row of a target that is known.
   std::function<std::uint64_t()> TargetsVersion;
 };
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -39,6 +39,7 @@
   Options.Retries.Extra = Settings.RetryExtra;
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
+  Options.MaxViewAge = maxViewAge(milliseconds(Settings.LeavingBoundMs));
   Options.Quarantine.Crashes =
       static_cast<std::uint32_t>(Settings.QuarantineCrashes);
   Options.Quarantine.Hold = milliseconds(Settings.QuarantineHoldMs);
@@ -64,7 +65,9 @@
   Environment.IsDraining = [this] { return Draining; };
   Environment.AcceptsRequests = [this](const target_name &Target) {
     const auto *Entry = State.Book.find(Target);
-    return Entry != nullptr && Entry->acceptsRequests(process_clock::now());
+    const auto Now = process_clock::now();
+    return Entry != nullptr && Entry->acceptsRequests(Now) &&
+           mayChooseTargets(State, Now);
   };
   const auto Executor = Context.get_executor();
   // Before the listeners: a signal must not end a process that has callers.
@@ -207,6 +210,9 @@
 }
 
 auto gateway_node::execute(const send_attempt &Effect) -> void {
+  const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
+  Metrics.observe("targets_age", "send",
+                  static_cast<double>(toMilliseconds(TargetsAge)));
   sendCommand(Effect.Number, Effect);
 }
 
@@ -425,7 +431,8 @@
 auto gateway_node::handleReadinessCall(net::http_request /*Request*/)
     -> awaitable<net::http_response> {
   net::http_response Response;
-  const bool Ready = !Draining && State.Configuration.Version > 0;
+  const bool Ready = !Draining && State.Configuration.Version > 0 &&
+                     !hasLostView(State, process_clock::now());
   Response.Head.Status = Ready ? StatusOk : StatusUnavailable;
   co_return Response;
 }
@@ -435,6 +442,7 @@
   const auto Options = toOptions(Changed);
   State.Options.Retries = Options.Retries;
   State.Options.LostGrace = Options.LostGrace;
+  State.Options.MaxViewAge = Options.MaxViewAge;
   State.Options.Quarantine = Options.Quarantine;
   State.Options.Seeds = Options.Seeds;
   Settings.BalancerWaitMs = Changed.BalancerWaitMs;
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -88,6 +88,10 @@
   auto checkTarget(serving::check_target Check) -> net::awaitable<void>;
   /// Sends a query to another gateway and dispatches the outcome.
   auto queryPeer(serving::query_peer Query) -> net::awaitable<void>;
+  /// Reads what an answer says of the peer's view; the query was sent at
+  /// \p AskedAt.
+  auto readView(const net::header_fields &Fields, time_point AskedAt,
+                serving::peer_answered &Event) -> void;
   /// Applies the answer to a query. \returns false if there is none.
   auto applyPeerAnswer(const std::string &PeerAddress,
                        const std::optional<net::http_response> &Response)
--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -23,6 +23,13 @@
 /// In an answer: age of the sender's last read of the targets, ms; below 0 if
 /// it does not read them.
 constexpr const char *TargetsReadAgeField = "Targets-Read-Age-Ms";
+/// In an answer: age of the sender's view of the targets, ms; below 0 if it has
+/// none.
+constexpr const char *TargetsKnownAgeField = "Targets-Known-Age-Ms";
+/// In an answer: how long it waited for changes, ms.
+constexpr const char *WaitedField = "Waited-Ms";
+/// In an answer: rows that are missing at the sender were deleted.
+constexpr const char *RowsSettledField = "Rows-Settled";
 constexpr std::uint16_t StatusOk = 200;
 
 /// \returns \p Default if \p Text is not a whole number.
@@ -68,11 +75,35 @@
          {"stage", std::string(net::nameOf(Stage))},
          {"took_ms",
           std::to_string(toMilliseconds(process_clock::now() - AskedAt))}});
-  const bool Answered = applyPeerAnswer(Query.Address, Response);
-  const auto Age =
-      Answered ? net::findField(Response->Head.Fields, TargetsReadAgeField)
-               : std::string_view();
-  dispatch(peer_answered{Query.Address, Waits, Answered, readNumber(Age, -1)});
+  peer_answered Event;
+  Event.Address = Query.Address;
+  Event.Waited = Waits;
+  Event.Answered = applyPeerAnswer(Query.Address, Response);
+  if (Event.Answered)
+    readView(Response->Head.Fields, AskedAt, Event);
+  dispatch(std::move(Event));
+}
+
+auto gateway_node::readView(const net::header_fields &Fields,
+                            time_point AskedAt, peer_answered &Event) -> void {
+  const auto ReadMs = [&](const char *Name, std::int64_t Default) {
+    return readNumber(net::findField(Fields, Name), Default);
+  };
+  Event.TargetsReadAgeMs = ReadMs(TargetsReadAgeField, -1);
+  const auto KnownAgeMs = ReadMs(TargetsKnownAgeField, -1);
+  if (!KnowledgeSync.TargetsAgree())
+    return;
+  if (KnownAgeMs < 0) {
+    Event.TargetsKnownAt = time_point();
+    return;
+  }
+  // The answer may have been on its way for any time, the query as well; the
+  // peer has counted only what passed between them.
+  const auto Waited =
+      milliseconds(std::max(std::int64_t{0}, ReadMs(WaitedField, 0)));
+  const auto WrittenAt = std::min(AskedAt + Waited, process_clock::now());
+  Event.TargetsKnownAt = WrittenAt - milliseconds(KnownAgeMs);
+  Event.RowsAreSettled = net::hasField(Fields, RowsSettledField);
 }
 
 auto gateway_node::applyPeerAnswer(
@@ -121,7 +152,8 @@
   const auto WaitMs =
       std::clamp(readNumber(net::findField(Request.Fields, WaitField), 0),
                  std::int64_t{0}, MaxQueryWaitMs);
-  const auto Deadline = process_clock::now() + milliseconds(WaitMs);
+  const auto AskedAt = process_clock::now();
+  const auto Deadline = AskedAt + milliseconds(WaitMs);
   co_await awaitChanges(Request.Body, Deadline);
   const auto Answer = KnowledgeSync.AnswerQuery(Request.Body);
   if (!Answer) {
@@ -130,10 +162,18 @@
     Response.Head.Status = describe(Answer.error().Code).HttpStatus;
     co_return Response;
   }
+  const auto Now = process_clock::now();
+  const bool HasView = State.TargetsKnownAt != time_point();
+  const auto AddField = [&](const char *Name, std::int64_t Milliseconds) {
+    Response.Head.Fields.push_back({Name, std::to_string(Milliseconds)});
+  };
   Response.Head.Status = StatusOk;
-  Response.Head.Fields.push_back(
-      {TargetsReadAgeField,
-       std::to_string(targetsReadAgeMs(State, process_clock::now()))});
+  AddField(TargetsReadAgeField, targetsReadAgeMs(State, Now));
+  AddField(TargetsKnownAgeField,
+           HasView ? toMilliseconds(Now - State.TargetsKnownAt) : -1);
+  AddField(WaitedField, toMilliseconds(Now - AskedAt));
+  if (rowsAreSettled(State, Now))
+    AddField(RowsSettledField, 1);
   Response.Body = Answer.value();
   co_return Response;
 }
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -59,6 +59,7 @@
           // can't read its answers.
           {"ta", -1},
           {"tr", Digest.TargetsReadAgeMs},
+          {"tk", Digest.TargetsKnownAgeMs},
           {"tv", Digest.TargetsVersion},
           {"r", Digest.ReadyInMs},
           {"lv", Leaving}};
@@ -153,6 +154,7 @@
   Digest.TargetsReadAgeMs = Object.value("tr", std::int64_t{-1});
   Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
   // Gateways of an older version do not send these.
+  Digest.TargetsKnownAgeMs = Object.value("tk", std::int64_t{-1});
   Digest.ReadyInMs = Object.value("r", std::int64_t{0});
   if (const auto Leaving = Object.find("lv"); Leaving != Object.end())
     for (const auto &Item : *Leaving)
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -79,6 +79,7 @@
   double LoadOverrun = 0;
   std::int64_t StopGraceMs = 0;
   std::int64_t LostGraceMs = 0;
+  std::int64_t LeavingBoundMs = 0;
   std::int64_t QuarantineCrashes = 0;
   std::int64_t QuarantineHoldMs = 0;
 
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -29,6 +29,9 @@
   /// Oldest read of the targets that another gateway may rely on: the longest
   /// call to the store, and the pause between two of them.
   duration MaxTargetsAge = milliseconds(1900);
+  /// Oldest view of the targets on which requests are sent while another
+  /// gateway may have a newer one.
+  duration MaxViewAge = milliseconds(1600);
   /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
   quarantine_policy Quarantine;
@@ -62,6 +65,7 @@
   /// Load that the request waits for: target, and adapter or empty.
   std::optional<std::pair<target_name, std::string>> AwaitedLoad;
   std::uint32_t LoadRequests = 0; ///< Loads requested for this request.
+  bool AwaitsView = false; ///< It waits for a current view of the targets.
 };
 
 /// Complete state of a gateway.
@@ -136,6 +140,9 @@
     /// When it last read the targets from the store; the epoch if it does not
     /// read them.
     time_point TargetsReadAt;
+    /// As of when its rows of the targets were complete; the epoch if it has
+    /// not said.
+    time_point TargetsKnownAt;
     std::uint64_t TargetsVersion = 0; ///< Newest row that it knows.
     time_point ReadyAt; ///< When it takes any request; the past if it does.
   };
@@ -149,8 +156,19 @@
   /// Last read of the targets from the store; the epoch if the last call
   /// failed or none was answered yet.
   time_point TargetsReadAt;
-  /// Last own read of the targets, or answer of the gateway that reads them.
+  /// As of when the rows of the targets are known to be complete, whoever read
+  /// them; the epoch before the first read.
   time_point TargetsKnownAt;
+  time_point FirstViewAt; ///< When the first read or answer arrived.
+  /// Start of the time in which the view of the targets has been too old to
+  /// send requests; NoDeadline if it is not.
+  time_point ViewStaleSince = NoDeadline;
+  time_point LastPeerMessageAt; ///< Digest or answer of any gateway.
+  /// Until then no other gateway is assumed to have newer rows, as one that was
+  /// asked had none.
+  time_point PeersStaleUntil;
+  time_point NextViewQuery;
+  duration ViewAskInterval = duration::zero();
   /// Address of the gateway that was asked for the targets and has not answered
   /// yet; empty if none was asked.
   std::string AskedReader;
@@ -172,6 +190,14 @@
   std::minstd_rand Random;
 };
 
+/// The oldest view on which requests may be sent, if targets that leave must
+/// get none after \p LeavingBound.
+[[nodiscard]] auto maxViewAge(duration LeavingBound) -> duration;
+
+/// Longest wait of a read of the targets for changes. A view of another gateway
+/// that reads them this way is current as well.
+[[nodiscard]] auto maxTargetsWait(duration MaxViewAge) -> duration;
+
 [[nodiscard]] auto makeGatewayState(const gateway_options &Options)
     -> gateway_state;
 
@@ -180,6 +206,20 @@
 [[nodiscard]] auto targetsReadAgeMs(const gateway_state &State, time_point Now)
     -> std::int64_t;
 
+/// False while the view of the targets is too old to send requests and another
+/// gateway may have a newer one. If no other one has, old rows are used.
+[[nodiscard]] auto mayChooseTargets(const gateway_state &State, time_point Now)
+    -> bool;
+
+/// True if requests are refused because the view is too old.
+[[nodiscard]] auto hasLostView(const gateway_state &State, time_point Now)
+    -> bool;
+
+/// True if a row that is missing here was deleted: it is not one of those that
+/// lapse while the store is unreachable and may come back.
+[[nodiscard]] auto rowsAreSettled(const gateway_state &State, time_point Now)
+    -> bool;
+
 /// Applies one event to \p State.
 /// \returns the effects to execute, in order.
 [[nodiscard]] auto reduce(gateway_state &State, const gateway_event &Event,
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -224,6 +225,9 @@
   /// Time since the sender last read the targets from the store, ms; below 0 if
   /// it does not read them.
   std::int64_t TargetsReadAgeMs = -1;
+  /// Age of the sender's view of the targets, whoever read them, ms; below 0 if
+  /// it has none.
+  std::int64_t TargetsKnownAgeMs = -1;
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
   /// Time until the sender, or the process that replaces it, takes any request,
   /// ms; 0 while it does.
@@ -247,7 +251,10 @@
 };
 
 /// The targets were read from the store, changed or not.
-struct targets_read {};
+struct targets_read {
+  /// As of when all changes are known; the epoch if as of this event.
+  time_point AsOf;
+};
 
 /// A call to the store that reads the targets failed.
 struct targets_read_failed {};
@@ -260,6 +267,11 @@
   /// Time since the peer last read the targets from the store, ms; below 0 if
   /// it does not read them or its last call failed.
   std::int64_t TargetsReadAgeMs = -1;
+  /// As of when the rows of the targets are complete with the answer; the epoch
+  /// if the peer has none. Not set if there is no answer, or if its rows differ
+  /// from those that are known here.
+  std::optional<time_point> TargetsKnownAt = std::nullopt;
+  bool RowsAreSettled = false; ///< At the peer; see rowsAreSettled.
 };
 
 using gateway_event =
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -22,6 +22,9 @@
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void;
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
+/// Sends the request to a target, queues it until a model or an adapter is
+/// loaded or the targets are known, or refuses it.
+auto dispatchRequest(const gateway_step &Step, request_number Number) -> void;
 
 // gateway_refusals.cpp
 /// Answers the request with \p Code, logs the refusal and forgets the request.
@@ -180,6 +183,22 @@
 /// Number of known gateways, including this one.
 auto gatewayCount(const gateway_state &State) -> std::size_t;
 
+/// Removes the targets whose rows are missing: other gateways have read that
+/// they were deleted.
+auto endRowGrace(const gateway_step &Step) -> void;
+
+// gateway_view.cpp
+/// Records that the rows of the targets are complete as of \p AsOf.
+auto recordView(const gateway_step &Step, time_point AsOf) -> void;
+/// Records what another gateway's answer says of its view and of this one's.
+auto recordPeerView(const gateway_step &Step, const peer_answered &Event)
+    -> void;
+/// Asks other gateways if the view is about to be too old, and dispatches or
+/// refuses the requests that wait for it.
+auto checkView(const gateway_step &Step) -> void;
+/// Makes the request wait for a current view for a short time, or refuses it.
+auto awaitView(const gateway_step &Step, request_number Number) -> void;
+
 // gateway_relay.cpp
 /// Decides whether this gateway reads the targets from the store or gets them
 /// from a gateway of its data centre, and keeps a query open at that gateway. A
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -110,11 +110,28 @@
   Last = Event.Sequence;
 }
 
+/// True if the digests of most gateways are overdue. Then it is rather this one
+/// that does not receive them, for a lack of time or packets.
+auto missesMostPeers(const gateway_state &State, time_point Now) -> bool {
+  constexpr std::size_t MinPeers = 8;
+  const auto Count = State.PeerDigestTimes.size();
+  const auto Overdue = Now - peerTimeout(State) / 2;
+  const auto Missing =
+      std::count_if(State.PeerDigestTimes.begin(), State.PeerDigestTimes.end(),
+                    [&](const auto &Peer) { return Peer.second < Overdue; });
+  return Count >= MinPeers && 2 * static_cast<std::size_t>(Missing) > Count;
+}
+
 /// Removes the gateways whose digests have stopped, with all that they
 /// reported: the loads that they requested may never complete.
 auto expirePeers(const gateway_step &Step) -> void {
   auto &State = Step.State;
-  const auto Timeout = peerTimeout(State);
+  /// Forgetting a hundred gateways and hearing them again costs more time than
+  /// a process has that misses them for a lack of it.
+  constexpr int PatienceWithoutPeers = 3;
+  const auto Timeout =
+      peerTimeout(State) *
+      (missesMostPeers(State, Step.Now) ? PatienceWithoutPeers : 1);
   std::vector<instance_name> SilentPeers;
   for (const auto &[Peer, LastDigestAt] : State.PeerDigestTimes)
     if (Step.Now - LastDigestAt >= Timeout)
@@ -182,6 +199,17 @@
     Entry->RowMissingSince = Step.Now;
 }
 
+auto endRowGrace(const gateway_step &Step) -> void {
+  auto &State = Step.State;
+  State.RowGraceUntil = std::min(State.RowGraceUntil, Step.Now);
+  std::vector<target_name> Missing;
+  for (const auto &[Name, Entry] : State.Book.all())
+    if (Entry.RowMissingSince != NoDeadline)
+      Missing.push_back(Name);
+  for (const auto &Name : Missing)
+    removeTarget(Step, Name);
+}
+
 auto handle(const gateway_step &Step, const store_reachability_changed &Event)
     -> void {
   // While the store is unreachable, any row may expire and none is read. Rows
@@ -279,13 +307,17 @@
     addLogEntry(Step, log_level::Info, "peer_heard",
                 {{"peer", Event.From.Text}});
   State.PeerDigestTimes[Event.From] = Step.Now;
+  State.LastPeerMessageAt = Step.Now;
+  const auto ToTime = [&](std::int64_t AgeMs) {
+    return AgeMs < 0 ? time_point() : Step.Now - milliseconds(AgeMs);
+  };
+  const auto ReadAt = ToTime(Event.TargetsReadAgeMs);
   State.PeerStatuses[Event.From] = {
       Event.Configuration,
       Event.StoreReachable,
       Event.DataCentre,
-      Event.TargetsReadAgeMs < 0
-          ? time_point()
-          : Step.Now - milliseconds(Event.TargetsReadAgeMs),
+      ReadAt,
+      std::max(ReadAt, ToTime(Event.TargetsKnownAgeMs)),
       Event.TargetsVersion,
       Step.Now + milliseconds(Event.ReadyInMs)};
   for (const auto &[Name, Incarnation] : Event.Leaving)
@@ -298,12 +330,13 @@
       Entry->AdapterUse[Adapter] = Step.Now;
 }
 
-auto handle(const gateway_step &Step, const targets_read & /*Event*/) -> void {
+auto handle(const gateway_step &Step, const targets_read &Event) -> void {
   auto &State = Step.State;
   State.TargetsReadAt = Step.Now;
-  State.TargetsKnownAt = Step.Now;
   if (State.StoreReachable && State.RowGraceUntil == NoDeadline)
     State.RowGraceUntil = Step.Now + State.Options.LostGrace;
+  recordView(Step, Event.AsOf == time_point() ? Step.Now : Event.AsOf);
+  checkView(Step);
 }
 
 auto handle(const gateway_step &Step, const targets_read_failed & /*Event*/)
@@ -320,6 +353,7 @@
   expirePeers(Step);
   chooseTargetReader(Step);
   queryPeers(Step);
+  checkView(Step);
   expireLoads(Step);
   refuseLateLoadWaits(Step);
   planCopies(Step);
@@ -353,6 +387,8 @@
   Digest.StoreReachable = State.StoreReachable;
   Digest.DataCentre = State.Options.DataCentre;
   Digest.TargetsReadAgeMs = targetsReadAgeMs(State, Step.Now);
+  if (State.TargetsKnownAt != time_point())
+    Digest.TargetsKnownAgeMs = toMilliseconds(Step.Now - State.TargetsKnownAt);
   Digest.TargetsVersion = State.TargetsVersion;
   Digest.ReadyInMs = toMilliseconds(readyAt(State, Step.Now) - Step.Now);
   for (const auto &[Name, Entry] : State.Book.all())
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -130,6 +130,7 @@
 
 auto handle(const gateway_step &Step, const peer_answered &Event) -> void {
   auto &State = Step.State;
+  recordPeerView(Step, Event);
   if (!Event.Waited || Event.Address != State.AskedReader)
     return;
   State.AskedReader.clear();
@@ -138,8 +139,6 @@
       milliseconds(Event.TargetsReadAgeMs) <= State.Options.MaxTargetsAge;
   State.TargetsCurrentUntil =
       Current ? Step.Now + AnswerValidity : time_point();
-  if (Current)
-    State.TargetsKnownAt = Step.Now;
   if (!Event.Answered) {
     State.UnansweredUntil[Event.Address] = Step.Now + UnansweredAvoidTime;
     addLogEntry(Step, log_level::Warning, "target_reader_silent",
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -147,12 +147,9 @@
   return PickRequest;
 }
 
-namespace {
-
-/// Sends the request to a target, queues it until a model or an adapter is
-/// loaded, or refuses it.
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void {
   auto &Request = Step.State.Requests.at(Number);
+  Request.AwaitsView = false;
   if (Request.Deadline - Step.Now < MinAttemptTime)
     return refuseRequest(Step, Number, result_code::DeadlineUnreachable, 0,
                          "no time is left");
@@ -160,6 +157,8 @@
     return refuseStopping(Step, Number);
   if (refuseIfQuarantined(Step, Number))
     return;
+  if (!mayChooseTargets(Step.State, Step.Now))
+    return awaitView(Step, Number);
   const auto &Call = Request.Call;
   auto PickRequest = makePickRequest(Step, Request);
   const auto AdapterHeldUntil =
@@ -199,6 +198,8 @@
                 "no target takes work");
 }
 
+namespace {
+
 /// True if the request may be sent to one more target.
 /// \param UsesRetryBudget whether the retry is taken from the service's budget.
 auto mayRetry(const gateway_step &Step, request_state &Request,
--- a/libs/serving/tests/target_reader_test.cpp
+++ b/libs/serving/tests/target_reader_test.cpp
@@ -1,45 +1,15 @@
-#include "gateway_fixture.h"
+#include "gateway_fleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
-#include <optional>
-#include <set>
-#include <string>
-#include <vector>
-
 namespace {
 
 using namespace limpetbridge;
 using namespace limpetbridge::serving;
 
-/// The least time of any deployment in which a target that drains must stop
-/// getting work, less the time of a request on its way.
-constexpr duration DrainBound = seconds(2) - milliseconds(200);
-constexpr duration Step = milliseconds(50);
-/// Interval of the reads of a gateway that reads the targets.
-constexpr duration ReadInterval = milliseconds(300);
-/// Longest time until a call to a store that does not answer fails.
-constexpr duration StoreCallTime = milliseconds(1500);
-
-/// One gateway with its connection to the store and to the others.
-struct gateway_process {
-  gateway_state State;
-  std::uint64_t Version = 0; ///< Newest row that it has read or received.
-  time_point NextRead;
-  time_point ReadFailsAt = NoDeadline; ///< Of a call without an answer.
-  bool Alive = true;
-  bool ReachesStore = true;
-  bool AnswersQueries = true;
-  /// Query that has not been answered.
-  std::optional<query_peer> Query;
-  time_point AskedAt;
-  bool AnswerLost = false; ///< Of the query.
-  int AnswersToLose = 0;   ///< Of those with news for this gateway.
-};
-
 /// 22 gateways in four data centres that exchange digests, in virtual time.
-class target_reader_test : public CppUnit::TestFixture {
+class target_reader_test : public CppUnit::TestFixture,
+                           protected gateway_fleet {
   CPPUNIT_TEST_SUITE(target_reader_test);
   CPPUNIT_TEST(steady_manyGateways_oneReaderADataCentre);
   CPPUNIT_TEST(steady_manyGateways_digestsArriveAtABoundedRate);
@@ -59,30 +29,6 @@
 public:
   auto setUp() -> void override { startGateways(GatewayCount); }
 
-  auto startGateways(int Count) -> void {
-    Now = time_point(seconds(1000));
-    Processes.clear();
-    Reads = 0;
-    Digests = 0;
-    StoreVersion = 1;
-    LosesDigests = false;
-    for (int I = 0; I < Count; ++I) {
-      const auto Name = "g" + std::to_string(I);
-      gateway_options Options;
-      Options.Self = instance_name(Name);
-      Options.Address = Name;
-      Options.DataCentre = data_centre_name("dc" + std::to_string(I % 4));
-      Processes[Name].State = makeGatewayState(Options);
-      apply(Processes[Name], configuration_read{makeConfiguration(1)}, Now);
-    }
-    instances_listed Listed;
-    for (const auto &[Name, Process] : Processes)
-      Listed.Instances.push_back(
-          {instance_name(Name), instance_role::Gateway, Name, ""});
-    for (auto &[Name, Process] : Processes)
-      apply(Process, Listed, Now);
-  }
-
   auto steady_manyGateways_oneReaderADataCentre() -> void {
     run(seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, readers().size());
@@ -204,125 +150,6 @@
     apply(Processes["g0"], tick{}, Now);
     CPPUNIT_ASSERT(Processes["g0"].State.ReadsTargets);
   }
-
-private:
-  static constexpr int GatewayCount = 22;
-
-  auto readers() -> std::set<std::string> {
-    std::set<std::string> Names;
-    for (const auto &[Name, Process] : Processes)
-      if (Process.Alive && Process.State.ReadsTargets)
-        Names.insert(Name);
-    return Names;
-  }
-
-  /// A row changes; the gateways that live and reach the store know it by then.
-  auto checkChangeIsHeard(duration Bound) -> void {
-    ++StoreVersion;
-    run(Bound);
-    for (const auto &[Name, Process] : Processes)
-      if (Process.Alive && Process.ReachesStore)
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, StoreVersion, Process.Version);
-  }
-
-  auto run(duration Span) -> void {
-    const auto End = Now + Span;
-    for (int Count = 0; Now < End; ++Count, Now += Step)
-      for (auto &[Name, Process] : Processes)
-        if (Process.Alive)
-          advance(Process, Count % 2 == 0);
-  }
-
-  static auto apply(gateway_process &Process, const gateway_event &Event,
-                    time_point Now) -> void {
-    static_cast<void>(reduce(Process.State, Event, Now));
-  }
-
-  auto perform(gateway_process &Process, const gateway_event &Event) -> void {
-    for (const auto &Effect : reduce(Process.State, Event, Now)) {
-      if (const auto *Query = std::get_if<query_peer>(&Effect))
-        ask(Process, *Query);
-      else if (const auto *Digest = std::get_if<send_digest>(&Effect))
-        send(*Digest);
-    }
-  }
-
-  auto ask(gateway_process &Process, const query_peer &Query) -> void {
-    if (Query.WaitMs > 0) {
-      CPPUNIT_ASSERT(!Process.Query);
-      Process.Query = Query;
-      Process.AskedAt = Now;
-      Process.AnswerLost = false;
-      return;
-    }
-    const auto &Peer = Processes.at(Query.Address);
-    if (Peer.Alive && Peer.AnswersQueries)
-      Process.Version = std::max(Process.Version, Peer.Version);
-  }
-
-  auto send(const send_digest &Digest) -> void {
-    for (const auto &Address : Digest.Addresses)
-      if (Processes.at(Address).Alive && !LosesDigests) {
-        ++Digests;
-        apply(Processes.at(Address), Digest.Digest, Now);
-      }
-  }
-
-  /// Answers the open query of \p Process, or lets it fail at its deadline.
-  auto answer(gateway_process &Process) -> void {
-    const auto Query = *Process.Query;
-    const auto &Peer = Processes.at(Query.Address);
-    const auto AgeMs = targetsReadAgeMs(Peer.State, Now);
-    const bool News = Peer.Version > Process.Version;
-    if (Peer.Alive && Peer.AnswersQueries && !Process.AnswerLost &&
-        (News || AgeMs < 0 ||
-         Now >= Process.AskedAt + milliseconds(Query.WaitMs))) {
-      Process.AnswerLost = News && Process.AnswersToLose-- > 0;
-      if (!Process.AnswerLost) {
-        Process.Query.reset();
-        Process.Version = std::max(Process.Version, Peer.Version);
-        perform(Process, peer_answered{Query.Address, true, true, AgeMs});
-        return;
-      }
-    }
-    if (Now < Query.Deadline)
-      return;
-    Process.Query.reset();
-    perform(Process, peer_answered{Query.Address, true, false, -1});
-  }
-
-  auto readStore(gateway_process &Process) -> void {
-    if (Process.ReachesStore) {
-      ++Reads;
-      Process.NextRead = Now + ReadInterval;
-      Process.ReadFailsAt = NoDeadline;
-      Process.Version = StoreVersion;
-      perform(Process, targets_read{});
-      return;
-    }
-    if (Process.ReadFailsAt == NoDeadline)
-      Process.ReadFailsAt = Now + StoreCallTime;
-    if (Now < Process.ReadFailsAt)
-      return;
-    Process.ReadFailsAt = NoDeadline;
-    perform(Process, targets_read_failed{});
-  }
-
-  auto advance(gateway_process &Process, bool Ticks) -> void {
-    if (Process.State.ReadsTargets && Now >= Process.NextRead)
-      readStore(Process);
-    if (Process.Query)
-      answer(Process);
-    if (Ticks)
-      perform(Process, tick{Process.Version});
-  }
-
-  time_point Now;
-  std::map<std::string, gateway_process> Processes;
-  std::uint64_t StoreVersion = 1;
-  int Reads = 0;
-  int Digests = 0;
-  bool LosesDigests = false;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_reader_test);
