Gateways: answers that are held have a budget of the process's memory

It would have ended, and with it the requests of all its callers.

What is held counts from 64 KB an answer on, together at most a quarter of gateway.memory_mb, which the platform's template gives. Beyond it the largest answer of unknown length is given up, so that those of others go on: an answer that does not end has no length. What is skipped is not kept. Answers of other gateways, controllers and the store: 4 MB instead of 16.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -28,6 +28,8 @@
 constexpr duration DrainPollInterval = milliseconds(50);
 /// Of a call to the store beyond its wait, and of the pause between two.
 constexpr std::int64_t StoreReadSlackMs = 900;
+/// Part of the process's memory for answers that are held.
+constexpr std::int64_t BudgetDivisor = 4;
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusUnavailable = 503;
 
@@ -58,7 +60,11 @@
                            gateway_hooks NodeHooks)
     : Settings(NodeSettings), Hooks(std::move(NodeHooks)),
       State(makeGatewayState(toOptions(NodeSettings))) {
+  constexpr std::size_t BytesPerMb = std::size_t{1} << 20U;
+  Budget.setLimit(static_cast<std::size_t>(Settings.MemoryMb / BudgetDivisor) *
+                  BytesPerMb);
   Environment.Hooks = &Hooks;
+  Environment.Budget = &Budget;
   Environment.Dispatch = [this](gateway_event Event) {
     dispatch(std::move(Event));
   };
@@ -268,6 +274,10 @@
   Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
   Metrics.set("loop_delay_ms", Loop.lastDelayMs());
   Metrics.set("digests_lost", static_cast<std::int64_t>(State.LostDigests));
+  Metrics.set("held_answer_bytes",
+              static_cast<std::int64_t>(Budget.heldBytes()));
+  Metrics.set("held_answers_cancelled",
+              static_cast<std::int64_t>(Budget.cancelCount()));
   Metrics.set("gateways_heard",
               static_cast<std::int64_t>(State.PeerDigestTimes.size()));
   Metrics.set("suspects",
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -140,6 +140,7 @@
   serving::request_number LastRequestNumber = 0;
   std::map<serving::request_number, std::shared_ptr<gateway_request>> Requests;
   std::set<connection> Connections;
+  body_budget Budget{0};
   request_environment Environment;
   std::unique_ptr<net::listener> CallerListener;
   std::unique_ptr<net::listener> ReadinessListener;
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -19,6 +19,8 @@
 constexpr int MaxResponsesRead = 4;
 /// Largest response that is buffered before it is relayed, bytes.
 constexpr std::size_t MaxBufferedBytes = std::size_t{8} * 1024 * 1024;
+/// Size from which on an answer counts in the budget of the process, bytes.
+constexpr std::size_t FreeBytes = std::size_t{64} * 1024;
 /// Largest response to another request that is skipped, bytes.
 constexpr std::size_t MaxSkippedBytes = std::size_t{256} * 1024;
 /// Largest single event of a stream, bytes.
@@ -58,7 +60,11 @@
     : Number(RequestNumber), Caller(std::move(Connection)),
       Request(std::move(CallerRequest)), Call(std::move(ParsedCall)),
       Environment(RequestEnvironment), Executor(TaskExecutor),
-      CommandTimer(TaskExecutor), DeadlineTimer(TaskExecutor) {}
+      CommandTimer(TaskExecutor), DeadlineTimer(TaskExecutor),
+      HeldBytes(*RequestEnvironment.Budget, [this] {
+        if (Target)
+          Target->close();
+      }) {}
 
 auto gateway_request::enqueueCommand(command Command) -> void {
   Commands.push_back(std::move(Command));
@@ -170,6 +176,8 @@
     -> awaitable<attempt_result> {
   Resumable = Send.Resumable;
   Events.beginAttempt();
+  FailedResponse = net::http_response();
+  HeldBytes.reset();
   BodyBytes = 0;
   Target = std::make_shared<net::target_connection>(Executor);
   const auto Connection = Target;
@@ -202,11 +210,14 @@
     const auto Facts = Environment.Hooks->ParseResponseHead(*Head, Call.Id);
     reportNotice(Send, Facts);
     if (Facts.CallIdDiffers) {
-      std::string SkippedBody;
+      std::size_t SkippedBytes = 0;
       auto ReadResult = net::body_read::Data;
       while (ReadResult == net::body_read::Data &&
-             SkippedBody.size() < MaxSkippedBytes)
-        ReadResult = co_await Connection->readBody(SkippedBody);
+             SkippedBytes < MaxSkippedBytes) {
+        std::string Part;
+        ReadResult = co_await Connection->readBody(Part);
+        SkippedBytes += Part.size();
+      }
       if (ReadResult != net::body_read::End || Connection->endsWithConnection())
         co_return makeResult(attempt_end::Unknown);
       continue;
@@ -250,12 +261,23 @@
     -> awaitable<attempt_result> {
   const auto Connection = Target;
   net::http_response Response{ResponseHead, {}};
+  const auto Length = Connection->bodyLength().value_or(0);
+  bool Held = Length <= MaxBufferedBytes;
+  if (Held && Length > FreeBytes) {
+    Held = HeldBytes.resize(Length, true);
+    if (Held)
+      Response.Body.reserve(Length);
+  }
   auto ReadResult = net::body_read::Data;
-  while (ReadResult == net::body_read::Data &&
-         Response.Body.size() < MaxBufferedBytes)
+  while (Held && ReadResult == net::body_read::Data &&
+         Response.Body.size() < MaxBufferedBytes) {
     ReadResult = co_await Connection->readBody(Response.Body);
+    // Strings grow in steps.
+    if (Length == 0 && Response.Body.capacity() > FreeBytes)
+      Held = HeldBytes.resize(Response.Body.capacity());
+  }
   BodyBytes = Response.Body.size();
-  if (ReadResult != net::body_read::End || CallerDisconnected ||
+  if (!Held || ReadResult != net::body_read::End || CallerDisconnected ||
       !Commands.empty())
     co_return makeResult(attempt_end::Unknown, Status);
   // The caller already has the head and events of the resumed stream.
@@ -323,7 +345,10 @@
       Environment.Dispatch(first_output{Number});
     if (HasEvents && Send.Resumable) {
       Bytes = Events.feed(Bytes);
-      if (Events.incompleteEvent().size() > MaxEventBytes)
+      const auto EventBytes = Events.incompleteEvent().size();
+      const bool Held = EventBytes <= FreeBytes ? HeldBytes.resize(0)
+                                                : HeldBytes.resize(EventBytes);
+      if (!Held || EventBytes > MaxEventBytes)
         ReadResult = net::body_read::Broken;
     } else if (HasEvents) {
       Events.follow(Bytes);
--- a/apps/limpetbridge/src/serving/gateway_request.h
+++ b/apps/limpetbridge/src/serving/gateway_request.h
@@ -4,6 +4,7 @@
 #ifndef LIMPETBRIDGE_NODE_SERVING_GATEWAY_REQUEST_H
 #define LIMPETBRIDGE_NODE_SERVING_GATEWAY_REQUEST_H
 
+#include "body_budget.h"
 #include "gateway_hooks.h"
 #include "net/caller_connection.h"
 #include "net/target_connection.h"
@@ -20,6 +21,7 @@
 /// The parts of the gateway that a request uses.
 struct request_environment {
   const gateway_hooks *Hooks = nullptr;
+  body_budget *Budget = nullptr; ///< For answers that are held.
   std::function<void(serving::gateway_event)> Dispatch;
   std::function<bool()> IsDraining; ///< True: responses close the connection.
   /// True if a request may be sent to the target now.
@@ -90,6 +92,7 @@
   std::shared_ptr<net::target_connection> Target;
   net::response_head ResponseHead;   ///< Of the current attempt.
   net::http_response FailedResponse; ///< For relay_failure.
+  body_budget::share HeldBytes;      ///< Of the current answer.
   serving::event_stream Events;
   bool HasEvents = false;      ///< The current answer is an event stream.
   std::uint64_t BodyBytes = 0; ///< Of the current attempt.
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -54,6 +54,7 @@
   std::int64_t ReportMs = 0;
   std::int64_t OrderTimeoutMs = 0;
 
+  std::int64_t MemoryMb = 0;
   std::int64_t ProgressMs = 0;
   std::int64_t MaxAttempts = 0;
   std::int64_t RetryBudgetPercent = 0;
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -75,6 +75,9 @@
   /// the connection does.
   [[nodiscard]] auto endsWithConnection() const -> bool;
 
+  /// Length of the body according to the head; none if it does not say.
+  [[nodiscard]] auto bodyLength() const -> std::optional<std::uint64_t>;
+
   /// True if the response is chunked.
   [[nodiscard]] auto isChunked() const -> bool;
 
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -25,7 +25,7 @@
 /// Heads read per response: informational ones and the final one.
 constexpr int MaxHeadsRead = 4;
 /// Largest body that fetch accepts, bytes.
-constexpr std::size_t MaxFetchedBodyBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t MaxFetchedBodyBytes = std::size_t{4} * 1024 * 1024;
 
 } // namespace
 
@@ -115,6 +115,11 @@
   return Parser && Parser->need_eof();
 }
 
+auto target_connection::bodyLength() const -> std::optional<std::uint64_t> {
+  const auto Length = Parser ? Parser->content_length() : boost::none;
+  return Length ? std::optional<std::uint64_t>(*Length) : std::nullopt;
+}
+
 auto target_connection::isChunked() const -> bool {
   return Parser && Parser->chunked();
 }
--- a/testing/emulator/tests/endless_answer_test.cpp
+++ b/testing/emulator/tests/endless_answer_test.cpp
@@ -2,6 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <thread>
+#include <vector>
+
 namespace {
 
 using namespace limpetbridge;
@@ -18,6 +24,8 @@
   CPPUNIT_TEST(plain_informationalHeadsNeverEnd_isUnknownAndBounded);
   CPPUNIT_TEST(plain_bodyNeverEnds_isUnknownAndBounded);
   CPPUNIT_TEST(plain_foreignBodyNeverEnds_isUnknownAndBounded);
+  CPPUNIT_TEST(plain_manyBodiesNeverEnd_memoryIsBoundedAndOthersAreServed);
+  CPPUNIT_TEST(stream_manyEventsNeverEnd_memoryIsBoundedAndOthersAreServed);
   CPPUNIT_TEST(plain_chunkExtensionNeverEnds_isUnknownAndBounded);
   CPPUNIT_TEST(plain_trailerNeverEnds_isUnknownAndBounded);
   CPPUNIT_TEST(stream_chunkExtensionNeverEnds_isBounded);
@@ -31,6 +39,9 @@
   auto setUp() -> void override {
     Fleet = std::make_unique<fleet>();
     Fleet->publishConfiguration();
+    Fleet->ChangeSettings = [](node_settings &Settings) {
+      Settings.MemoryMb = MemoryMb;
+    };
     Ledger = &Fleet->addWorker("w1", "ledger");
     Engine = &Fleet->addWorker("e1", "models");
     Fleet->Outside.call([&] { return Engine->Models.insert("a").second; });
@@ -54,6 +65,20 @@
   auto plain_foreignBodyNeverEnds_isUnknownAndBounded() -> void {
     checkPlain(behaviour::EndlessForeign);
   }
+  auto plain_manyBodiesNeverEnd_memoryIsBoundedAndOthersAreServed() -> void {
+    behave(*Ledger, behaviour::EndlessBody);
+    behave(*Engine, behaviour::Stream);
+    checkFlood("/pay/x", "", [&] {
+      CPPUNIT_ASSERT_EQUAL(wholeStream(), chat("/plan/x").Body);
+    });
+  }
+  auto stream_manyEventsNeverEnd_memoryIsBoundedAndOthersAreServed() -> void {
+    behave(*Engine, behaviour::EndlessEvent);
+    checkFlood("/plan/x", PromptFields, [&] {
+      CPPUNIT_ASSERT_EQUAL(std::uint16_t{200},
+                           Fleet->send("/read/x").Head.Status);
+    });
+  }
   auto plain_chunkExtensionNeverEnds_isUnknownAndBounded() -> void {
     checkPlain(behaviour::EndlessExtension);
   }
@@ -109,6 +134,68 @@
   }
 
 private:
+  static constexpr std::int64_t MemoryMb = 40;
+  static constexpr int FloodCallers = 60;
+  static constexpr const char *PromptFields =
+      "X-Limpetbridge-Model: a\r\nX-Limpetbridge-Token-Usage: 100,20\r\n";
+
+  /// Many callers at once get endless answers. What the process holds for them
+  /// stays below a quarter of its memory, and \p Other is served meanwhile.
+  auto checkFlood(const std::string &Path, const std::string &Fields,
+                  const std::function<void()> &Other) -> void {
+    const auto Before = residentBytes();
+    std::vector<std::thread> Callers;
+    for (int I = 0; I < FloodCallers; ++I)
+      Callers.emplace_back([&, I] { sendFlood(Path, Fields, I); });
+    std::size_t Largest = 0;
+    std::string Failure;
+    try {
+      for (int Round = 0; Round < 20; ++Round) {
+        Other();
+        Largest = std::max(Largest, residentBytes());
+        usleep(20'000);
+      }
+    } catch (const CppUnit::Exception &Error) {
+      Failure = Error.what();
+    }
+    for (auto &Caller : Callers)
+      Caller.join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failure);
+    const auto Grown = Largest > Before ? Largest - Before : 0;
+    CPPUNIT_ASSERT_MESSAGE("grown by " + std::to_string(Grown),
+                           Grown < std::size_t{MemoryMb} << 20U);
+  }
+
+  /// Sends one request of a flood and reads what comes, without keeping it.
+  auto sendFlood(const std::string &Path, const std::string &More, int Number)
+      -> void {
+    net::asio::io_context Context;
+    net::tcp::socket Caller(Context);
+    Caller.connect(
+        *net::parseEndpoint<net::tcp>(Fleet->Gateway->callerAddress()));
+    net::error_code Error;
+    net::asio::write(
+        Caller,
+        net::asio::buffer("POST " + Path +
+                          " HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                          "X-Limpetbridge-Attempt-Id: f" +
+                          std::to_string(Number) + "\r\n" + More +
+                          "Connection: close\r\n\r\nx"),
+        Error);
+    std::array<char, 16384> Part{};
+    while (!Error)
+      Caller.read_some(net::asio::buffer(Part), Error);
+  }
+
+  /// Memory of this process, which is mostly the gateway's.
+  static auto residentBytes() -> std::size_t {
+    std::ifstream File("/proc/self/statm");
+    std::size_t Total = 0;
+    std::size_t Resident = 0;
+    File >> Total >> Resident;
+    return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  }
+
   /// A request that must not run twice, to a target with an endless answer.
   auto checkPlain(behaviour Behaviour) -> void {
     behave(*Ledger, Behaviour);
