Agents: lines and answers of engines are bounded

Cause: a generation's line without an end was kept for ever, and calls to services and engines held any body. A line may have 1 MB, an answer 8 MB, the answers of one client together 64 MB, each 256 KB in any case.

Tests: engine_test run_lineNeverEnds_*, call_bodyNeverEnds_* pass; without a bound both end only when the server has sent all that it will.

--- a/libs/engine/src/target_client.cpp
+++ b/libs/engine/src/target_client.cpp
@@ -6,6 +6,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <set>
@@ -25,12 +26,22 @@
 constexpr std::size_t QueueLimit = 4096;
 constexpr auto ConnectTimeout = std::chrono::seconds(1);
 
+/// Longest line of a generation, bytes.
+constexpr std::size_t MaxLineBytes = std::size_t{1} << 20U;
+/// Largest answer that is held until it is complete, bytes.
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} << 20U;
+/// Most that the answers of one client hold together, bytes; each may hold
+/// FreeAnswerBytes in any case.
+constexpr std::size_t MaxHeldBytes = std::size_t{64} << 20U;
+constexpr std::size_t FreeAnswerBytes = std::size_t{256} << 10U;
+
 /// Splits a stream of bytes into lines.
 class line_splitter {
 public:
   /// Appends \p Data; calls \p Handle with each complete line.
+  /// \returns false if a line is too long.
   template <typename handler>
-  auto feed(const char *Data, std::size_t Length, handler Handle) -> void {
+  auto feed(const char *Data, std::size_t Length, handler Handle) -> bool {
     Partial.append(Data, Length);
     std::size_t Start = 0;
     for (;;) {
@@ -41,12 +52,58 @@
       Start = End + 1;
     }
     Partial.erase(0, Start);
+    return Partial.size() <= MaxLineBytes;
   }
 
 private:
   std::string Partial;
 };
 
+/// An answer that is held until it is complete.
+class held_answer {
+public:
+  /// \param SharedBytes what all answers of a client hold.
+  explicit held_answer(std::atomic<std::size_t> &SharedBytes)
+      : Shared(SharedBytes) {}
+  ~held_answer() { Shared -= Bytes.size(); }
+  held_answer(const held_answer &) = delete;
+  auto operator=(const held_answer &) -> held_answer & = delete;
+
+  /// Sends \p Request and holds the answer's body. The call fails if the body
+  /// is too long, by itself or with the others.
+  auto receive(httplib::Client &Client, httplib::Request &Request)
+      -> httplib::Result {
+    Request.content_receiver = [this](const char *Data, std::size_t Length,
+                                      std::uint64_t, std::uint64_t) {
+      return append(Data, Length);
+    };
+    return Client.send(Request);
+  }
+  [[nodiscard]] auto text() const -> const std::string & { return Bytes; }
+
+private:
+  auto append(const char *Data, std::size_t Length) -> bool {
+    Bytes.append(Data, Length);
+    const auto Sum = Shared += Length;
+    return Bytes.size() <= FreeAnswerBytes ||
+           (Bytes.size() <= MaxAnswerBytes && Sum <= MaxHeldBytes);
+  }
+
+  std::atomic<std::size_t> &Shared;
+  std::string Bytes;
+};
+
+auto makeRequest(const char *Method, const std::string &Path,
+                 const std::string &Body = "") -> httplib::Request {
+  httplib::Request Request;
+  Request.method = Method;
+  Request.path = Path;
+  Request.body = Body;
+  if (!Body.empty())
+    Request.set_header("Content-Type", JsonType);
+  return Request;
+}
+
 auto encodeGenerate(const run_work &Effect) -> std::string {
   const auto &Work = Effect.Work;
   const json Body = {{"id", toString(Effect.Attempt)},
@@ -112,6 +169,7 @@
 
   target_options Options;
   target_sink Sink;
+  std::atomic<std::size_t> HeldBytes{0}; ///< By all answers.
   std::mutex Mutex;
   std::set<attempt_id> Stopped;
   std::map<attempt_id, httplib::Client *> Running;
@@ -135,17 +193,13 @@
   auto runGeneration(const run_work &Effect) -> void {
     generation Generation{Effect.Attempt, false, 0, {}};
     line_splitter Lines;
-    httplib::Request Request;
-    Request.method = "POST";
-    Request.path = "/v1/generate";
-    Request.set_header("Content-Type", JsonType);
-    Request.body = encodeGenerate(Effect);
+    auto Request = makeRequest("POST", "/v1/generate", encodeGenerate(Effect));
     Request.content_receiver = [&](const char *Data, std::size_t Length,
                                    std::uint64_t, std::uint64_t) {
-      Lines.feed(Data, Length, [&](std::string_view Line) {
+      const bool Sound = Lines.feed(Data, Length, [&](std::string_view Line) {
         Generation.readLine(Line, Sink);
       });
-      return !isStopped(Effect.Attempt);
+      return Sound && !isStopped(Effect.Attempt);
     };
     // A connection of its own: on a kept one, a late second copy of the answer
     // before would be taken for this one.
@@ -200,19 +254,20 @@
     const auto &Work = Effect.Work;
     const auto Client = makeClient(
         std::max<duration>(remaining(Work.Deadline, Now), milliseconds(1)));
-    httplib::Headers Headers;
+    auto Request = makeRequest("POST", "/v1/" + Work.Operation,
+                               Work.Body ? *Work.Body : "");
+    Request.set_header("Content-Type", JsonType);
     if (!Work.Key.empty())
-      Headers.emplace("Idempotency-Key", Work.Key.Text);
-    Headers.emplace("X-Request-Id", toString(Effect.Attempt.Request));
-    const auto Path = "/v1/" + Work.Operation;
-    const auto Result = Client->Post(Path.c_str(), Headers,
-                                     Work.Body ? *Work.Body : "", JsonType);
+      Request.set_header("Idempotency-Key", Work.Key.Text);
+    Request.set_header("X-Request-Id", toString(Effect.Attempt.Request));
+    held_answer Answer(HeldBytes);
+    const auto Result = Answer.receive(*Client, Request);
     target_ended Ended;
     Ended.Attempt = Effect.Attempt;
     if (Result) {
       Ended.End = target_end::Whole;
       Ended.Status = static_cast<std::uint32_t>(Result->status);
-      Ended.Body = shareText(Result->body);
+      Ended.Body = shareText(Answer.text());
     } else if (Result.error() == httplib::Error::Connection) {
       Ended.End = target_end::Unsent;
       Ended.Detail = "could not connect to the service; the call was not sent";
@@ -226,13 +281,15 @@
 
   auto postOrder(const send_order &Effect) -> void {
     const auto Client = makeClient(Options.OrderTimeout);
-    const auto Result =
-        Client->Post("/v1/orders", encodeOrder(Effect).dump(), JsonType);
+    auto Request =
+        makeRequest("POST", "/v1/orders", encodeOrder(Effect).dump());
+    held_answer Answer(HeldBytes);
+    const auto Result = Answer.receive(*Client, Request);
     order_replied Reply;
     Reply.Token = Effect.Token;
     Reply.Status = toOrderStatus(Result);
     if (Result)
-      decodeReply(Result->body, Reply);
+      decodeReply(Answer.text(), Reply);
     Sink(std::move(Reply));
   }
 
@@ -253,10 +310,12 @@
 
   auto readState() -> void {
     const auto Client = makeClient(Options.ReadTimeout);
-    const auto Result = Client->Get("/v1/state");
+    auto Request = makeRequest("GET", "/v1/state");
+    held_answer Answer(HeldBytes);
+    const auto Result = Answer.receive(*Client, Request);
     if (!Result || Result->status != StatusOk)
       return;
-    const auto Body = json::parse(Result->body, nullptr, false);
+    const auto Body = json::parse(Answer.text(), nullptr, false);
     try {
       Sink(engine_reported{decodeSnapshot(Body)});
     } catch (const json::exception &) {
--- a/libs/engine/tests/engine_test.cpp
+++ b/libs/engine/tests/engine_test.cpp
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(run_refusalOfTheRunBeforeWrittenAgain_isNotTakenForThisOne);
   CPPUNIT_TEST(call_answerCutAnywhere_isBroken);
   CPPUNIT_TEST(run_answerCutAnywhere_isBroken);
+  CPPUNIT_TEST(run_lineNeverEnds_isBrokenAndBounded);
+  CPPUNIT_TEST(call_bodyNeverEnds_isBrokenAndBounded);
+  CPPUNIT_TEST(call_headNeverEnds_isBrokenAndBounded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +109,21 @@
     CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Whole);
   }
 
+  auto run_lineNeverEnds_isBrokenAndBounded() -> void {
+    checkEndless("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'),
+                 makeGeneration());
+  }
+
+  auto call_bodyNeverEnds_isBrokenAndBounded() -> void {
+    checkEndless("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'),
+                 makeBooking());
+  }
+
+  auto call_headNeverEnds_isBrokenAndBounded() -> void {
+    checkEndless("HTTP/1.1 200 OK\r\n",
+                 "X-Field: " + std::string(1000, 'x') + "\r\n", makeBooking());
+  }
+
   auto call_answerCutAnywhere_isBroken() -> void {
     for (const auto &Bytes : cutAnswers())
       for (const bool Reset : {false, true}) {
@@ -129,6 +147,19 @@
   }
 
 private:
+  /// An answer whose \p Part comes again and again ends the call before much
+  /// was sent.
+  auto checkEndless(const std::string &Start, const std::string &Part,
+                    const run_work &Work) -> void {
+    constexpr std::size_t MaxSent = std::size_t{32} << 20U;
+    scripted_server Server({{Start, true, false, "", Part}});
+    const auto Client = makeClient(Server.port(), 1);
+    Client->execute(Work);
+    CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Broken);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Server.endlessCount()),
+                           Server.endlessCount() < MaxSent);
+  }
+
   /// Answers that end before they are complete.
   static auto cutAnswers() -> std::vector<std::string> {
     const std::string Head = "HTTP/1.1 200 OK\r\n";
--- a/libs/engine/tests/scripted_server.h
+++ b/libs/engine/tests/scripted_server.h
@@ -26,6 +26,8 @@
     bool Close = true; ///< Otherwise the connection serves another request.
     bool Reset = false;
     std::string LateBytes; ///< Sent 50 ms after the others.
+    std::string EndlessBytes =
+        {}; ///< Sent again and again until the client closes.
   };
 
   explicit scripted_server(std::deque<answer> Script)
@@ -51,6 +53,10 @@
     close(Listener);
   }
 
+  /// Bytes of endless answers that were sent.
+  [[nodiscard]] auto endlessCount() const -> std::size_t {
+    return EndlessCount;
+  }
   [[nodiscard]] auto port() const -> std::uint16_t { return Port; }
 
 private:
@@ -77,6 +83,14 @@
       send(Socket, Answer.LateBytes.data(), Answer.LateBytes.size(),
            MSG_NOSIGNAL);
     }
+    while (!Answer.EndlessBytes.empty() && !Stopped &&
+           EndlessCount < MaxEndlessCount) {
+      const auto Count = send(Socket, Answer.EndlessBytes.data(),
+                              Answer.EndlessBytes.size(), MSG_NOSIGNAL);
+      if (Count <= 0)
+        break;
+      EndlessCount += static_cast<std::size_t>(Count);
+    }
     if (Answer.Reset) {
       const linger Discard{1, 0};
       setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Discard, sizeof(Discard));
@@ -107,9 +121,12 @@
     }
   }
 
+  static constexpr std::size_t MaxEndlessCount = std::size_t{64} << 20U;
+
   std::deque<answer> Answers;
   int Listener;
   std::uint16_t Port = 0;
+  std::atomic<std::size_t> EndlessCount{0};
   std::atomic<bool> Stopped{false};
   std::atomic<int> Open{-1};
   std::thread Thread;
