Net: a target's answer is read in parts of more than 512 bytes

Cause: the parser reads as much at a time as its buffer has room for, and an empty buffer has room for 512 bytes; as it is emptied after each part, it never grows. In a busy loop each read takes a turn: 16 KB of rows, which change every 0.35 s at the large fleet, took 32 turns of 20 ms and more, and missed the 0.3 s of the query and the 0.5 s of the call to the store. The longer the rows were missing, the more of them there were. This is what kept two gateways without rows for four seconds.

The buffer has 8 KB from the start, 64 KB for answers that are read completely. Test: exchange_test readBody_longBodyHasArrived_*, which fails without it.

With it: digests that were replaced unread are counted apart from lost ones, and the metrics page of a gateway has a file of its own.

--- a/apps/limpetbridge/src/serving/digest_inbox.cpp
+++ b/apps/limpetbridge/src/serving/digest_inbox.cpp
@@ -10,6 +10,7 @@
   const auto Found = Latest.find(Sender);
   if (Found != Latest.end()) {
     Found->second.assign(Bytes);
+    ++ReplacedCount;
     return;
   }
   if (Latest.size() >= MaxSenders)
--- a/apps/limpetbridge/src/serving/digest_inbox.h
+++ b/apps/limpetbridge/src/serving/digest_inbox.h
@@ -3,6 +3,7 @@
 #ifndef LIMPETBRIDGE_NODE_SERVING_DIGEST_INBOX_H
 #define LIMPETBRIDGE_NODE_SERVING_DIGEST_INBOX_H
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -19,11 +20,16 @@
   auto put(const std::string &Sender, std::string_view Bytes) -> void;
   /// Takes the digest of the sender that has waited longest.
   auto take() -> std::optional<std::string>;
+  /// Digests that a later one has replaced.
+  [[nodiscard]] auto replacedCount() const -> std::uint64_t {
+    return ReplacedCount;
+  }
   [[nodiscard]] auto empty() const -> bool { return Order.empty(); }
 
 private:
   std::map<std::string, std::string> Latest; ///< By sender.
   std::deque<std::string> Order;             ///< Their senders.
+  std::uint64_t ReplacedCount = 0;
 };
 
 } // namespace limpetbridge
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -258,50 +258,6 @@
                     static_cast<double>(Effect.LongestGapMs));
 }
 
-auto gateway_node::handleMetricsCall(net::http_request Request)
-    -> awaitable<net::http_response> {
-  if (Request.Target.starts_with(QuarantinePath))
-    co_return handleQuarantineCall(Request);
-  const auto Now = process_clock::now();
-  Metrics.set("ready", !Draining && State.Configuration.Version > 0 ? 1 : 0);
-  Metrics.set("requests_in_progress",
-              static_cast<std::int64_t>(State.Requests.size()));
-  Metrics.set("caller_connections",
-              static_cast<std::int64_t>(Connections.size()));
-  Metrics.set("configuration_version",
-              static_cast<std::int64_t>(State.Configuration.Version));
-  Metrics.set("reads_targets", State.ReadsTargets ? 1 : 0);
-  Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
-  Metrics.set("loop_delay_ms", Loop.lastDelayMs());
-  Metrics.set("digests_lost", static_cast<std::int64_t>(State.LostDigests));
-  Metrics.set("held_answer_bytes",
-              static_cast<std::int64_t>(Budget.heldBytes()));
-  Metrics.set("held_answers_cancelled",
-              static_cast<std::int64_t>(Budget.cancelCount()));
-  Metrics.set("gateways_heard",
-              static_cast<std::int64_t>(State.PeerDigestTimes.size()));
-  Metrics.set("suspects",
-              static_cast<std::int64_t>(State.Crashes.suspects().size()));
-  Metrics.set("suspects_quarantined",
-              static_cast<std::int64_t>(
-                  State.Crashes.quarantined(State.Options.Quarantine).size()));
-  for (const auto &[Name, Entry] : State.Book.all()) {
-    const auto Label = "{target=\"" + Name.Text + "\"}";
-    const auto Load = Entry.load();
-    Metrics.set("target_active" + Label, Load.activeCount());
-    Metrics.set("target_pending_ms" + Label,
-                static_cast<std::int64_t>(Load.pendingMs(RankCount - 1)));
-    if (Entry.ReportedAt != time_point())
-      Metrics.set("target_told_age_ms" + Label,
-                  toMilliseconds(Now - Entry.ReportedAt));
-  }
-  net::http_response Response;
-  Response.Head.Status = StatusOk;
-  Response.Head.Fields.push_back({"Content-Type", "text/plain"});
-  Response.Body = Metrics.print();
-  co_return Response;
-}
-
 auto gateway_node::execute(const write_note &Effect) -> void {
   Metrics.count("decisions", Effect.Event);
   log(Effect.Level, Effect.Event, Effect.Fields);
@@ -341,24 +297,6 @@
   }
 }
 
-auto gateway_node::logLag(const loop_report &Report) -> void {
-  /// Delay from which on a report is logged, ms.
-  constexpr std::int64_t NotableDelayMs = 50;
-  const auto LostDigests =
-      State.LostDigests - std::exchange(LostDigestsLogged, State.LostDigests);
-  if (Report.LongestDelayMs < NotableDelayMs && LostDigests == 0)
-    return;
-  const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
-  log(log_level::Info, "loop_lag",
-      {{"delay_ms", std::to_string(Report.LongestDelayMs)},
-       {"busy_ms", std::to_string(Report.BusyMs)},
-       {"datagrams", std::to_string(Report.Datagrams)},
-       {"digests_lost", std::to_string(LostDigests)},
-       {"peers", std::to_string(State.PeerDigestTimes.size())},
-       {"targets_age_ms", std::to_string(toMilliseconds(TargetsAge))},
-       {"requests", std::to_string(State.Requests.size())}});
-}
-
 auto gateway_node::connectionLimits() const -> net::connection_limits {
   const auto &Limits = State.Configuration.Limits;
   return {Limits.HeaderBytes, Limits.BodyBytes, Limits.HeaderTimeoutMs,
@@ -437,12 +375,15 @@
   co_return KeepOpen;
 }
 
+auto gateway_node::isReady() const -> bool {
+  return !Draining && State.Configuration.Version > 0 &&
+         !hasLostView(State, process_clock::now());
+}
+
 auto gateway_node::handleReadinessCall(net::http_request /*Request*/)
     -> awaitable<net::http_response> {
   net::http_response Response;
-  const bool Ready = !Draining && State.Configuration.Version > 0 &&
-                     !hasLostView(State, process_clock::now());
-  Response.Head.Status = Ready ? StatusOk : StatusUnavailable;
+  Response.Head.Status = isReady() ? StatusOk : StatusUnavailable;
   co_return Response;
 }
 
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -75,6 +75,8 @@
   auto apply(const serving::gateway_event &Event) -> void;
   auto serveRequest(connection Connection, net::read_outcome Outcome)
       -> net::awaitable<bool>;
+  /// True if load balancers should send requests here.
+  [[nodiscard]] auto isReady() const -> bool;
   auto handleReadinessCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto handleMetricsCall(net::http_request Request)
@@ -110,6 +112,9 @@
   auto receiveDatagram(const std::string &From, std::string_view Bytes) -> void;
   /// Reads one digest that was kept, and the others in later turns.
   auto readNextDigest() -> void;
+  /// Digests of other gateways that have not arrived; may be off by those that
+  /// are not read yet.
+  [[nodiscard]] auto lostDigests() const -> std::int64_t;
   /// Logs \p Report if this process lags behind or has lost digests.
   auto logLag(const loop_report &Report) -> void;
   /// Dispatches a tick at a fixed interval.
@@ -155,7 +160,8 @@
   std::vector<std::shared_ptr<net::asio::steady_timer>> WaitingQueries;
   metrics Metrics;
   loop_monitor Loop{process_clock::now()};
-  std::uint64_t LostDigestsLogged = 0;
+  std::int64_t LostDigestsLogged = 0;
+  std::uint64_t ReplacedDigestsLogged = 0;
   digest_inbox Digests;
   bool ReadingDigests = false; ///< readNextDigest is posted.
   std::unique_ptr<net::datagram_socket> LinkSocket;
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -62,7 +62,7 @@
   /// \returns none if the connection ended or the head is not valid.
   auto readResponseHead() -> awaitable<std::optional<response_head>>;
 
-  /// Reads up to \p Bytes of a body at a time from now on.
+  /// Reads up to \p Bytes of the next responses at a time.
   auto setReadSize(std::size_t Bytes) -> void { ReadSize = Bytes; }
 
   /// Reads a part of the body and appends it to \p Bytes.
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t FetchReadBytes = std::size_t{64} * 1024;
 /// Largest head of a response, bytes.
 constexpr std::uint32_t MaxHeadBytes = std::uint32_t{64} * 1024;
+/// Least room for bytes that are read and not parsed yet.
+constexpr std::size_t MinBufferBytes = std::size_t{8} * 1024;
 /// Heads read per response: informational ones and the final one.
 constexpr int MaxHeadsRead = 4;
 /// Largest body that fetch accepts, bytes.
@@ -83,6 +85,9 @@
     -> awaitable<std::optional<response_head>> {
   const auto Self = shared_from_this();
   constexpr unsigned FirstFinalStatus = 200;
+  // The parser reads as much at a time as the buffer has room for, and an empty
+  // buffer has room for 512 bytes.
+  Buffer.reserve(std::max(MinBufferBytes, ReadSize));
   for (int HeadCount = 0; HeadCount < MaxHeadsRead; ++HeadCount) {
     Parser.emplace();
     Parser->header_limit(MaxHeadBytes);
@@ -178,12 +183,12 @@
     if (const auto This = Weak.lock(); This && !Error)
       This->close();
   });
+  Connection->setReadSize(FetchReadBytes);
   Connection->startSend(serializeRequest(Request));
   const auto Head = co_await Connection->readResponseHead();
   if (!Head)
     co_return std::nullopt;
   Stage = exchange_stage::ReadingBody;
-  Connection->setReadSize(FetchReadBytes);
   http_response Response{*Head, {}};
   auto ReadResult = body_read::Data;
   while (ReadResult == body_read::Data &&
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(closeIfIdle_requestHasArrived_requestIsServed);
   CPPUNIT_TEST(closeIfIdle_nothingHasArrived_connectionCloses);
   CPPUNIT_TEST(datagrams_arriveInABusyLoop_areReceivedInFewTurns);
+  CPPUNIT_TEST(readBody_longBodyHasArrived_takesFewReads);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,6 +92,41 @@
     CPPUNIT_ASSERT_EQUAL(Sent, Received);
   }
 
+  auto readBody_longBodyHasArrived_takesFewReads() -> void {
+    constexpr std::size_t BodyBytes = 48'000;
+    tcp::acceptor Acceptor(*Context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto Connection =
+        std::make_shared<target_connection>(Context->get_executor());
+    int Reads = 0;
+    std::string Body;
+    const auto Read = [&]() -> awaitable<void> {
+      const auto Deadline = process_clock::now() + TestTimeout;
+      const auto PeerAddress =
+          "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+      const bool Connected =
+          co_await Connection->connect(PeerAddress, Deadline);
+      CPPUNIT_ASSERT(Connected);
+      auto Peer = Acceptor.accept();
+      const auto Bytes =
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) +
+          "\r\n\r\n" + std::string(BodyBytes, 'x');
+      asio::write(Peer, asio::buffer(Bytes));
+      usleep(100'000);
+      Connection->setReadSize(std::size_t{64} * 1024);
+      const auto Head = co_await Connection->readResponseHead();
+      CPPUNIT_ASSERT(Head.has_value());
+      auto Result = body_read::Data;
+      for (; Result == body_read::Data; ++Reads)
+        Result = co_await Connection->readBody(Body);
+      Context->stop();
+    };
+    spawn(Context->get_executor(), Read());
+    Context->run();
+    CPPUNIT_ASSERT_EQUAL(BodyBytes, Body.size());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Reads), Reads <= 4);
+  }
+
   auto fetch_closedPort_returnsNone() -> void {
     Server->stop();
     Context->poll();
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -102,7 +102,7 @@
   std::map<instance_name, std::map<target_name, model_change>> PeerPendingLoads;
   std::map<instance_name, time_point> PeerDigestTimes; ///< Of the last one.
   std::map<instance_name, std::uint64_t> PeerDigestSequences;
-  std::uint64_t LostDigests = 0;    ///< Of those that peers have sent.
+  std::uint64_t MissingDigests = 0; ///< Whose numbers were skipped.
   std::uint64_t DigestSequence = 0; ///< Of the last own one.
   /// Prompt parts and adapter uses that are not in a digest yet.
   std::map<std::pair<target_name, prefix_key>, std::uint32_t> UnsentPrefixes;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -99,14 +99,14 @@
   return true;
 }
 
-/// Counts the digests of the sender that did not arrive.
-auto countLostDigests(const gateway_step &Step, const gateway_digest &Event)
+/// Counts the digests of the sender that were not read.
+auto countMissingDigests(const gateway_step &Step, const gateway_digest &Event)
     -> void {
   auto &State = Step.State;
   auto &Last = State.PeerDigestSequences[Event.From];
   // A lower number comes from a process that has started since, or late.
   if (Last > 0 && Event.Sequence > Last)
-    State.LostDigests += Event.Sequence - Last - 1;
+    State.MissingDigests += Event.Sequence - Last - 1;
   Last = Event.Sequence;
 }
 
@@ -287,7 +287,7 @@
   auto &State = Step.State;
   if (Event.From == State.Options.Self)
     return;
-  countLostDigests(Step, Event);
+  countMissingDigests(Step, Event);
   State.Book.setPeerLoads(Event.From, Event.Loads);
   State.Demand.setPeerRates(Event.From, Event.Demand);
   auto &Loading = State.PeerPendingLoads[Event.From];
