--- a/testing/emulator/tests/endless_answer_test.cpp
+++ b/testing/emulator/tests/endless_answer_test.cpp
@@ -145,6 +145,7 @@
                   const std::function<void()> &Other) -> void {
     const auto Before = residentBytes();
     std::vector<std::thread> Callers;
+    Callers.reserve(FloodCallers);
     for (int I = 0; I < FloodCallers; ++I)
       Callers.emplace_back([&, I] { sendFlood(Path, Fields, I); });
     std::size_t Largest = 0;
