Metrics: the number of lost digests does not fall below zero

Digests of gateways that are forgotten meanwhile count as replaced, but their missing numbers do not count, so the difference was -45 at one gateway.

--- a/apps/limpetbridge/src/serving/gateway_metrics.cpp
+++ b/apps/limpetbridge/src/serving/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 /// The page of a gateway's metrics, and what it logs about its own state.
 #include "gateway_node.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetbridge {
@@ -57,8 +58,9 @@
 
 auto gateway_node::lostDigests() const -> std::int64_t {
   // The numbers of those that were replaced are missing as well.
-  return static_cast<std::int64_t>(State.MissingDigests) -
-         static_cast<std::int64_t>(Digests.replacedCount());
+  const auto Replaced = Digests.replacedCount();
+  return static_cast<std::int64_t>(State.MissingDigests -
+                                   std::min(State.MissingDigests, Replaced));
 }
 
 auto gateway_node::logLag(const loop_report &Report) -> void {
@@ -66,10 +68,11 @@
   constexpr std::int64_t NotableDelayMs = 50;
   const auto Lost = lostDigests();
   const auto Replaced = Digests.replacedCount();
-  const auto NewlyLost = Lost - std::exchange(LostDigestsLogged, Lost);
+  const auto NewlyLost =
+      std::max(std::int64_t{0}, Lost - std::exchange(LostDigestsLogged, Lost));
   const auto NewlyReplaced =
       Replaced - std::exchange(ReplacedDigestsLogged, Replaced);
-  if (Report.LongestDelayMs < NotableDelayMs && NewlyLost <= 0 &&
+  if (Report.LongestDelayMs < NotableDelayMs && NewlyLost == 0 &&
       NewlyReplaced == 0)
     return;
   const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
