Gateways: a late answer of a current gateway is no proof that none is current

Cause: that nobody has newer rows was concluded from how old a view is when the answer of another gateway is read. A gateway without time, or with a lossy link, reads the answer of a current one so late that it looks old, and would have sent requests on it.

What counts is the age that the other gateway stated when it answered. Test: stale_view_test answer_ofACurrentPeerComesLate_*, which fails with the condition as it was; answer_ofAPeerWithOldRows_* for the other way round.

--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -90,10 +90,10 @@
     return readNumber(net::findField(Fields, Name), Default);
   };
   Event.TargetsReadAgeMs = ReadMs(TargetsReadAgeField, -1);
-  const auto KnownAgeMs = ReadMs(TargetsKnownAgeField, -1);
+  Event.TargetsKnownAgeMs = ReadMs(TargetsKnownAgeField, -1);
   if (!KnowledgeSync.TargetsAgree())
     return;
-  if (KnownAgeMs < 0) {
+  if (Event.TargetsKnownAgeMs < 0) {
     Event.TargetsKnownAt = time_point();
     return;
   }
@@ -102,7 +102,7 @@
   const auto Waited =
       milliseconds(std::max(std::int64_t{0}, ReadMs(WaitedField, 0)));
   const auto WrittenAt = std::min(AskedAt + Waited, process_clock::now());
-  Event.TargetsKnownAt = WrittenAt - milliseconds(KnownAgeMs);
+  Event.TargetsKnownAt = WrittenAt - milliseconds(Event.TargetsKnownAgeMs);
   Event.RowsAreSettled = net::hasField(Fields, RowsSettledField);
 }
 
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -271,6 +271,8 @@
   /// if the peer has none. Not set if there is no answer, or if its rows differ
   /// from those that are known here.
   std::optional<time_point> TargetsKnownAt = std::nullopt;
+  /// Age of the peer's view when it answered, ms; below 0 if it has none.
+  std::int64_t TargetsKnownAgeMs = -1;
   bool RowsAreSettled = false; ///< At the peer; see rowsAreSettled.
 };
 
--- a/libs/serving/src/gateway_view.cpp
+++ b/libs/serving/src/gateway_view.cpp
@@ -175,7 +175,11 @@
   State.ViewAskInterval = duration::zero();
   if (!Event.TargetsKnownAt)
     return;
-  if (!isCurrent(State, *Event.TargetsKnownAt, Step.Now))
+  // What counts is the view that the peer had, however late its answer comes.
+  const bool PeerIsCurrent =
+      Event.TargetsKnownAgeMs >= 0 &&
+      milliseconds(Event.TargetsKnownAgeMs) <= State.Options.MaxViewAge;
+  if (!PeerIsCurrent)
     State.PeersStaleUntil = Step.Now + StalePeerValidity;
   else if (Event.RowsAreSettled)
     endRowGrace(Step);
--- a/libs/serving/tests/gateway_fleet.h
+++ b/libs/serving/tests/gateway_fleet.h
@@ -231,8 +231,11 @@
       peer_answered Event;
       Event.Address = Query.Query.Address;
       Event.Answered = Query.Answered;
-      if (Query.Answered)
+      if (Query.Answered) {
         Event.TargetsKnownAt = Query.TargetsKnownAt;
+        Event.TargetsKnownAgeMs =
+            toMilliseconds(Query.AskedAt - Query.TargetsKnownAt);
+      }
       perform(Process, Event);
     }
   }
@@ -261,6 +264,8 @@
         Process.Version = std::max(Process.Version, Peer.Version);
         peer_answered Event{Query.Address, true, true, AgeMs};
         Event.TargetsKnownAt = Peer.State.TargetsKnownAt;
+        Event.TargetsKnownAgeMs =
+            toMilliseconds(Now - Peer.State.TargetsKnownAt);
         perform(Process, Event);
         return;
       }
--- a/libs/serving/tests/stale_view_test.cpp
+++ b/libs/serving/tests/stale_view_test.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(request_rowsOldWhilePeersAreCurrent_isNotSent);
   CPPUNIT_TEST(tick_ownReadStaysOpen_currentPeersAreAsked);
   CPPUNIT_TEST(tick_noQueryIsAnswered_asksMoreRarely);
+  CPPUNIT_TEST(answer_ofACurrentPeerComesLate_requestIsNotSent);
+  CPPUNIT_TEST(answer_ofAPeerWithOldRows_requestIsSent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,7 +64,31 @@
     CPPUNIT_ASSERT(Immediate > 0 && Immediate <= 6);
   }
 
+  auto answer_ofACurrentPeerComesLate_requestIsNotSent() -> void {
+    receiveAnswer(100);
+    CPPUNIT_ASSERT(Gateway.effectsOf<send_attempt>().empty());
+  }
+
+  auto answer_ofAPeerWithOldRows_requestIsSent() -> void {
+    receiveAnswer(2000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Gateway.effectsOf<send_attempt>().size());
+  }
+
 private:
+  /// An answer was on its way for longer than a view may be old; no digest
+  /// arrives. A request follows.
+  auto receiveAnswer(std::int64_t AgeMs) -> void {
+    Gateway.Now += DrainBound;
+    peer_answered Answer;
+    Answer.Address = "g2";
+    Answer.Answered = true;
+    Answer.TargetsKnownAt = Gateway.Now - DrainBound;
+    Answer.TargetsKnownAgeMs = AgeMs;
+    Gateway.dispatch(Answer);
+    Gateway.receiveRequest(1, "/pay/x");
+  }
+
   /// Peers that read the targets go on sending digests. The own read stays
   /// open, and no query is answered.
   auto runWithoutRows(duration Span) -> void {
