--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+compile() { g++ -std=c++20 -O2 -Wall -Wextra -pthread "$1" -o "target/review/$2"; }
+compile review/stand_ins/worker_main.cpp worker
 for source in review/[1-9]/case.cpp; do
-  number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" -o "target/review/case$number"
+  compile "$source" "case$(basename "$(dirname "$source")")"
 done
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -233,8 +233,8 @@
 public:
   using handler = std::function<bool(channel &, http_message &)>;
 
-  explicit http_server(handler RequestHandler)
-      : Handler(std::move(RequestHandler)) {
+  explicit http_server(handler RequestHandler, std::uint16_t FixedPort = 0)
+      : Handler(std::move(RequestHandler)), Port(FixedPort) {
     start();
   }
   ~http_server() { stop(); }
