--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -69,9 +69,7 @@
     Server.start();
     publish();
   }
-  [[nodiscard]] auto address() const -> std::string {
-    return Server.address();
-  }
+  [[nodiscard]] auto address() const -> std::string { return Server.address(); }
   /// Orders without an answer so far.
   std::atomic<int> LateOrders = 0;
   std::atomic<int> LateOrdersCarriedOut = 0;
@@ -169,8 +167,7 @@
     }
     std::int64_t TakesMs = 50;
     if (Load) {
-      const double Needed =
-          (static_cast<double>(Models.size()) + 1) * ModelMb;
+      const double Needed = (static_cast<double>(Models.size()) + 1) * ModelMb;
       Record.write("load of " + Model + " begins, sequence " +
                    std::to_string(Sequence) + ", lifetime " +
                    std::to_string(Lifetime) + ", memory needed " +
@@ -253,13 +250,13 @@
   Record.write("send " + Id + " for " + Model);
   exchange Result;
   if (Channel)
-    Result = exchangeOn(
-        *Channel,
-        requestHead("POST", "/draft/note", Id, DeadlineMs, 4,
-                    {{"X-Limpetbridge-Model", Model},
-                     {"X-Limpetbridge-Token-Usage", "828,54"},
-                     {"X-Limpetbridge-Prompt-Prefix", "a1:198," + Id + ":630"}}),
-        "text", DeadlineMs + 1000);
+    Result = exchangeOn(*Channel,
+                        requestHead("POST", "/draft/note", Id, DeadlineMs, 4,
+                                    {{"X-Limpetbridge-Model", Model},
+                                     {"X-Limpetbridge-Token-Usage", "828,54"},
+                                     {"X-Limpetbridge-Prompt-Prefix",
+                                      "a1:198," + Id + ":630"}}),
+                        "text", DeadlineMs + 1000);
   Record.write("seen " + Id + ": " + std::to_string(Result.Status));
   return Result.Status;
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -106,8 +106,7 @@
   sleepMs(ContactTimeoutMs); // All are in touch from here on.
   std::vector<std::thread> Threads;
   for (int I = 0; I < Callers; ++I)
-    Threads.emplace_back(callRepeatedly, I, std::cref(Ports),
-                         std::ref(Record));
+    Threads.emplace_back(callRepeatedly, I, std::cref(Ports), std::ref(Record));
   int Sent = 0;
   std::vector<std::int64_t> CrashTimes;
   std::map<std::string, std::int64_t> BackAt;
@@ -170,16 +169,17 @@
   // Each request with the part that reached a worker crashed it.
   int Late = 0;
   for (std::size_t I = 5; I < CrashTimes.size(); ++I)
-    Late += InTouch[I] && CrashTimes[I] > CrashTimes[4] + ContactTimeoutMs ? 1
-                                                                          : 0;
+    Late +=
+        InTouch[I] && CrashTimes[I] > CrashTimes[4] + ContactTimeoutMs ? 1 : 0;
   Record.say("sound requests answered " + std::to_string(SoundWhole) +
              "; requests with the part sent " + std::to_string(Sent) +
              ", reached workers and crashed them " +
              std::to_string(CrashTimes.size()));
-  Record.say("of these by gateways in touch, later than contact_timeout_ms after "
-             "the fifth crash: " +
-             std::to_string(Late) + " (the rule allows " +
-             std::to_string(AllowedAfterFifthCrash) + ")");
+  Record.say(
+      "of these by gateways in touch, later than contact_timeout_ms after "
+      "the fifth crash: " +
+      std::to_string(Late) + " (the rule allows " +
+      std::to_string(AllowedAfterFifthCrash) + ")");
   if (SoundWhole == 0 || Sent == 0)
     return CouldNotRun;
   return Late > AllowedAfterFifthCrash ? RuleBroken : RuleHeld;
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -89,8 +89,8 @@
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     timeval Limit{TimeoutMs / 1000, (TimeoutMs % 1000) * 1000};
     setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
-    if (::connect(Fd, reinterpret_cast<sockaddr *>(&Address),
-                  sizeof Address) != 0)
+    if (::connect(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof Address) !=
+        0)
       return nullptr;
     Limit = {20, 0};
     setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
@@ -155,9 +155,9 @@
   [[nodiscard]] auto rest() const -> const std::string & { return Buffer; }
   /// Reads on for a while. \returns false if the channel has ended.
   auto fill(steady::time_point Deadline) -> bool {
-    const auto Left = std::chrono::duration_cast<milliseconds>(
-                          Deadline - steady::now())
-                          .count();
+    const auto Left =
+        std::chrono::duration_cast<milliseconds>(Deadline - steady::now())
+            .count();
     pollfd Wait{Socket, POLLIN, 0};
     if (Left <= 0 || ::poll(&Wait, 1, static_cast<int>(Left)) <= 0)
       return false;
@@ -312,8 +312,7 @@
       Channels.insert(&Channel);
     }
     for (bool Keep = true; Keep && !Stopping;) {
-      auto Request =
-          Channel.readHead(steady::now() + std::chrono::seconds(60));
+      auto Request = Channel.readHead(steady::now() + std::chrono::seconds(60));
       Keep = Request && Handler(Channel, *Request);
     }
     const std::lock_guard Lock(Mutex);
@@ -332,8 +331,8 @@
 
 /// What a caller saw of one request.
 struct exchange {
-  int Status = 0;       ///< 0: the channel ended, or nothing came in time.
-  bool Whole = false;   ///< The answer was complete.
+  int Status = 0;     ///< 0: the channel ended, or nothing came in time.
+  bool Whole = false; ///< The answer was complete.
   bool HasProof = false;
   http_message Answer;
 };
@@ -351,8 +350,7 @@
   if (!Answer)
     return Result;
   Result.Status = Answer->status();
-  Result.HasProof =
-      !Answer->field("X-Limpetbridge-Response-Signature").empty();
+  Result.HasProof = !Answer->field("X-Limpetbridge-Response-Signature").empty();
   Result.Whole = Channel.readBody(*Answer, true, Deadline);
   Result.Answer = std::move(*Answer);
   return Result;
--- a/review/stand_ins/platform.h
+++ b/review/stand_ins/platform.h
@@ -66,8 +66,7 @@
               (I + J < Bytes.size() ? static_cast<unsigned char>(Bytes[I + J])
                                     : 0U);
     for (std::size_t J = 0; J < 4; ++J)
-      Text += I + J > Bytes.size() ? '='
-                                   : Digits[Group >> (6 * (3 - J)) & 63U];
+      Text += I + J > Bytes.size() ? '=' : Digits[Group >> (6 * (3 - J)) & 63U];
   }
   return Text;
 }
@@ -88,9 +87,7 @@
     Server.stop();
   }
 
-  [[nodiscard]] auto address() const -> std::string {
-    return Server.address();
-  }
+  [[nodiscard]] auto address() const -> std::string { return Server.address(); }
   auto put(const std::string &Table, const std::string &Key,
            const std::string &Value) -> void {
     const std::lock_guard Lock(Mutex);
@@ -115,8 +112,8 @@
     std::string Plain;
     for (std::size_t I = 0; I < Text.size(); ++I)
       if (Text[I] == '%' && I + 2 < Text.size()) {
-        Plain += static_cast<char>(
-            std::stoi(Text.substr(I + 1, 2), nullptr, 16));
+        Plain +=
+            static_cast<char>(std::stoi(Text.substr(I + 1, 2), nullptr, 16));
         I += 2;
       } else {
         Plain += Text[I];
@@ -172,8 +169,8 @@
     } else if (Target.starts_with("/rows-feed")) {
       const auto Query = query(Target);
       const auto After = std::stoull(Query.at("after"));
-      const auto Until = steady::now() +
-                         milliseconds(std::stoll(Query.at("wait_time_ms")));
+      const auto Until =
+          steady::now() + milliseconds(std::stoll(Query.at("wait_time_ms")));
       auto List = json::array();
       for (;;) {
         std::map<std::uint64_t, json> Newer;
@@ -432,11 +429,12 @@
                         const std::string &Id, std::int64_t DeadlineMs,
                         std::size_t BodyBytes, const field_list &More = {})
     -> std::string {
-  std::string Text = Method + " " + Path +
-                     " HTTP/1.1\r\nHost: shea.example\r\n"
-                     "X-Limpetbridge-Attempt-Id: " +
-                     Id + "\r\nX-Limpetbridge-Deadline-Ms: " +
-                     std::to_string(DeadlineMs) + "\r\n";
+  std::string Text =
+      Method + " " + Path +
+      " HTTP/1.1\r\nHost: shea.example\r\n"
+      "X-Limpetbridge-Attempt-Id: " +
+      Id + "\r\nX-Limpetbridge-Deadline-Ms: " + std::to_string(DeadlineMs) +
+      "\r\n";
   for (const auto &[Name, Value] : More)
     Text += Name + ": " + Value + "\r\n";
   if (Method != "GET" && Method != "HEAD")
--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -31,14 +31,18 @@
   [[nodiscard]] auto report() const -> json {
     auto List = json::array();
     for (const auto &Model : Models)
-      List.push_back({{"name", Model},
-                      {"version", 1},
-                      {"adapters", json::array()}});
-    return {{"stage", "colocated"}, {"models", List},
-            {"busy", false},        {"sequence", 0},
-            {"born", Born.load()},  {"queued_requests", 0},
-            {"active_requests", 0}, {"kv_cache_used", 0},
-            {"kv_cache_total", 270'589}, {"handles", 0}};
+      List.push_back(
+          {{"name", Model}, {"version", 1}, {"adapters", json::array()}});
+    return {{"stage", "colocated"},
+            {"models", List},
+            {"busy", false},
+            {"sequence", 0},
+            {"born", Born.load()},
+            {"queued_requests", 0},
+            {"active_requests", 0},
+            {"kv_cache_used", 0},
+            {"kv_cache_total", 270'589},
+            {"handles", 0}};
   }
   [[nodiscard]] auto row() const -> json {
     auto Row = report();
@@ -63,8 +67,8 @@
             {"X-Limpetbridge-Response-Signature", "proof." + Id}};
   }
   /// States that the request was not run.
-  auto refuse(channel &Channel, const http_message &Request,
-              int Status) const -> bool {
+  auto refuse(channel &Channel, const http_message &Request, int Status) const
+      -> bool {
     return Channel.send(
         answerText(Status,
                    {{"X-Limpetbridge-Attempt-Id",
--- a/review/stand_ins/worker_main.cpp
+++ b/review/stand_ins/worker_main.cpp
@@ -19,8 +19,8 @@
 
 /// Appends a line to the log at once, as the process may end at any time.
 auto note(const std::string &Line) -> void {
-  static const int File = ::open(Options.at("log").c_str(),
-                                 O_WRONLY | O_CREAT | O_APPEND, 0600);
+  static const int File =
+      ::open(Options.at("log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   const auto Text = Line + "\n";
   if (::write(File, Text.data(), Text.size()) < 0)
     ::_exit(3);
@@ -53,12 +53,11 @@
   note("run " + Id + (Crashes ? " crash" : "") +
        (After.empty() ? "" : " after " + After));
   sleepMs(number("first_ms"));
-  std::string Text =
-      "HTTP/1.1 200 OK\r\nX-Limpetbridge-Attempt-Id: " + Id +
-      "\r\nX-Limpetbridge-Response-Signature: proof." + Options["id"] +
-      "\r\nContent-Type: text/event-stream\r\n" +
-      (Framed ? "Transfer-Encoding: chunked\r\n\r\n"
-              : "Connection: close\r\n\r\n");
+  std::string Text = "HTTP/1.1 200 OK\r\nX-Limpetbridge-Attempt-Id: " + Id +
+                     "\r\nX-Limpetbridge-Response-Signature: proof." +
+                     Options["id"] + "\r\nContent-Type: text/event-stream\r\n" +
+                     (Framed ? "Transfer-Encoding: chunked\r\n\r\n"
+                             : "Connection: close\r\n\r\n");
   const auto Events = number("events");
   for (auto Event = After.empty() ? 1 : std::stoll(After) + 1; Event <= Events;
        ++Event) {
--- a/review/stand_ins/worker_process.h
+++ b/review/stand_ins/worker_process.h
@@ -14,7 +14,8 @@
                  const std::string &Model, const temporary_folder &Folder,
                  values MoreOptions)
       : Id(std::move(WorkerId)), Log(Folder.Path + "/" + Id + ".log"),
-        Store(PlatformStore), HeldModel(Model), Options(std::move(MoreOptions)) {
+        Store(PlatformStore), HeldModel(Model),
+        Options(std::move(MoreOptions)) {
     Options["id"] = Id;
     Options["log"] = Log;
     Options["port"] = std::to_string(Port);
