--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -177,6 +177,7 @@
         ++Overloads;
         Record.write("the worker is ordered to load more than it holds, and "
                      "crashes");
+        Server.end();
         return 202;
       }
       TakesMs = InMemory.contains(Model) ? WarmLoadMs
