--- a/apps/limpetbridge/src/main.cpp
+++ b/apps/limpetbridge/src/main.cpp
@@ -5,7 +5,9 @@
 #include "adapter/hooks.h"
 #include "base/log.h"
 #include "controller_node.h"
+#include "explain_client.h"
 #include "gateway_node.h"
+#include "large_blocks.h"
 #include "node.h"
 #include "node_setup.h"
 #include "stop_signal.h"
@@ -16,7 +18,9 @@
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 namespace {
 
@@ -26,12 +30,21 @@
     "usage: limpetbridge --settings FILE\n"
     "       limpetbridge --check FILE\n"
     "       limpetbridge --print-settings [FILE]\n"
+    "       limpetbridge --explain REQUEST --gateway ADDRESS [--json]\n"
     "\n"
     "  -s, --settings FILE       run a node with these settings\n"
     "  -c, --check FILE          check the settings and exit\n"
     "  -p, --print-settings      print all settings, the defaults or those of "
     "FILE,\n"
     "                            with their descriptions\n"
+    "  -e, --explain REQUEST     print where a gateway would send a request "
+    "now, and\n"
+    "                            why, without sending it; REQUEST is a file "
+    "with the\n"
+    "                            request line and header fields, - for "
+    "standard input\n"
+    "  -g, --gateway ADDRESS     metrics address of the gateway that is asked\n"
+    "  -j, --json                print the explanation as JSON\n"
     "  -V, --version             print the version\n"
     "  -h, --help                print this text\n"
     "\n"
@@ -47,6 +60,7 @@
   RunNode,
   Check,
   PrintSettings,
+  Explain,
   Version,
   Help,
   UsageError
@@ -55,6 +69,8 @@
 struct command_line {
   command Command = command::UsageError;
   std::string File;
+  std::string Gateway; ///< For Explain.
+  bool AsJson = false; ///< For Explain.
 };
 
 auto parseCommandLine(int ArgumentCount, char **ArgumentValues)
@@ -63,19 +79,29 @@
       {"settings", required_argument, nullptr, 's'},
       {"check", required_argument, nullptr, 'c'},
       {"print-settings", no_argument, nullptr, 'p'},
+      {"explain", required_argument, nullptr, 'e'},
+      {"gateway", required_argument, nullptr, 'g'},
+      {"json", no_argument, nullptr, 'j'},
       {"version", no_argument, nullptr, 'V'},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0}};
   command_line CommandLine;
   int Option = 0;
-  while ((Option = getopt_long(ArgumentCount, ArgumentValues, "s:c:pVh",
+  while ((Option = getopt_long(ArgumentCount, ArgumentValues, "s:c:pe:g:jVh",
                                Options, nullptr)) != -1) {
     if (Option == 's')
-      CommandLine = {command::RunNode, optarg};
+      CommandLine = {command::RunNode, optarg, {}};
     else if (Option == 'c')
-      CommandLine = {command::Check, optarg};
+      CommandLine = {command::Check, optarg, {}};
     else if (Option == 'p')
       CommandLine.Command = command::PrintSettings;
+    else if (Option == 'e') {
+      CommandLine.Command = command::Explain;
+      CommandLine.File = optarg;
+    } else if (Option == 'g')
+      CommandLine.Gateway = optarg;
+    else if (Option == 'j')
+      CommandLine.AsJson = true;
     else if (Option == 'V')
       CommandLine.Command = command::Version;
     else if (Option == 'h')
@@ -85,9 +111,11 @@
   }
   const char *DefaultFile = std::getenv("LIMPETBRIDGE_SETTINGS"); // NOLINT
   if (ArgumentCount == 1 && DefaultFile != nullptr)
-    CommandLine = {command::RunNode, DefaultFile};
+    CommandLine = {command::RunNode, DefaultFile, {}};
   if (CommandLine.Command == command::PrintSettings && optind < ArgumentCount)
     CommandLine.File = ArgumentValues[optind];
+  if (CommandLine.Gateway.empty() == (CommandLine.Command == command::Explain))
+    return {};
   return CommandLine;
 }
 
@@ -133,6 +161,25 @@
   return 0;
 }
 
+auto explainRequest(const command_line &CommandLine) -> int {
+  std::ifstream File;
+  if (CommandLine.File != "-")
+    File.open(CommandLine.File);
+  std::istream &Input = CommandLine.File == "-" ? std::cin : File;
+  if (!Input)
+    return reportError(failure(result_code::FileUnreadable, CommandLine.File));
+  const std::string Text(std::istreambuf_iterator<char>(Input), {});
+  auto Request = parseRequestText(Text);
+  if (!Request)
+    return reportError(Request.error());
+  auto Explanation = fetchExplanation(CommandLine.Gateway, Request.value(),
+                                      CommandLine.AsJson);
+  if (!Explanation)
+    return reportError(Explanation.error());
+  std::cout << Explanation.value();
+  return 0;
+}
+
 /// Blocks the signals that the process handles in every thread, so that they
 /// wait until they can be handled. \returns these signals.
 auto blockSignals() -> sigset_t {
@@ -186,6 +233,7 @@
 /// Runs a gateway or a controller until it has shut down.
 auto runGatewayOrController(const node_settings &Settings,
                             const sigset_t &Signals) -> int {
+  returnLargeBlocks();
   try {
     if (Settings.Role == "gateway")
       return runServingNode(
@@ -231,6 +279,8 @@
     return checkSettingsFile(CommandLine.File);
   case command::PrintSettings:
     return printSettingsFile(CommandLine.File);
+  case command::Explain:
+    return explainRequest(CommandLine);
   case command::Version:
     std::cout << "limpetbridge 0.1.0\n";
     return 0;
--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -55,10 +55,15 @@
   /// \returns its fencing token.
   std::function<net::awaitable<std::uint64_t>(serving::instance_record)>
       RegisterInstance;
-  /// Watches the configuration and calls the function with each version.
-  std::function<void(net::asio::io_context &,
-                     std::function<void(serving::configuration)>)>
+  /// Watches the configuration and calls the function with each version that is
+  /// read, and where it was read.
+  std::function<void(
+      net::asio::io_context &,
+      std::function<void(serving::configuration,
+                         const serving::configuration_source &)>)>
       WatchConfiguration;
+  /// Looks at once whether the store is in a later era, if \p Named is one.
+  std::function<void(std::uint64_t Named)> CheckEra = [](std::uint64_t) {};
   /// Acquires a permit for one load from the weight store; all controllers
   /// together get at most \p Limit in \p WindowMs.
   std::function<net::awaitable<load_permit>(std::int64_t WindowMs,
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -53,7 +53,9 @@
       Models(net::persistent_client(Context.get_executor(),
                                     NodeSettings.ControllerTarget)),
       Adapters(net::persistent_client(Context.get_executor(),
-                                      NodeSettings.ControllerTarget)) {
+                                      NodeSettings.ControllerTarget)),
+      Intake(std::make_shared<caller_intake>(Context, Metrics,
+                                             makeIntakeOptions(NodeSettings))) {
   // Before the listeners: a signal must not end a process that has callers.
   onStopSignal(Context,
                [this] { net::spawn(Context.get_executor(), drainAndStop()); });
@@ -62,25 +64,19 @@
     Settings.LoadWindowMs = Changed.LoadWindowMs;
     Settings.StopGraceMs = Changed.StopGraceMs;
     Settings.LoadOverrun = Changed.LoadOverrun;
+    Intake->setOptions(makeIntakeOptions(Changed));
   });
-  const auto Listen = [&](const std::string &Address,
-                          const net::call_handler &Handler) {
-    return std::make_unique<net::listener>(
-        Context, Address,
-        [this, Handler](std::shared_ptr<net::caller_connection> Accepted) {
-          net::spawnServeCalls(Context, std::move(Accepted), Handler);
-        });
-  };
-  CallListener = std::make_unique<net::listener>(
-      Context, Settings.LinkAddress, [this](connection Accepted) {
+  CallListener = Intake->listen(
+      Settings.LinkAddress, intake_group::Link, [this](connection Accepted) {
         Connections.insert(Accepted);
         net::spawn(Context.get_executor(), serveGateway(std::move(Accepted)));
       });
   if (!Settings.MetricsAddress.empty())
     MetricsListener =
-        Listen(Settings.MetricsAddress, [this](net::http_request Request) {
-          return handleMetricsCall(std::move(Request));
-        });
+        Intake->listenForCalls(Settings.MetricsAddress, intake_group::Metrics,
+                               [this](net::http_request Request) {
+                                 return handleMetricsCall(std::move(Request));
+                               });
   // Calls and datagrams use the same port number.
   Settings.LinkAddress = CallListener->address();
   LinkSocket = std::make_unique<net::datagram_socket>(
@@ -147,12 +143,9 @@
   log(log_level::Info, "started",
       {{"role", Settings.Role}, {"target", Settings.ControllerTarget}});
   net::spawn(Context.get_executor(), registerInstance());
-  Hooks.WatchConfiguration(Context, [this](configuration NewConfiguration) {
-    if (NewConfiguration.Version <= Configuration.Version)
-      return;
-    Configuration = std::move(NewConfiguration);
-    log(log_level::Info, "configuration_in_force",
-        {{"version", std::to_string(Configuration.Version)}});
+  Hooks.WatchConfiguration(Context, [this](configuration NewConfiguration,
+                                           const configuration_source &Source) {
+    takeConfiguration(std::move(NewConfiguration), Source);
   });
   Context.run();
   logOpenWork("stopped");
@@ -180,8 +173,10 @@
 auto controller_node::handleMetricsCall(net::http_request /*Request*/)
     -> awaitable<net::http_response> {
   Metrics.set("ready", FencingToken > 0 && findEngine() != nullptr ? 1 : 0);
+  Intake->updateMetrics();
   Metrics.set("configuration_version",
               static_cast<std::int64_t>(Configuration.Version));
+  Metrics.set("store_era", static_cast<std::int64_t>(StoreEra));
   Metrics.set("jobs_waiting", static_cast<std::int64_t>(Models.Jobs.size() +
                                                         Adapters.Jobs.size()));
   Metrics.set("target_sequence", static_cast<std::int64_t>(Published.Sequence));
@@ -218,8 +213,11 @@
   if (!Message)
     log(log_level::Warning, "datagram_unreadable",
         {{"error", toString(Message.error())}});
-  else if (const auto *Greeting = std::get_if<greeting>(&Message.value()))
+  else if (const auto *Greeting = std::get_if<greeting>(&Message.value())) {
     Subscribers[Greeting->Address] = process_clock::now() + SubscriptionTtl;
+    if (Greeting->StoreEra > StoreEra)
+      checkEra(Greeting->StoreEra);
+  }
 }
 
 auto controller_node::findOrCreateJob(const load_request &Request) -> job {
@@ -283,7 +281,12 @@
   while (!Queue.Jobs.empty()) {
     const auto Job = Queue.Jobs.front();
     const auto StartedAt = process_clock::now();
-    Job->Held = co_await runJob(Queue, Job);
+    try {
+      Job->Held = co_await runJob(Queue, Job);
+    } catch (const std::exception &Error) {
+      Metrics.count("unexpected_errors", "job");
+      log(log_level::Error, "job_failed", {{"error", Error.what()}});
+    }
     Metrics.observe(
         Job->Job.Adapter.empty() ? "model_job" : "adapter_job",
         Job->Held ? "held" : "failed",
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "caller_intake.h"
 #include "controller_hooks.h"
 #include "link_codec.h"
 #include "net/server.h"
@@ -99,6 +100,11 @@
   auto handleMetricsCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto handleDatagram(std::string_view Bytes) -> void;
+  /// Takes a configuration that was read, if it is newer.
+  auto takeConfiguration(serving::configuration NewConfiguration,
+                         const serving::configuration_source &Source) -> void;
+  /// A gateway has seen the era \p Named of the store, which is a later one.
+  auto checkEra(std::uint64_t Named) -> void;
   /// Null if the configuration has no engine for the target's service.
   [[nodiscard]] auto findEngine() const -> const serving::engine_spec *;
 
@@ -106,6 +112,9 @@
   controller_hooks Hooks;
   net::asio::io_context Context;
   serving::configuration Configuration;
+  serving::configuration_history History;
+  std::uint64_t StoreEra = 0; ///< Of the last configuration that was read.
+  time_point NextEraCheck;
   bool Stopping = false;            ///< No job begins.
   std::set<connection> Connections; ///< Of load calls.
   std::uint64_t FencingToken = 0;   ///< 0: not registered, sends no orders.
@@ -117,6 +126,7 @@
   std::map<std::string, time_point> Subscribers;    ///< Address, expiry.
   std::map<serving::adapter_key, time_point> LastUsed;
   metrics Metrics;
+  std::shared_ptr<caller_intake> Intake;
   std::unique_ptr<net::listener> CallListener;
   std::unique_ptr<net::listener> MetricsListener;
   std::unique_ptr<net::datagram_socket> LinkSocket;
--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -31,6 +31,15 @@
   /// False if the last answer of another gateway has shown that rows of targets
   /// are missing here or there.
   std::function<bool()> TargetsAgree;
+  /// False if the last answer of another gateway was of an earlier era of the
+  /// store. It has changed nothing, and what it says of that gateway's view has
+  /// no meaning here.
+  std::function<bool()> AnswerIsCurrent;
+  /// The same for the configuration.
+  std::function<bool()> ConfigurationAgrees;
+  /// Reads the configuration from the store at once, beside the call that waits
+  /// for its changes.
+  std::function<void()> ReadConfiguration;
   /// Version of the newest row of a target that is known.
   std::function<std::uint64_t()> TargetsVersion;
 };
@@ -46,12 +55,17 @@
                                          const std::string &CallId)>
       ParseResponseHead;
   /// Writes the record of this instance, then watches configuration, targets
-  /// and instances; the targets only while \p ReadsTargets returns true.
-  std::function<knowledge_sync(net::asio::io_context &,
-                               serving::instance_record Self,
-                               std::function<void(serving::gateway_event)>,
-                               std::function<bool()> ReadsTargets)>
+  /// and instances; the targets only while \p ReadsTargets returns true. \p
+  /// ReadHistory returns what is known of the configuration in force.
+  std::function<knowledge_sync(
+      net::asio::io_context &, serving::instance_record Self,
+      std::function<void(serving::gateway_event)>,
+      std::function<bool()> ReadsTargets,
+      std::function<const serving::configuration_history *()> ReadHistory)>
       Watch;
+  /// The platform says that targets serve several requests on one connection,
+  /// so that connections are kept whatever the setting says.
+  bool TargetsKeepConnections = false;
 };
 
 } // namespace limpetbridge
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "caller_intake.h"
 #include "digest_inbox.h"
 #include "gateway_hooks.h"
 #include "gateway_request.h"
@@ -56,23 +57,39 @@
   auto countAttempt(const serving::attempt_ended &Ended) -> void;
   auto execute(const serving::set_deadline &Effect) -> void;
   auto execute(const serving::send_attempt &Effect) -> void;
+  auto execute(const serving::set_hedge_timer &Effect) -> void;
+  auto execute(const serving::cancel_attempt &Effect) -> void;
+  auto execute(const serving::record_hedge &Effect) -> void;
+  auto execute(const serving::close_connections &Effect) -> void;
   auto execute(const serving::refuse_request &Effect) -> void;
   auto execute(const serving::relay_failure &Effect) -> void;
   auto execute(const serving::request_load &Effect) -> void;
   auto execute(const serving::query_peer &Effect) -> void;
+  auto execute(const serving::read_configuration &Effect) -> void;
   auto execute(const serving::check_target &Effect) -> void;
   auto execute(const serving::send_crash_report &Effect) -> void;
   auto execute(const serving::send_digest &Effect) -> void;
+  auto execute(const serving::send_prefill_notice &Effect) -> void;
+  auto execute(const serving::send_quota_reports &Effect) -> void;
   auto execute(const serving::subscribe_to_controllers &Effect) -> void;
   auto execute(const serving::record_attempt_times &Effect) -> void;
+  auto execute(const serving::record_key_check &Effect) -> void;
+  auto execute(const serving::record_pacing &Effect) -> void;
+  auto execute(const serving::record_fair_share &Effect) -> void;
   auto execute(const serving::write_note &Effect) -> void;
   auto sendCommand(serving::request_number Number,
                    gateway_request::command Command) -> void;
 
+  /// Starts \p Task, which serves one request or one other process. An error
+  /// that leaves it is logged and counted as \p Kind, and \p OnError is called.
+  auto spawnContained(const char *Kind, net::awaitable<void> Task,
+                      std::function<void()> OnError) -> void;
   auto serveCaller(connection Connection) -> net::awaitable<void>;
   auto serveRequests(connection Connection) -> net::awaitable<void>;
   /// Executes the effects of \p Event.
   auto apply(const serving::gateway_event &Event) -> void;
+  /// The answer to a request that is not handled, which is logged.
+  auto reject(const net::rejection &Rejection) -> net::http_response;
   auto serveRequest(connection Connection, net::read_outcome Outcome)
       -> net::awaitable<bool>;
   /// True if load balancers should send requests here.
@@ -84,6 +101,8 @@
   /// Lists what is charged with crashes of targets, or lifts a quarantine.
   auto handleQuarantineCall(const net::http_request &Request)
       -> net::http_response;
+  /// Tells where a request would go, without sending it.
+  auto handleExplainCall(net::http_request Request) -> net::http_response;
   auto handlePeerCall(net::http_request Request)
       -> net::awaitable<net::http_response>;
   auto requestLoad(serving::request_load Effect) -> net::awaitable<void>;
@@ -103,10 +122,6 @@
   /// not read any more, or \p Deadline has passed.
   auto awaitChanges(const std::string &Query, time_point Deadline)
       -> net::awaitable<void>;
-  /// Listens at \p Address for calls that \p Handler answers.
-  auto listenForCalls(const std::string &Address,
-                      const net::call_handler &Handler)
-      -> std::unique_ptr<net::listener>;
   auto handleLinkMessage(std::string_view Bytes) -> void;
   /// Reads a datagram, or keeps it if it is a digest.
   auto receiveDatagram(const std::string &From, std::string_view Bytes) -> void;
@@ -115,6 +130,10 @@
   /// Digests of other gateways that have not arrived; may be off by those that
   /// are not read yet.
   [[nodiscard]] auto lostDigests() const -> std::int64_t;
+  /// True if the machine has been suspended since the last call.
+  auto hasBeenSuspended() -> bool;
+  /// Sets what the metrics tell of quotas.
+  auto setQuotaMetrics(time_point Now) -> void;
   /// Logs \p Report if this process lags behind or has lost digests.
   auto logLag(const loop_report &Report) -> void;
   /// Dispatches a tick at a fixed interval.
@@ -147,6 +166,8 @@
   std::set<connection> Connections;
   body_budget Budget{0};
   request_environment Environment;
+  metrics Metrics;
+  std::shared_ptr<caller_intake> Intake;
   std::unique_ptr<net::listener> CallerListener;
   std::unique_ptr<net::listener> ReadinessListener;
   std::unique_ptr<net::listener> MetricsListener;
@@ -158,7 +179,11 @@
   std::string TargetReaderAddress;
   /// Queries of other gateways that wait for changes; cancelled to check again.
   std::vector<std::shared_ptr<net::asio::steady_timer>> WaitingQueries;
-  metrics Metrics;
+  std::set<workspace_name> CountedWorkspaces; ///< With a counter of their own.
+  target_connections TargetConnections;
+  /// Of the machine, since it started; as of the last call of hasBeenSuspended.
+  std::optional<duration> SuspendedTime;
+  serving::target_paces Paces; ///< Of streams, since the last tick.
   loop_monitor Loop{process_clock::now()};
   std::int64_t LostDigestsLogged = 0;
   std::uint64_t ReplacedDigestsLogged = 0;
--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -26,6 +26,8 @@
 /// In an answer: age of the sender's view of the targets, ms; below 0 if it has
 /// none.
 constexpr const char *TargetsKnownAgeField = "Targets-Known-Age-Ms";
+/// In an answer: age of the sender's configuration, ms; below 0 if it has none.
+constexpr const char *ConfigurationAgeField = "Configuration-Known-Age-Ms";
 /// In an answer: how long it waited for changes, ms.
 constexpr const char *WaitedField = "Waited-Ms";
 /// In an answer: rows that are missing at the sender were deleted.
@@ -43,7 +45,12 @@
 } // namespace
 
 auto gateway_node::execute(const query_peer &Effect) -> void {
-  net::spawn(Context.get_executor(), queryPeer(Effect));
+  spawnContained("peer_query", queryPeer(Effect), [this, Effect] {
+    peer_answered Event;
+    Event.Address = Effect.Address;
+    Event.Waited = Effect.WaitMs > 0;
+    dispatch(std::move(Event));
+  });
 }
 
 auto gateway_node::queryPeer(query_peer Query) -> awaitable<void> {
@@ -86,22 +93,28 @@
 
 auto gateway_node::readView(const net::header_fields &Fields,
                             time_point AskedAt, peer_answered &Event) -> void {
+  // Nothing of an earlier era of the store is followed.
+  if (!KnowledgeSync.AnswerIsCurrent())
+    return;
   const auto ReadMs = [&](const char *Name, std::int64_t Default) {
     return readNumber(net::findField(Fields, Name), Default);
   };
   Event.TargetsReadAgeMs = ReadMs(TargetsReadAgeField, -1);
   Event.TargetsKnownAgeMs = ReadMs(TargetsKnownAgeField, -1);
+  // The answer may have been on its way for any time, the query as well; the
+  // peer has counted only what passed between them.
+  const auto Waited =
+      milliseconds(std::max(std::int64_t{0}, ReadMs(WaitedField, 0)));
+  const auto WrittenAt = std::min(AskedAt + Waited, process_clock::now());
+  const auto ConfigurationAgeMs = ReadMs(ConfigurationAgeField, -1);
+  if (ConfigurationAgeMs >= 0 && KnowledgeSync.ConfigurationAgrees())
+    Event.ConfigurationKnownAt = WrittenAt - milliseconds(ConfigurationAgeMs);
   if (!KnowledgeSync.TargetsAgree())
     return;
   if (Event.TargetsKnownAgeMs < 0) {
     Event.TargetsKnownAt = time_point();
     return;
   }
-  // The answer may have been on its way for any time, the query as well; the
-  // peer has counted only what passed between them.
-  const auto Waited =
-      milliseconds(std::max(std::int64_t{0}, ReadMs(WaitedField, 0)));
-  const auto WrittenAt = std::min(AskedAt + Waited, process_clock::now());
   Event.TargetsKnownAt = WrittenAt - milliseconds(Event.TargetsKnownAgeMs);
   Event.RowsAreSettled = net::hasField(Fields, RowsSettledField);
 }
@@ -163,14 +176,13 @@
     co_return Response;
   }
   const auto Now = process_clock::now();
-  const bool HasView = State.TargetsKnownAt != time_point();
   const auto AddField = [&](const char *Name, std::int64_t Milliseconds) {
     Response.Head.Fields.push_back({Name, std::to_string(Milliseconds)});
   };
   Response.Head.Status = StatusOk;
   AddField(TargetsReadAgeField, targetsReadAgeMs(State, Now));
-  AddField(TargetsKnownAgeField,
-           HasView ? toMilliseconds(Now - State.TargetsKnownAt) : -1);
+  AddField(TargetsKnownAgeField, targetsKnownAgeMs(State, Now));
+  AddField(ConfigurationAgeField, configurationAgeMs(State, Now));
   AddField(WaitedField, toMilliseconds(Now - AskedAt));
   if (rowsAreSettled(State, Now))
     AddField(RowsSettledField, 1);
@@ -178,6 +190,13 @@
   co_return Response;
 }
 
+auto gateway_node::execute(const send_prefill_notice &Effect) -> void {
+  Metrics.count("prefill_notices", "sent");
+  const auto Bytes = encodeLink(Effect.Notice);
+  for (const auto &Address : Effect.Addresses)
+    LinkSocket->send(Address, Bytes);
+}
+
 auto gateway_node::receiveDatagram(const std::string &From,
                                    std::string_view Bytes) -> void {
   Loop.countDatagram();
@@ -207,8 +226,13 @@
   }
   if (auto *Digest = std::get_if<gateway_digest>(&Message.value()))
     dispatch(std::move(*Digest));
-  else if (auto *Report = std::get_if<crash_report>(&Message.value()))
+  else if (auto *Notice = std::get_if<prefill_notice>(&Message.value())) {
+    Metrics.count("prefill_notices", "received");
+    dispatch(std::move(*Notice));
+  } else if (auto *Report = std::get_if<crash_report>(&Message.value()))
     dispatch(std::move(*Report));
+  else if (auto *Quotas = std::get_if<quota_report>(&Message.value()))
+    dispatch(std::move(*Quotas));
   else if (auto *Holdings = std::get_if<holdings_report>(&Message.value()))
     dispatch(std::move(*Holdings));
 }
--- a/apps/limpetbridge/src/serving/gateway_quarantine.cpp
+++ b/apps/limpetbridge/src/serving/gateway_quarantine.cpp
@@ -2,10 +2,9 @@
 /// other gateways, and the operators' page.
 #include "gateway_node.h"
 
+#include "base/json_text.h"
 #include "link_codec.h"
 
-#include <nlohmann/json.hpp>
-
 namespace limpetbridge {
 
 namespace {
@@ -36,13 +35,16 @@
           Held ? toMilliseconds(remaining(Verdict.HoldUntil, Now)) : 0},
          {"crashed", std::move(Crashed)}});
   }
-  return List.dump() + "\n";
+  return toJsonText(List) + "\n";
 }
 
 } // namespace
 
 auto gateway_node::execute(const check_target &Effect) -> void {
-  net::spawn(Context.get_executor(), checkTarget(Effect));
+  spawnContained("target_check", checkTarget(Effect), [this, Effect] {
+    dispatch(
+        target_checked{Effect.Target, Effect.Incarnation, port_state::Silent});
+  });
 }
 
 auto gateway_node::checkTarget(check_target Check) -> awaitable<void> {
--- a/apps/limpetbridge/src/serving/gateway_request.cpp
+++ b/apps/limpetbridge/src/serving/gateway_request.cpp
@@ -1,9 +1,6 @@
 #include "gateway_request.h"
 
-#include "base/result_code.h"
-
-#include <array>
-#include <cstdio>
+#include "refusal_response.h"
 
 namespace limpetbridge {
 
@@ -39,16 +36,6 @@
   return Type.empty() || net::equalsIgnoreCase(Type, "text/event-stream");
 }
 
-/// Formats a value of Retry-After: seconds with three decimals.
-auto formatSeconds(std::int64_t Milliseconds) -> std::string {
-  constexpr double MsPerSecond = 1000;
-  std::array<char, 32> Text{};
-  const int Length =
-      std::snprintf(Text.data(), Text.size(), "%.3f",
-                    static_cast<double>(Milliseconds) / MsPerSecond);
-  return {Text.data(), static_cast<std::size_t>(Length)};
-}
-
 } // namespace
 
 gateway_request::gateway_request(
@@ -58,19 +45,25 @@
     const request_environment &RequestEnvironment,
     const net::asio::any_io_executor &TaskExecutor)
     : Number(RequestNumber), Caller(std::move(Connection)),
-      Request(std::move(CallerRequest)), Call(std::move(ParsedCall)),
-      Environment(RequestEnvironment), Executor(TaskExecutor),
-      CommandTimer(TaskExecutor), DeadlineTimer(TaskExecutor),
-      HeldBytes(*RequestEnvironment.Budget, [this] {
-        if (Target)
-          Target->close();
-      }) {}
+      Request(std::move(CallerRequest)),
+      Body(std::make_shared<const std::string>(
+          std::exchange(Request.Body, std::string()))),
+      Call(std::move(ParsedCall)), Environment(RequestEnvironment),
+      Executor(TaskExecutor), CommandTimer(TaskExecutor),
+      DeadlineTimer(TaskExecutor), HeldBytes(*RequestEnvironment.Budget,
+                                             [this] {
+                                               if (Target)
+                                                 Target->close();
+                                             }),
+      IsHead(Request.Method == "HEAD") {}
 
 auto gateway_request::enqueueCommand(command Command) -> void {
   Commands.push_back(std::move(Command));
   CommandTimer.cancel();
   if (Target)
     Target->close();
+  if (Hedge)
+    Hedge->cancel();
 }
 
 auto gateway_request::setDeadline(time_point Deadline) -> void {
@@ -83,19 +76,27 @@
 
 auto gateway_request::handleDisconnect() -> void {
   CallerDisconnected = true;
+  if (const auto Main = Owner.lock())
+    return Main->handleDisconnect();
   CommandTimer.cancel();
   if (Target)
     Target->close();
+  if (Hedge) {
+    Hedge->CallerDisconnected = true;
+    Hedge->cancel();
+  }
   Environment.Dispatch(caller_left{Number});
 }
 
 auto gateway_request::waitForCommand() -> awaitable<bool> {
-  while (Commands.empty() && !CallerDisconnected) {
+  while ((Commands.empty() || isHedgeRelaying()) && !CallerDisconnected &&
+         !HedgeAnswered) {
     CommandTimer.expires_at(std::chrono::steady_clock::time_point::max());
-    net::error_code Cancelled; // By enqueueCommand or handleDisconnect.
-    co_await CommandTimer.async_wait(net::storeError(Cancelled));
+    // Cancelled by enqueueCommand, handleDisconnect or finishHedge.
+    net::error_code Error;
+    co_await CommandTimer.async_wait(net::storeError(Error));
   }
-  co_return !CallerDisconnected;
+  co_return !CallerDisconnected && !HedgeAnswered;
 }
 
 auto gateway_request::run() -> awaitable<bool> {
@@ -110,14 +111,18 @@
     const auto Command = std::move(Commands.front());
     Commands.pop_front();
     if (const auto *Send = std::get_if<send_attempt>(&Command)) {
+      Cancelled = false;
       const auto Result = co_await runAttempt(*Send);
+      if (Target && Result.End != attempt_end::Answered)
+        Target->close();
       Target.reset();
       if (CallerDisconnected)
         break;
       // The caller has the whole answer, whatever was decided meanwhile.
       Complete = Result.End == attempt_end::Answered;
-      if (!Complete && !Commands.empty())
+      if (!Complete && isCancelled())
         continue;
+      HedgeFailedLast = false;
       Environment.Dispatch(Result);
       if (Complete)
         break;
@@ -125,13 +130,17 @@
       Complete = co_await writeRefusal(*Refusal);
       break;
     } else {
-      CloseAfterResponse = shouldClose();
-      auto Bytes = serializeResponse(FailedResponse, CloseAfterResponse);
-      Complete = co_await Caller->write(std::move(Bytes));
+      Complete = co_await writeResponse(HedgeFailedLast
+                                            ? std::move(Hedge->FailedResponse)
+                                            : std::move(FailedResponse));
       break;
     }
   }
+  Complete |= HedgeAnswered && !CallerDisconnected;
   DeadlineTimer.cancel();
+  HedgeTimer.reset();
+  if (Hedge)
+    Hedge->cancel();
   Caller->stopDisconnectWatch();
   if (!Complete)
     Caller->abort();
@@ -140,6 +149,24 @@
   co_return Complete && !CloseAfterResponse;
 }
 
+auto gateway_request::writeResponse(net::http_response Response)
+    -> awaitable<bool> {
+  CloseAfterResponse = shouldClose();
+  // A long answer is held once.
+  if (!IsHead && Response.Body.size() > FreeBytes) {
+    Response.Head.Fields.push_back(
+        {"Content-Length", std::to_string(Response.Body.size())});
+    auto Head = serializeHeadOnly(Response.Head, CloseAfterResponse);
+    const bool Written = co_await Caller->write(std::move(Head));
+    if (!Written)
+      co_return false;
+    co_return co_await Caller->write(std::move(Response.Body));
+  }
+  auto Bytes = IsHead ? serializeHeadOnly(Response.Head, CloseAfterResponse)
+                      : serializeResponse(Response, CloseAfterResponse);
+  co_return co_await Caller->write(std::move(Bytes));
+}
+
 auto gateway_request::shouldClose() const -> bool {
   return Environment.IsDraining() ||
          net::equalsIgnoreCase(net::findField(Request.Fields, "connection"),
@@ -154,10 +181,14 @@
   Result.Status = Status;
   Result.LongestGapMs = toMilliseconds(LongestGap);
   Result.Body = describeBody();
+  Result.Connection = Use;
+  Result.Attempt = Attempt;
   return Result;
 }
 
 auto gateway_request::describeBody() const -> received_body {
+  if (RestingBody)
+    return *RestingBody;
   received_body Body;
   if (!Target || !Target->hasHead())
     return Body;
@@ -172,22 +203,54 @@
   return Body;
 }
 
+auto gateway_request::connectTarget(const send_attempt &Send)
+    -> awaitable<bool> {
+  Use = connection_use();
+  MayRest = false;
+  RestingBody.reset();
+  if (Send.Connection != 0)
+    Target = Environment.Connections->take(Send.Connection);
+  Use.Kept = Target != nullptr;
+  if (Use.Kept)
+    co_return true;
+  Target = Environment.Connections->create();
+  const auto Connection = Target;
+  const auto Deadline =
+      std::min(Send.Deadline, process_clock::now() + ConnectTimeout);
+  const bool Connected = co_await Connection->connect(Send.Address, Deadline);
+  if (Connected)
+    Environment.Connections->countOpened();
+  co_return Connected;
+}
+
+auto gateway_request::restConnection() -> void {
+  if (!MayRest || !Target || isCancelled())
+    return;
+  RestingBody = describeBody();
+  Environment.Connections->keep(std::exchange(Target, nullptr), Number, Attempt,
+                                StatedMs);
+}
+
 auto gateway_request::runAttempt(const send_attempt &Send)
     -> awaitable<attempt_result> {
+  Attempt = Send.Attempt;
+  Claimed = false;
   Resumable = Send.Resumable;
   Events.beginAttempt();
   FailedResponse = net::http_response();
   HeldBytes.reset();
   BodyBytes = 0;
-  Target = std::make_shared<net::target_connection>(Executor);
-  const auto Connection = Target;
-  if (!co_await Connection->connect(
-          Send.Address,
-          std::min(Send.Deadline, process_clock::now() + ConnectTimeout)))
+  const bool Connected = co_await connectTarget(Send);
+  if (!Connected)
     co_return makeResult(attempt_end::NotSent);
-  // Connecting may take a second, in which the target may have begun to drain.
-  if (CallerDisconnected || !Commands.empty() ||
-      !Environment.AcceptsRequests(Send.Target))
+  const auto Connection = Target;
+  Connection->expectNoBody(IsHead);
+  // In a busy loop the watch notices late that the caller has left.
+  Caller->checkDisconnect();
+  // Connecting may take a second, in which the target may have begun to drain
+  // or the key may have been removed.
+  if (isCancelled() || !Environment.AcceptsRequests(Send.Target) ||
+      !Environment.HasValidKey(Number))
     co_return makeResult(attempt_end::NotSent);
   attempt_metadata Facts;
   Facts.Target = Send.Target;
@@ -195,8 +258,9 @@
       toMilliseconds(remaining(Send.Deadline, process_clock::now()));
   Facts.Priority = Send.Priority;
   Facts.ResumeAfter = Events.lastId();
-  Connection->startSend(
-      serializeRequest(Environment.Hooks->BuildAttemptRequest(Request, Facts)));
+  Facts.Workspace = Send.Workspace;
+  const auto Attempt = Environment.Hooks->BuildAttemptRequest(Request, Facts);
+  Connection->startSend(serializeRequestHead(Attempt, Body->size()), Body);
   co_return co_await receiveResponse(Send);
 }
 
@@ -206,10 +270,11 @@
   for (int Count = 0; Count < MaxResponsesRead; ++Count) {
     const auto Head = co_await Connection->readResponseHead();
     if (!Head)
-      co_return makeResult(attempt_end::Unknown);
+      co_return makeResultWithoutHead(Count == 0);
     const auto Facts = Environment.Hooks->ParseResponseHead(*Head, Call.Id);
     reportNotice(Send, Facts);
     if (Facts.CallIdDiffers) {
+      Use.StrayBytes = true;
       std::size_t SkippedBytes = 0;
       auto ReadResult = net::body_read::Data;
       while (ReadResult == net::body_read::Data &&
@@ -222,12 +287,16 @@
         co_return makeResult(attempt_end::Unknown);
       continue;
     }
-    if (Facts.NotRun) {
-      auto Result = makeResult(attempt_end::NotRun, Head->Status);
-      Result.WrongTarget = Facts.WrongTarget;
-      co_return Result;
-    }
-    const bool Trusted = !Facts.HasContentEncoding &&
+    Use.UnnamedAnswer = !Facts.CallIdMatches && !Call.Id.empty();
+    // On a kept connection an answer without an id may be a late one to an
+    // earlier request.
+    const bool IsOwn = Facts.CallIdMatches || !Use.Kept;
+    MayRest = Environment.KeepsConnections() && Facts.CallIdMatches &&
+              !Use.StrayBytes && !Facts.TargetLeaves && !Facts.WrongTarget;
+    StatedMs = net::keepAliveMs(Head->Fields);
+    if (Facts.NotRun && IsOwn)
+      co_return co_await refused(Facts, Head->Status);
+    const bool Trusted = IsOwn && !Facts.HasContentEncoding &&
                          !Facts.UnconfirmedNotRun &&
                          (!isSuccess(Head->Status) ||
                           (Facts.HasSignature && Facts.CallIdMatches));
@@ -235,8 +304,12 @@
       co_return makeResult(attempt_end::Unknown, Head->Status);
     ResponseHead = *Head;
     ResponseHead.Fields = net::endToEndFields(Head->Fields);
+    const auto Length = Connection->bodyLength();
+    if (IsHead && Length)
+      ResponseHead.Fields.push_back(
+          {"Content-Length", std::to_string(*Length)});
     const bool IsStream =
-        Send.Kind == request_kind::Stream && isSuccess(Head->Status);
+        Send.Kind == request_kind::Stream && isSuccess(Head->Status) && !IsHead;
     HasEvents = IsStream && isEventStream(*Head);
     // Only an event stream can resume, so any other body has to be whole.
     if (IsStream && (HasEvents || !Send.Resumable))
@@ -246,6 +319,33 @@
   co_return makeResult(attempt_end::Unknown);
 }
 
+auto gateway_request::makeResultWithoutHead(bool IsFirst) -> attempt_result {
+  Use.Lost = Use.Kept && IsFirst && Target->endedUnanswered();
+  Use.StrayBytes |= Use.Kept && Target->hasReceived();
+  return makeResult(Use.Lost && Target->nothingWasSent()
+                        ? attempt_end::NotSent
+                        : attempt_end::Unknown);
+}
+
+auto gateway_request::refused(const answer_metadata &Facts,
+                              std::uint16_t Status)
+    -> awaitable<attempt_result> {
+  const auto Connection = Target;
+  // The decision what follows does not wait for the rest of the body.
+  if (MayRest && Connection->isBodyBuffered()) {
+    auto ReadResult = net::body_read::Data;
+    while (ReadResult == net::body_read::Data) {
+      std::string Part;
+      ReadResult = co_await Connection->readBody(Part);
+    }
+    if (ReadResult == net::body_read::End)
+      restConnection();
+  }
+  auto Result = makeResult(attempt_end::NotRun, Status);
+  Result.WrongTarget = Facts.WrongTarget;
+  co_return Result;
+}
+
 auto gateway_request::reportNotice(const send_attempt &Send,
                                    const answer_metadata &Facts) -> void {
   if (!Facts.TargetLeaves && Facts.RefusesForMs == 0)
@@ -260,8 +360,11 @@
 auto gateway_request::relayBuffered(std::uint16_t Status)
     -> awaitable<attempt_result> {
   const auto Connection = Target;
+  // A server error does not end another attempt, whose answer may be better.
+  if (Status < FirstServerErrorStatus && !claimAnswer())
+    co_return makeResult(attempt_end::Unknown, Status);
   net::http_response Response{ResponseHead, {}};
-  const auto Length = Connection->bodyLength().value_or(0);
+  const auto Length = IsHead ? 0 : Connection->bodyLength().value_or(0);
   bool Held = Length <= MaxBufferedBytes;
   if (Held && Length > FreeBytes) {
     Held = HeldBytes.resize(Length, true);
@@ -277,9 +380,9 @@
       Held = HeldBytes.resize(Response.Body.capacity());
   }
   BodyBytes = Response.Body.size();
-  if (!Held || ReadResult != net::body_read::End || CallerDisconnected ||
-      !Commands.empty())
+  if (!Held || ReadResult != net::body_read::End || isCancelled())
     co_return makeResult(attempt_end::Unknown, Status);
+  restConnection();
   // The caller already has the head and events of the resumed stream.
   if (ResponseStarted)
     co_return makeResult(attempt_end::CutShort, Status);
@@ -287,10 +390,8 @@
     FailedResponse = std::move(Response);
     co_return makeResult(attempt_end::Failed, Status);
   }
-  CloseAfterResponse = shouldClose();
   ResponseStarted = true;
-  auto Bytes = serializeResponse(Response, CloseAfterResponse);
-  const bool Written = co_await Caller->write(std::move(Bytes));
+  const bool Written = co_await writeResponse(std::move(Response));
   if (!Written) {
     handleDisconnect();
     co_return makeResult(attempt_end::CutShort, Status);
@@ -298,29 +399,6 @@
   co_return makeResult(attempt_end::Answered, Status);
 }
 
-auto gateway_request::relayChunk(std::string Bytes) -> awaitable<bool> {
-  std::string Output;
-  if (!ResponseStarted) {
-    ResponseStarted = true;
-    CloseAfterResponse = shouldClose();
-    auto Head = ResponseHead;
-    Head.Fields.push_back({"Transfer-Encoding", "chunked"});
-    if (CloseAfterResponse)
-      Head.Fields.push_back({"Connection", "close"});
-    Output = net::serializeResponseHead(Head) + "\r\n";
-  }
-  if (!Bytes.empty())
-    Output += net::serializeChunk(Bytes);
-  if (Output.empty())
-    co_return true;
-  const bool Written = co_await Caller->write(std::move(Output));
-  if (Written)
-    co_return true;
-  if (!CallerDisconnected)
-    handleDisconnect();
-  co_return false;
-}
-
 auto gateway_request::relayStream(const send_attempt &Send)
     -> awaitable<attempt_result> {
   const auto Connection = Target;
@@ -329,20 +407,22 @@
   constexpr std::uint64_t ContinuingEvent = 2;
   bool AwaitingFirstOutput = true;
   bool Continued = false;
+  pace_meter Pace;
   auto LastReadAt = process_clock::now();
   LongestGap = duration::zero();
   for (;;) {
     std::string Bytes;
+    const bool Queued = Send.MeasuresPace && Connection->hasUnreadBytes();
     auto ReadResult = co_await Connection->readBody(Bytes);
     BodyBytes += Bytes.size();
     const auto Now = process_clock::now();
     if (!AwaitingFirstOutput)
       LongestGap = std::max(LongestGap, Now - LastReadAt);
     LastReadAt = Now;
-    if (CallerDisconnected || !Commands.empty())
+    if (isCancelled())
       co_return makeResult(attempt_end::CutShort, Status);
     if (!Bytes.empty() && std::exchange(AwaitingFirstOutput, false))
-      Environment.Dispatch(first_output{Number});
+      Environment.Dispatch(first_output{Number, Attempt});
     if (HasEvents && Send.Resumable) {
       Bytes = Events.feed(Bytes);
       const auto EventBytes = Events.incompleteEvent().size();
@@ -353,17 +433,26 @@
     } else if (HasEvents) {
       Events.follow(Bytes);
     }
+    if (HasEvents && Send.MeasuresPace)
+      if (const auto GapMs =
+              Pace.read(Events.scanner().eventCount(), Now, Queued))
+        Environment.NotePace(Send.Target, *GapMs);
     if (HasEvents && Events.scanner().eventCount() >= ContinuingEvent &&
         !std::exchange(Continued, true))
-      Environment.Dispatch(output_continued{Number});
+      Environment.Dispatch(output_continued{Number, Attempt});
     if (HasEvents && ReadResult == net::body_read::End &&
         !Events.mayEnd(Connection->endsWithConnection()))
       ReadResult = net::body_read::Broken;
     bool Written = true;
+    if (!Bytes.empty() && !claimAnswer())
+      co_return makeResult(attempt_end::CutShort, Status);
     if (!Bytes.empty())
       Written = co_await relayChunk(std::move(Bytes));
     if (!Written)
       co_return makeResult(attempt_end::CutShort, Status);
+    if (HasEvents && ReadResult == net::body_read::End &&
+        Connection->endsWithConnection() && co_await hasTargetCrashed(Send))
+      ReadResult = net::body_read::Broken;
     if (ReadResult == net::body_read::Broken)
       co_return makeResult(ResponseStarted ? attempt_end::CutShort
                                            : attempt_end::Unknown,
@@ -371,6 +460,9 @@
     if (ReadResult == net::body_read::End)
       break;
   }
+  if (!claimAnswer())
+    co_return makeResult(attempt_end::CutShort, Status);
+  restConnection();
   std::string NoBytes;
   bool Written = co_await relayChunk(std::move(NoBytes));
   std::string LastChunk = "0\r\n\r\n";
@@ -384,24 +476,4 @@
   co_return makeResult(attempt_end::Answered, Status);
 }
 
-auto gateway_request::writeRefusal(const refuse_request &Refusal)
-    -> awaitable<bool> {
-  if (ResponseStarted)
-    co_return false;
-  const auto &Description = describe(Refusal.Code);
-  net::http_response Response;
-  Response.Head.Status = Description.HttpStatus;
-  Response.Head.Fields.push_back({"Content-Type", "application/json"});
-  if (Refusal.RetryAfterMs > 0)
-    Response.Head.Fields.push_back(
-        {"Retry-After", formatSeconds(Refusal.RetryAfterMs)});
-  Response.Body =
-      "{\"code\":" + std::to_string(static_cast<int>(Refusal.Code)) +
-      ",\"name\":\"" + std::string(Description.Name) + "\",\"meaning\":\"" +
-      std::string(Description.Meaning) + "\"}\n";
-  CloseAfterResponse = shouldClose();
-  auto Bytes = serializeResponse(Response, CloseAfterResponse);
-  co_return co_await Caller->write(std::move(Bytes));
-}
-
 } // namespace limpetbridge
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -1,10 +1,13 @@
 #include "link_codec.h"
 
-#include "base/message_pack.h"
-
-#include <nlohmann/json.hpp>
+#include "base/json_text.h"
+#include "base/message_pack_stream.h"
+#include "quota_codec.h"
 
 #include <algorithm>
+#include <array>
+#include <optional>
+#include <stdexcept>
 
 namespace limpetbridge {
 
@@ -15,188 +18,372 @@
 
 constexpr const char *KindKey = "k";
 
-template <typename names> auto encodeNames(const names &Names) -> json {
-  json Array = json::array();
+using writer = message_pack_writer;
+using reader = message_pack_reader;
+using fields = message_pack_fields;
+
+/// Reads a name of any kind.
+template <typename name> auto readName(reader &Reader) -> name {
+  return name(std::string(Reader.readText()));
+}
+
+template <typename name> auto readName(const fields &Fields, const char *Key) {
+  return name(Fields.text(Key));
+}
+
+template <typename names>
+auto writeNames(writer &Writer, const names &Names) -> void {
+  Writer.beginArray(Names.size());
   for (const auto &Name : Names)
-    Array.push_back(Name.Text);
-  return Array;
-}
-
-auto toJson(const gateway_digest &Digest) -> json {
-  json Loads = json::array();
-  for (const auto &[Target, Load] : Digest.Loads)
-    Loads.push_back({Target.Text, Load.PendingMs, Load.Active});
-  json Demand = json::array();
-  for (const auto &[Model, Rate] : Digest.Demand)
-    Demand.push_back({Model.Text, static_cast<float>(Rate.PerSecond),
-                      static_cast<float>(Rate.WorkMsPerSecond)});
-  json Prefixes = json::array();
-  for (const auto &[Target, Key, Tokens] : Digest.Prefixes)
-    Prefixes.push_back({Target.Text, Key, Tokens});
-  json Loading = json::array();
-  for (const auto &[Target, Change] : Digest.Loading)
-    Loading.push_back(
-        {Target.Text, Change.Model.Text, encodeNames(Change.Victims)});
-  json Adapters = json::array();
-  for (const auto &[Target, Adapter] : Digest.AdapterUse)
-    Adapters.push_back({Target.Text, Adapter.first.Text, Adapter.second});
-  json Leaving = json::array();
-  for (const auto &[Target, Incarnation] : Digest.Leaving)
-    Leaving.push_back({Target.Text, Incarnation});
-  return {{KindKey, "digest"},
-          {"f", Digest.From.Text},
-          {"a", Digest.Address},
-          {"n", Digest.Sequence},
-          {"l", Loads},
-          {"d", Demand},
-          {"p", Prefixes},
-          {"m", Loading},
-          {"u", Adapters},
-          {"c", Digest.Configuration},
-          {"s", Digest.StoreReachable},
-          {"z", Digest.DataCentre.Text},
-          // Gateways of an older version must not follow this one, as they
-          // can't read its answers.
-          {"ta", -1},
-          {"tr", Digest.TargetsReadAgeMs},
-          {"tk", Digest.TargetsKnownAgeMs},
-          {"tv", Digest.TargetsVersion},
-          {"r", Digest.ReadyInMs},
-          {"lv", Leaving}};
-}
-
-auto toJson(const greeting &Greeting) -> json {
-  return {{KindKey, "greeting"},
-          {"f", Greeting.From.Text},
-          {"a", Greeting.Address}};
-}
-
-auto toJson(const holdings_report &Event) -> json {
-  json Models = json::array();
-  for (const auto &[Model, Held] : Event.Holdings.Models)
-    Models.push_back({Model.Text, Held.Version, Held.Adapters});
-  return {{KindKey, "holds"},
-          {"a", Event.Address},
-          {"b", Event.Incarnation},
-          {"q", Event.Sequence},
-          {"m", Models},
-          {"r", encodeNames(Event.Holdings.InMemory)},
-          {"o", encodeNames(Event.Holdings.OnDisk)},
-          {"lv", Event.Leaves}};
-}
-
-auto toJson(const crash_report &Report) -> json {
-  json Suspects = json::array();
+    Writer.write(Name.Text);
+}
+
+template <typename number, std::size_t Size>
+auto writeNumbers(writer &Writer, const std::array<number, Size> &Numbers)
+    -> void {
+  Writer.beginArray(Size);
+  for (const auto Number : Numbers)
+    Writer.write(Number);
+}
+
+auto readCount32(reader &Reader) -> std::uint32_t {
+  const auto Value = Reader.readUnsigned();
+  if (Value > UINT32_MAX)
+    throw std::invalid_argument("a count is too large");
+  return static_cast<std::uint32_t>(Value);
+}
+
+/// Reads a number that is not sent if it is 0: gateways of an older version do
+/// not send it, and most deployments do not have it.
+auto readOrZero(const fields &Fields, const char *Key) -> std::uint64_t {
+  return Fields.contains(Key) ? Fields.at(Key).readUnsigned() : 0;
+}
+
+auto readOr(const fields &Fields, const char *Key, std::int64_t Default)
+    -> std::int64_t {
+  return Fields.contains(Key) ? Fields.at(Key).readInteger() : Default;
+}
+
+auto writeLoads(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("l");
+  Writer.beginArray(Digest.Loads.size());
+  for (const auto &[Target, Load] : Digest.Loads) {
+    Writer.beginArray(3);
+    Writer.write(Target.Text);
+    writeNumbers(Writer, Load.PendingMs);
+    writeNumbers(Writer, Load.Active);
+  }
+}
+
+auto writeDemand(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("d");
+  Writer.beginArray(Digest.Demand.size());
+  for (const auto &[Model, Rate] : Digest.Demand) {
+    Writer.beginArray(3);
+    Writer.write(Model.Text);
+    Writer.write(static_cast<double>(static_cast<float>(Rate.PerSecond)));
+    Writer.write(static_cast<double>(static_cast<float>(Rate.WorkMsPerSecond)));
+  }
+}
+
+auto writePrefixes(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("p");
+  Writer.beginArray(Digest.Prefixes.size());
+  for (const auto &[Target, Key, Tokens] : Digest.Prefixes) {
+    Writer.beginArray(3);
+    Writer.write(Target.Text);
+    Writer.write(Key);
+    Writer.write(Tokens);
+  }
+}
+
+auto writeModels(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("m");
+  Writer.beginArray(Digest.Loading.size());
+  for (const auto &[Target, Change] : Digest.Loading) {
+    Writer.beginArray(3);
+    Writer.write(Target.Text);
+    Writer.write(Change.Model.Text);
+    writeNames(Writer, Change.Victims);
+  }
+}
+
+auto writeAdapters(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("u");
+  Writer.beginArray(Digest.AdapterUse.size());
+  for (const auto &[Target, Adapter] : Digest.AdapterUse) {
+    Writer.beginArray(3);
+    Writer.write(Target.Text);
+    Writer.write(Adapter.first.Text);
+    Writer.write(Adapter.second);
+  }
+}
+
+auto writeLeaving(writer &Writer, const gateway_digest &Digest) -> void {
+  Writer.write("lv");
+  Writer.beginArray(Digest.Leaving.size());
+  for (const auto &[Target, Incarnation] : Digest.Leaving) {
+    Writer.beginArray(2);
+    Writer.write(Target.Text);
+    Writer.write(Incarnation);
+  }
+}
+
+auto write(writer &Writer, const gateway_digest &Digest) -> void {
+  constexpr std::size_t FieldCount = 18;
+  const bool HasEra = Digest.StoreEra > 0;
+  const bool HasGeneration = Digest.ConfigurationGeneration > 0;
+  Writer.beginMap(FieldCount + (HasEra ? 1 : 0) + (HasGeneration ? 1 : 0) +
+                  (Digest.Overloaded ? 1 : 0));
+  Writer.writeField("a", Digest.Address);
+  Writer.writeField("c", Digest.Configuration);
+  writeDemand(Writer, Digest);
+  if (HasEra)
+    Writer.writeField("e", Digest.StoreEra);
+  Writer.writeField("f", Digest.From.Text);
+  if (HasGeneration)
+    Writer.writeField("g", Digest.ConfigurationGeneration);
+  Writer.writeField(KindKey, "digest");
+  writeLoads(Writer, Digest);
+  writeLeaving(Writer, Digest);
+  writeModels(Writer, Digest);
+  Writer.writeField("n", Digest.Sequence);
+  if (Digest.Overloaded)
+    Writer.writeField("ov", true);
+  writePrefixes(Writer, Digest);
+  Writer.writeField("r", Digest.ReadyInMs);
+  Writer.writeField("s", Digest.StoreReachable);
+  // Gateways of an older version must not follow this one, as they can't read
+  // its answers.
+  Writer.writeField("ta", std::int64_t{-1});
+  Writer.writeField("tk", Digest.TargetsKnownAgeMs);
+  Writer.writeField("tr", Digest.TargetsReadAgeMs);
+  Writer.writeField("tv", Digest.TargetsVersion);
+  writeAdapters(Writer, Digest);
+  Writer.writeField("z", Digest.DataCentre.Text);
+}
+
+auto write(writer &Writer, const greeting &Greeting) -> void {
+  const bool HasEra = Greeting.StoreEra > 0;
+  Writer.beginMap(HasEra ? 4 : 3);
+  Writer.writeField("a", Greeting.Address);
+  if (HasEra)
+    Writer.writeField("e", Greeting.StoreEra);
+  Writer.writeField("f", Greeting.From.Text);
+  Writer.writeField(KindKey, "greeting");
+}
+
+auto write(writer &Writer, const holdings_report &Event) -> void {
+  Writer.beginMap(8);
+  Writer.writeField("a", Event.Address);
+  Writer.writeField("b", Event.Incarnation);
+  Writer.writeField(KindKey, "holds");
+  Writer.writeField("lv", Event.Leaves);
+  Writer.write("m");
+  Writer.beginArray(Event.Holdings.Models.size());
+  for (const auto &[Model, Held] : Event.Holdings.Models) {
+    Writer.beginArray(3);
+    Writer.write(Model.Text);
+    Writer.write(Held.Version);
+    Writer.beginArray(Held.Adapters.size());
+    for (const auto &Adapter : Held.Adapters)
+      Writer.write(Adapter);
+  }
+  Writer.write("o");
+  writeNames(Writer, Event.Holdings.OnDisk);
+  Writer.writeField("q", Event.Sequence);
+  Writer.write("r");
+  writeNames(Writer, Event.Holdings.InMemory);
+}
+
+auto write(writer &Writer, const prefill_notice &Notice) -> void {
+  Writer.beginMap(5);
+  Writer.writeField("f", Notice.From.Text);
+  Writer.writeField(KindKey, "prefill");
+  Writer.writeField("p", Notice.PrefillMs);
+  Writer.writeField("r", Notice.Rank);
+  Writer.writeField("t", Notice.Target.Text);
+}
+
+auto write(writer &Writer, const crash_report &Report) -> void {
+  Writer.beginMap(3);
+  Writer.writeField("f", Report.From.Text);
+  Writer.writeField(KindKey, "crashes");
+  Writer.write("s");
+  Writer.beginArray(Report.Suspects.size());
   for (const auto &Item : Report.Suspects) {
-    json Charges = json::array();
-    for (const auto &Charge : Item.Charges)
-      Charges.push_back({Charge.Run.Target.Text, Charge.Run.Incarnation,
-                         Charge.AgeMs, Charge.AnswerBegun});
-    Suspects.push_back({toString(Item.Suspect), Item.ServedAgeMs,
-                        Item.RefusedAgeMs, std::move(Charges)});
+    Writer.beginArray(4);
+    Writer.write(toString(Item.Suspect));
+    Writer.write(Item.ServedAgeMs);
+    Writer.write(Item.RefusedAgeMs);
+    Writer.beginArray(Item.Charges.size());
+    for (const auto &Charge : Item.Charges) {
+      Writer.beginArray(4);
+      Writer.write(Charge.Run.Target.Text);
+      Writer.write(Charge.Run.Incarnation);
+      Writer.write(Charge.AgeMs);
+      Writer.write(Charge.AnswerBegun);
+    }
   }
-  return {{KindKey, "crashes"}, {"f", Report.From.Text}, {"s", Suspects}};
 }
 
-/// Reads an age. \throws json::exception if it is no whole number.
-auto decodeAge(const json &Item) -> std::int64_t {
+auto write(writer &Writer, const quota_report &Report) -> void {
+  writeQuotaReport(Writer, Report);
+}
+
+auto readAge(reader &Reader) -> std::int64_t {
   constexpr std::int64_t MaxAgeMs = std::int64_t{7} * 24 * 3600 * 1000;
-  return std::clamp(Item.get<std::int64_t>(), std::int64_t{-1}, MaxAgeMs);
+  return std::clamp(Reader.readInteger(), std::int64_t{-1}, MaxAgeMs);
+}
+
+auto readCharge(reader &Reader) -> suspect_report::charge {
+  suspect_report::charge Charge;
+  Reader.readTuple(4, [&] {
+    Charge.Run.Target = readName<target_name>(Reader);
+    Charge.Run.Incarnation = Reader.readUnsigned();
+    Charge.AgeMs = std::max(std::int64_t{0}, readAge(Reader));
+    Charge.AnswerBegun = Reader.readBool();
+  });
+  return Charge;
 }
 
-auto decodeCrashes(const json &Object) -> crash_report {
+auto readCrashes(const fields &Fields) -> crash_report {
   crash_report Report;
-  Report.From = instance_name(Object.at("f").get<std::string>());
-  for (const auto &Item : Object.at("s")) {
-    const auto Suspect = parseSuspect(Item.at(0).get<std::string>());
+  Report.From = readName<instance_name>(Fields, "f");
+  auto Reader = Fields.at("s");
+  Reader.readItems([&] {
+    auto Item = Reader;
+    Reader.skip();
+    std::optional<suspect> Suspect;
+    auto Head = Item;
+    Head.readTuple(1, [&] { Suspect = parseSuspect(Head.readText()); });
     if (!Suspect) // Of a newer version.
-      continue;
+      return;
     suspect_report Known;
     Known.Suspect = *Suspect;
-    Known.ServedAgeMs = decodeAge(Item.at(1));
-    Known.RefusedAgeMs = decodeAge(Item.at(2));
-    for (const auto &Charge : Item.at(3))
-      Known.Charges.push_back(
-          {{target_name(Charge.at(0).get<std::string>()),
-            Charge.at(1).get<std::uint64_t>()},
-           std::max(std::int64_t{0}, decodeAge(Charge.at(2))),
-           Charge.at(3).get<bool>()});
+    Item.readTuple(4, [&] {
+      Item.skip();
+      Known.ServedAgeMs = readAge(Item);
+      Known.RefusedAgeMs = readAge(Item);
+      Item.readItems([&] { Known.Charges.push_back(readCharge(Item)); });
+    });
     Report.Suspects.push_back(std::move(Known));
-  }
+  });
   return Report;
 }
 
-auto decodeDigest(const json &Object) -> gateway_digest {
+/// Calls \p ReadValues for each tuple of a list of \p Fields.
+template <typename read_values>
+auto readTuples(const fields &Fields, const char *Key, std::size_t Count,
+                const read_values &ReadValues) -> void {
+  auto Reader = Fields.at(Key);
+  Reader.readItems(
+      [&] { Reader.readTuple(Count, [&] { ReadValues(Reader); }); });
+}
+
+auto readLoad(reader &Reader) -> target_load {
+  target_load Load;
+  Reader.readTuple(RankCount, [&] {
+    for (auto &PendingMs : Load.PendingMs)
+      PendingMs = Reader.readNumber();
+  });
+  Reader.readTuple(RankCount, [&] {
+    for (auto &Active : Load.Active)
+      Active = readCount32(Reader);
+  });
+  return Load;
+}
+
+auto readLists(const fields &Fields, gateway_digest &Digest) -> void {
+  // The senders' maps have the same order, so each entry belongs at the end.
+  readTuples(Fields, "l", 3, [&](reader &Reader) {
+    auto Target = readName<target_name>(Reader);
+    Digest.Loads.insert_or_assign(Digest.Loads.end(), std::move(Target),
+                                  readLoad(Reader));
+  });
+  readTuples(Fields, "d", 3, [&](reader &Reader) {
+    auto Model = readName<model_name>(Reader);
+    model_rate Rate;
+    Rate.PerSecond = Reader.readNumber();
+    Rate.WorkMsPerSecond = Reader.readNumber();
+    Digest.Demand.insert_or_assign(Digest.Demand.end(), std::move(Model), Rate);
+  });
+  readTuples(Fields, "p", 3, [&](reader &Reader) {
+    auto Target = readName<target_name>(Reader);
+    const auto Key = Reader.readUnsigned();
+    Digest.Prefixes.emplace_back(std::move(Target), Key, readCount32(Reader));
+  });
+  readTuples(Fields, "m", 3, [&](reader &Reader) {
+    auto &Change = Digest.Loading[readName<target_name>(Reader)];
+    Change.Model = readName<model_name>(Reader);
+    Reader.readItems(
+        [&] { Change.Victims.push_back(readName<model_name>(Reader)); });
+  });
+  readTuples(Fields, "u", 3, [&](reader &Reader) {
+    auto Target = readName<target_name>(Reader);
+    auto Model = readName<model_name>(Reader);
+    Digest.AdapterUse.emplace(
+        std::move(Target),
+        adapter_key(std::move(Model), std::string(Reader.readText())));
+  });
+  // Gateways of an older version do not send it.
+  if (Fields.contains("lv"))
+    readTuples(Fields, "lv", 2, [&](reader &Reader) {
+      auto Target = readName<target_name>(Reader);
+      Digest.Leaving[std::move(Target)] = Reader.readUnsigned();
+    });
+}
+
+auto readDigest(const fields &Fields) -> gateway_digest {
   gateway_digest Digest;
-  Digest.From = instance_name(Object.at("f").get<std::string>());
-  Digest.Address = Object.at("a").get<std::string>();
-  Digest.Sequence = Object.value("n", std::uint64_t{0});
-  for (const auto &Item : Object.at("l"))
-    Digest.Loads[target_name(Item.at(0).get<std::string>())] = {
-        Item.at(1).get<std::array<double, RankCount>>(),
-        Item.at(2).get<std::array<std::uint32_t, RankCount>>()};
-  for (const auto &Item : Object.at("d"))
-    Digest.Demand[model_name(Item.at(0).get<std::string>())] = {
-        Item.at(1).get<double>(), Item.at(2).get<double>()};
-  for (const auto &Item : Object.at("p"))
-    Digest.Prefixes.emplace_back(target_name(Item.at(0).get<std::string>()),
-                                 Item.at(1).get<prefix_key>(),
-                                 Item.at(2).get<std::uint32_t>());
-  for (const auto &Item : Object.at("m")) {
-    auto &Change = Digest.Loading[target_name(Item.at(0).get<std::string>())];
-    Change.Model = model_name(Item.at(1).get<std::string>());
-    for (const auto &Victim : Item.at(2))
-      Change.Victims.emplace_back(Victim.get<std::string>());
-  }
-  Digest.Configuration = Object.at("c").get<std::uint64_t>();
-  Digest.StoreReachable = Object.at("s").get<bool>();
-  Digest.DataCentre = data_centre_name(Object.at("z").get<std::string>());
-  Digest.TargetsReadAgeMs = Object.value("tr", std::int64_t{-1});
-  Digest.TargetsVersion = Object.at("tv").get<std::uint64_t>();
+  Digest.From = readName<instance_name>(Fields, "f");
+  Digest.Address = Fields.text("a");
+  Digest.Sequence = readOrZero(Fields, "n");
+  readLists(Fields, Digest);
+  Digest.StoreEra = readOrZero(Fields, "e");
+  Digest.Configuration = Fields.at("c").readUnsigned();
+  Digest.ConfigurationGeneration = readOrZero(Fields, "g");
+  Digest.StoreReachable = Fields.at("s").readBool();
+  Digest.Overloaded = Fields.contains("ov") && Fields.at("ov").readBool();
+  Digest.DataCentre = readName<data_centre_name>(Fields, "z");
+  Digest.TargetsReadAgeMs = readOr(Fields, "tr", -1);
+  Digest.TargetsVersion = Fields.at("tv").readUnsigned();
   // Gateways of an older version do not send these.
-  Digest.TargetsKnownAgeMs = Object.value("tk", std::int64_t{-1});
-  Digest.ReadyInMs = Object.value("r", std::int64_t{0});
-  if (const auto Leaving = Object.find("lv"); Leaving != Object.end())
-    for (const auto &Item : *Leaving)
-      Digest.Leaving[target_name(Item.at(0).get<std::string>())] =
-          Item.at(1).get<std::uint64_t>();
-  for (const auto &Item : Object.at("u"))
-    Digest.AdapterUse.emplace(
-        target_name(Item.at(0).get<std::string>()),
-        adapter_key(model_name(Item.at(1).get<std::string>()),
-                    Item.at(2).get<std::string>()));
+  Digest.TargetsKnownAgeMs = readOr(Fields, "tk", -1);
+  Digest.ReadyInMs = readOr(Fields, "r", 0);
   return Digest;
 }
 
-auto decodeNames(const json &Object) -> std::set<model_name> {
+auto readNames(const fields &Fields, const char *Key) -> std::set<model_name> {
   std::set<model_name> Names;
-  for (const auto &Item : Object)
-    Names.insert(model_name(Item.get<std::string>()));
+  auto Reader = Fields.at(Key);
+  Reader.readItems([&] { Names.insert(readName<model_name>(Reader)); });
   return Names;
 }
 
-auto decodeHoldings(const json &Object) -> holdings_report {
+auto readHoldings(const fields &Fields) -> holdings_report {
   holdings_report Event;
-  Event.Address = Object.at("a").get<std::string>();
-  Event.Incarnation = Object.at("b").get<std::uint64_t>();
-  Event.Sequence = Object.at("q").get<std::uint64_t>();
-  for (const auto &Item : Object.at("m"))
-    Event.Holdings.Models[model_name(Item.at(0).get<std::string>())] = {
-        Item.at(1).get<std::uint64_t>(),
-        Item.at(2).get<std::set<std::string>>()};
-  Event.Holdings.InMemory = decodeNames(Object.at("r"));
-  Event.Holdings.OnDisk = decodeNames(Object.at("o"));
+  Event.Address = Fields.text("a");
+  Event.Incarnation = Fields.at("b").readUnsigned();
+  Event.Sequence = Fields.at("q").readUnsigned();
+  readTuples(Fields, "m", 3, [&](reader &Reader) {
+    auto &Held = Event.Holdings.Models[readName<model_name>(Reader)];
+    Held.Version = Reader.readUnsigned();
+    Reader.readItems([&] { Held.Adapters.emplace(Reader.readText()); });
+  });
+  Event.Holdings.InMemory = readNames(Fields, "r");
+  Event.Holdings.OnDisk = readNames(Fields, "o");
   // Controllers of an older version do not send it.
-  Event.Leaves = Object.value("lv", false);
+  Event.Leaves = Fields.contains("lv") && Fields.at("lv").readBool();
   return Event;
 }
 
 } // namespace
 
 auto encodeLink(const link_message &Message) -> std::string {
-  const auto Json =
-      std::visit([](const auto &Item) { return toJson(Item); }, Message);
-  return toMessagePack(Json);
+  writer Writer;
+  std::visit([&](const auto &Item) { write(Writer, Item); }, Message);
+  return Writer.take();
 }
 
 auto isDigest(std::string_view Bytes) -> bool {
@@ -207,24 +394,27 @@
 }
 
 auto decodeLink(std::string_view Bytes) -> result<link_message> {
-  const auto Parsed = parseMessagePack(Bytes);
-  if (!Parsed)
-    return Parsed.error();
-  const auto &Object = Parsed.value();
   try {
-    const auto Kind = Object.at(KindKey).get<std::string>();
+    const fields Fields(Bytes);
+    const auto Kind = Fields.text(KindKey);
     if (Kind == "digest")
-      return link_message(decodeDigest(Object));
+      return link_message(readDigest(Fields));
     if (Kind == "greeting")
-      return link_message(
-          greeting{instance_name(Object.at("f").get<std::string>()),
-                   Object.at("a").get<std::string>()});
+      return link_message(greeting{readName<instance_name>(Fields, "f"),
+                                   Fields.text("a"), readOrZero(Fields, "e")});
     if (Kind == "holds")
-      return link_message(decodeHoldings(Object));
+      return link_message(readHoldings(Fields));
+    if (Kind == "prefill")
+      return link_message(prefill_notice{readName<instance_name>(Fields, "f"),
+                                         readName<target_name>(Fields, "t"),
+                                         Fields.at("r").readUnsigned(),
+                                         Fields.at("p").readNumber()});
     if (Kind == "crashes")
-      return link_message(decodeCrashes(Object));
+      return link_message(readCrashes(Fields));
+    if (Kind == "quota")
+      return link_message(readQuotaReport(Fields));
     return failure(result_code::MalformedRequest, "message kind " + Kind);
-  } catch (const json::exception &Error) {
+  } catch (const std::exception &Error) {
     return failure(result_code::MalformedRequest, Error.what());
   }
 }
@@ -236,12 +426,11 @@
   json Ages = json::array();
   for (const auto &[Adapter, Age] : Request.AdapterAgesMs)
     Ages.push_back({Adapter.first.Text, Adapter.second, Age});
-  return json{{"target", Request.Target.Text},
-              {"model", Request.Model.Text},
-              {"adapter", Request.Adapter},
-              {"victims", Victims},
-              {"adapter_ages_ms", Ages}}
-      .dump();
+  return toJsonText(json{{"target", Request.Target.Text},
+                         {"model", Request.Model.Text},
+                         {"adapter", Request.Adapter},
+                         {"victims", Victims},
+                         {"adapter_ages_ms", Ages}});
 }
 
 auto decodeLoad(std::string_view Bytes) -> result<load_request> {
--- a/apps/limpetbridge/src/serving/link_codec.h
+++ b/apps/limpetbridge/src/serving/link_codec.h
@@ -19,13 +19,15 @@
 /// since the subscription expires.
 struct greeting {
   instance_name From;
-  std::string Address; ///< Receives the updates, ip:port.
+  std::string Address;        ///< Receives the updates, ip:port.
+  std::uint64_t StoreEra = 0; ///< That the gateway has seen; 0: unknown.
 };
 
 /// Content of a datagram.
 using link_message =
     std::variant<serving::gateway_digest, greeting, serving::holdings_report,
-                 serving::crash_report>;
+                 serving::crash_report, serving::prefill_notice,
+                 serving::quota_report>;
 
 [[nodiscard]] auto encodeLink(const link_message &Message) -> std::string;
 /// True if \p Bytes look like an encoded digest. Reads only what tells the
--- a/apps/limpetbridge/src/serving/loop_monitor.cpp
+++ b/apps/limpetbridge/src/serving/loop_monitor.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 loop_monitor::loop_monitor(time_point Now)
-    : IntervalEnd(Now + ReportInterval), BusySinceStartMs(busyMs()) {}
+    : IntervalEnd(Now + ReportInterval), BusySinceStartMs(busyMs()),
+      IntervalStart(Now) {}
 
 auto loop_monitor::recordTimer(time_point Due, time_point Now)
     -> std::optional<loop_report> {
@@ -31,6 +32,12 @@
   const auto Busy = busyMs();
   Report.BusyMs = Busy < 0 ? -1 : Busy - BusySinceStartMs;
   BusySinceStartMs = Busy;
+  const auto IntervalMs = toMilliseconds(Now - IntervalStart);
+  UsedCores.reset();
+  if (Report.BusyMs >= 0 && IntervalMs > 0)
+    UsedCores =
+        static_cast<double>(Report.BusyMs) / static_cast<double>(IntervalMs);
+  IntervalStart = Now;
   LastDelayMs = Report.LongestDelayMs;
   Current = loop_report();
   IntervalEnd = Now + ReportInterval;
--- a/apps/limpetbridge/src/serving/loop_monitor.h
+++ b/apps/limpetbridge/src/serving/loop_monitor.h
@@ -29,12 +29,19 @@
       -> std::optional<loop_report>;
   /// Longest delay of the last complete interval, ms.
   [[nodiscard]] auto lastDelayMs() const -> std::int64_t { return LastDelayMs; }
+  /// Processor time over time in the last complete interval, cores; not set
+  /// before its end, or if it is not known.
+  [[nodiscard]] auto usedCores() const -> std::optional<double> {
+    return UsedCores;
+  }
 
 private:
   loop_report Current;
   time_point IntervalEnd;
   std::int64_t BusySinceStartMs;
   std::int64_t LastDelayMs = 0;
+  time_point IntervalStart;
+  std::optional<double> UsedCores;
 };
 
 } // namespace limpetbridge
--- a/apps/limpetctl/src/operator_session.cpp
+++ b/apps/limpetctl/src/operator_session.cpp
@@ -1,9 +1,8 @@
 #include "operator_session.h"
 
+#include "base/json_text.h"
 #include "base/settings.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <random>
 #include <sstream>
@@ -32,7 +31,7 @@
         {"revision", Answer.Revision.Value},
         {"data_centres_in_force", Answer.DataCentresInForce},
         {"data_centres", Answer.DataCentres}};
-    return Body.dump() + "\n";
+    return toJsonText(Body) + "\n";
   }
   return "accepted, revision " + std::to_string(Answer.Revision.Value) +
          ", in force in " + std::to_string(Answer.DataCentresInForce) + " of " +
--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -39,6 +39,7 @@
 using target_name = strong_name<struct target_tag>;
 using instance_name = strong_name<struct instance_tag>;
 using data_centre_name = strong_name<struct data_centre_tag>;
+using workspace_name = strong_name<struct workspace_tag>;
 using idempotency_key = strong_name<struct idempotency_key_tag>;
 using change_id = strong_name<struct change_tag>;
 
--- a/libs/base/include/base/result_code.h
+++ b/libs/base/include/base/result_code.h
@@ -28,6 +28,8 @@
   TooManyRequests = 1006,
   InvalidDeadline = 1007,
   MethodNotAllowed = 1008,
+  UnknownKey = 1009,
+  QuotaExceeded = 1010,
 
   Draining = 2001,
   QueueFull = 2002,
@@ -43,6 +45,8 @@
   CallerGone = 2012,
   TargetDrained = 2013,
   PromptQuarantined = 2014,
+  FairShareExceeded = 2015,
+  Overloaded = 2016,
 
   OutcomeUnknown = 3001,
   AnswerCutShort = 3002,
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -83,6 +83,28 @@
   std::int64_t LeavingBoundMs = 0;
   std::int64_t QuarantineCrashes = 0;
   std::int64_t QuarantineHoldMs = 0;
+  std::int64_t RevocationMs = 0;
+  bool RevocationStrict = false;
+  std::int64_t QuotaWindowMs = 0;
+  double QuotaOverrun = 0;
+  double QuotaSlack = 0;
+  std::string TargetContracts;
+  bool KeepConnections = false;
+  std::int64_t ConnectionIdleMs = 0;
+  std::int64_t KeepAliveMarginMs = 0;
+  std::int64_t SingleUseIdleMs = 0;
+  std::int64_t MaxIdleConnections = 0;
+  double CpuShare = 0;
+  std::int64_t ForwardMs = 0;
+  double ConnectionCostMs = 0;
+  double MaxExtraPercent = 0;
+  bool FairSharesEnabled = false;
+  bool MeasurePace = false;
+
+  std::int64_t IntakeMemoryMb = 0;
+  std::int64_t IntakeConnections = 0;
+  std::int64_t IntakeStallMs = 0;
+  std::int64_t IntakeWaitMs = 0;
 
   std::string LogFile;
   std::int64_t TimelineNotes = 0;
--- a/libs/base/src/log_query.cpp
+++ b/libs/base/src/log_query.cpp
@@ -1,6 +1,6 @@
 #include "base/log_query.h"
 
-#include <nlohmann/json.hpp>
+#include "base/json_text.h"
 
 #include <algorithm>
 #include <map>
@@ -43,8 +43,9 @@
   for (const auto &[Key, Value] : Object.items())
     if (Key != "time_ms" && Key != "level" && Key != "instance" &&
         Key != "event")
-      Record.Fields.emplace_back(
-          Key, Value.is_string() ? Value.get<std::string>() : Value.dump());
+      Record.Fields.emplace_back(Key, Value.is_string()
+                                          ? Value.get<std::string>()
+                                          : toJsonText(Value));
   Record.Text = std::move(Text);
   return Record;
 }
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -159,9 +159,11 @@
 
   auto operator()(bool node_settings::*Slot) const
       -> std::optional<std::string> {
-    if (Text != "true" && Text != "false")
+    // Templates may be filled by a program that writes True and False.
+    const bool IsTrue = Text == "true" || Text == "True";
+    if (!IsTrue && Text != "false" && Text != "False")
       return "true or false";
-    Settings.*Slot = Text == "true";
+    Settings.*Slot = IsTrue;
     return std::nullopt;
   }
 };
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -110,6 +110,11 @@
     setting_row{"gateway", "memory_mb", &s::MemoryMb, "256", "MB", 16,
                 1'000'000, "",
                 "Memory of the process; a quarter may hold answers."},
+    setting_row{"gateway", "cpu_share", &s::CpuShare, "0", "cores", 0, 1024, "",
+                "Processor share of the process, by which it refuses new "
+                "requests when it forwards late; 0: it refuses none."},
+    setting_row{"gateway", "forward_ms", &s::ForwardMs, "200", "ms", 20, HourMs,
+                "", "Longest time from the event of a target to the caller."},
     setting_row{"link", "address", &s::LinkAddress, "", "", 0, MaxNameLength,
                 "", "ip:port for messages of other gateways and controllers."},
     setting_row{"metrics", "address", &s::MetricsAddress, "", "", 0,
@@ -144,6 +149,75 @@
     setting_row{"quarantine", "hold_ms", &s::QuarantineHoldMs, "120000", "ms",
                 1000, HourMs, "",
                 "Time until a request with a quarantined part is tried."},
+    setting_row{"workspaces", "revocation_ms", &s::RevocationMs, "5000", "ms",
+                600, HourMs, "",
+                "Time after which a removed key is refused by every gateway "
+                "that can reach another one."},
+    setting_row{"workspaces", "revocation_strict", &s::RevocationStrict,
+                "false", "", 0, 0, "",
+                "True: no key is accepted on a configuration that may be "
+                "older than that."},
+    setting_row{"quota", "window_ms", &s::QuotaWindowMs, "0", "ms", 0, HourMs,
+                "",
+                "Window in which the quotas of workspaces hold over all "
+                "gateways; 0: there are no quotas."},
+    setting_row{"quota", "overrun", &s::QuotaOverrun, "0", "", 0, 10, "",
+                "Part of a quota by which a window may exceed it."},
+    setting_row{"quota", "slack", &s::QuotaSlack, "0", "", 0, 1'000'000'000, "",
+                "Tokens by which a window may exceed a quota as well."},
+    setting_row{"targets", "contracts", &s::TargetContracts, "", "", 0,
+                MaxPathLength, "",
+                "Words of the platform on what its targets do, separated by "
+                "commas."},
+    setting_row{"targets", "keep_connections", &s::KeepConnections, "false", "",
+                0, 0, "",
+                "Whether connections to targets serve several requests; a word "
+                "of contracts may switch it on."},
+    setting_row{"targets", "measure_pace", &s::MeasurePace, "false", "", 0, 0,
+                "",
+                "Whether the speed of targets is learned from the pace of the "
+                "streams that have a bound of their pauses."},
+    setting_row{"targets", "idle_ms", &s::ConnectionIdleMs, "2000", "ms", 0,
+                HourMs, "",
+                "Longest rest of a kept connection whose target names no "
+                "time."},
+    setting_row{"targets", "keep_alive_margin_ms", &s::KeepAliveMarginMs, "500",
+                "ms", 0, HourMs, "",
+                "Part of a target's Keep-Alive time in which a connection is "
+                "not used."},
+    setting_row{"targets", "single_use_idle_ms", &s::SingleUseIdleMs, "5000",
+                "ms", 0, HourMs, "",
+                "Longest rest of a connection that a request uses which may "
+                "run only once, and half of the target's time at most."},
+    setting_row{"targets", "max_idle", &s::MaxIdleConnections, "512", "", 0,
+                1'000'000, "",
+                "Connections to targets that rest; at most a quarter of the "
+                "descriptors."},
+    setting_row{"targets", "connection_cost_ms", &s::ConnectionCostMs, "0",
+                "ms", 0, 10'000, "",
+                "Cost of a new connection in the choice of a target."},
+    setting_row{"intake", "memory_mb", &s::IntakeMemoryMb, "0", "MB", 0,
+                1'000'000, "",
+                "Memory for what is held for callers; 0: three eighths of "
+                "gateway.memory_mb, at controllers one."},
+    setting_row{"intake", "connections", &s::IntakeConnections, "0", "", 0,
+                1'000'000, "",
+                "Open connections of callers; 0, and at most: five eighths of "
+                "the descriptors."},
+    setting_row{"intake", "stall_ms", &s::IntakeStallMs, "1000", "ms", 100,
+                HourMs, "",
+                "Time without progress after which a caller is ended if "
+                "others wait."},
+    setting_row{"intake", "wait_ms", &s::IntakeWaitMs, "2000", "ms", 10, HourMs,
+                "", "Longest wait of a request for room before it is refused."},
+    setting_row{"hedging", "max_extra_percent", &s::MaxExtraPercent, "0", "%",
+                0, 20, "",
+                "Second attempts at slow requests that may be repeated, per "
+                "hundred requests of this gateway; 0: none."},
+    setting_row{"fair_shares", "enabled", &s::FairSharesEnabled, "false", "", 0,
+                0, "",
+                "Whether prompts of workspaces above their fair share wait or "
+                "are refused while targets are short of capacity."},
     setting_row{"loads", "window_ms", &s::LoadWindowMs, "5000", "ms", 1, HourMs,
                 "", "Window of the limit on loads from the weight store."},
     setting_row{"loads", "overrun", &s::LoadOverrun, "1", "", 0, 10, "",
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(parse_numberOutOfRange_namesRange);
   CPPUNIT_TEST(parse_fractionOfTheRetryBudget_isTaken);
   CPPUNIT_TEST(parse_timeInSeconds_isTaken);
+  CPPUNIT_TEST(parse_truthValue_isTakenInBothSpellings);
   CPPUNIT_TEST(parse_wordOutsideChoices_namesChoices);
   CPPUNIT_TEST(parse_brokenSyntax_namesLine);
   CPPUNIT_TEST(print_defaults_parseBackToTheSame);
@@ -102,6 +103,15 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, std::int64_t{-1}, WindowOf(Text));
   }
 
+  /// The platform's template may be filled with True.
+  auto parse_truthValue_isTakenInBothSpellings() -> void {
+    const std::string Start = "[workspaces]\nrevocation_strict = ";
+    for (const auto *Text : {"true\n", "True\n"})
+      CPPUNIT_ASSERT(parseSettings(Start + Text, "f").value().RevocationStrict);
+    for (const auto *Text : {"\n", "1\n", "TRUE\n"})
+      CPPUNIT_ASSERT(!parseSettings(Start + Text, "f"));
+  }
+
   auto parse_wordOutsideChoices_namesChoices() -> void {
     const auto Settings = parseSettings("[instance]\nrole = chief\n", "f");
     CPPUNIT_ASSERT(!Settings.has_value());
--- a/libs/engine/src/target_client.cpp
+++ b/libs/engine/src/target_client.cpp
@@ -1,10 +1,10 @@
 #include "engine/target_client.h"
 
+#include "base/json_text.h"
 #include "base/thread.h"
 #include "engine/snapshot_codec.h"
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <map>
@@ -93,12 +93,23 @@
   std::string Bytes;
 };
 
+/// True if the status is that of a final answer. The HTTP library accepts any
+/// three digits.
+auto hasFinalStatus(const httplib::Response &Response) -> bool {
+  constexpr int FirstFinalStatus = 200;
+  constexpr int LastStatus = 599;
+  return Response.status >= FirstFinalStatus && Response.status <= LastStatus;
+}
+
+/// A request whose call fails, as of unknown outcome, if the status of the
+/// answer is not valid.
 auto makeRequest(const char *Method, const std::string &Path,
                  const std::string &Body = "") -> httplib::Request {
   httplib::Request Request;
   Request.method = Method;
   Request.path = Path;
   Request.body = Body;
+  Request.response_handler = hasFinalStatus;
   if (!Body.empty())
     Request.set_header("Content-Type", JsonType);
   return Request;
@@ -115,7 +126,7 @@
                      {"priority", Work.Rank},
                      {"offset", Effect.ResumeOffset},
                      {"so_far", Effect.ResumeText}};
-  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return toJsonText(Body);
 }
 
 /// State of one generation, read from the lines of its response.
@@ -282,7 +293,7 @@
   auto postOrder(const send_order &Effect) -> void {
     const auto Client = makeClient(Options.OrderTimeout);
     auto Request =
-        makeRequest("POST", "/v1/orders", encodeOrder(Effect).dump());
+        makeRequest("POST", "/v1/orders", toJsonText(encodeOrder(Effect)));
     held_answer Answer(HeldBytes);
     const auto Result = Answer.receive(*Client, Request);
     order_replied Reply;
--- a/libs/engine/tests/engine_test.cpp
+++ b/libs/engine/tests/engine_test.cpp
@@ -29,6 +29,11 @@
   CPPUNIT_TEST(run_lineNeverEnds_isBrokenAndBounded);
   CPPUNIT_TEST(call_bodyNeverEnds_isBrokenAndBounded);
   CPPUNIT_TEST(call_headNeverEnds_isBrokenAndBounded);
+  CPPUNIT_TEST(call_partThenResetDuringTheUpload_isBroken);
+  CPPUNIT_TEST(run_partThenResetDuringTheUpload_isBroken);
+  CPPUNIT_TEST(call_statusOutOfRange_isBroken);
+  CPPUNIT_TEST(run_statusOutOfRange_isBrokenWithoutOutput);
+  CPPUNIT_TEST(order_statusOutOfRange_isNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,7 +151,83 @@
       }
   }
 
+  auto call_partThenResetDuringTheUpload_isBroken() -> void {
+    scripted_server Server({earlyPart()});
+    const auto Client = makeClient(Server.port());
+    auto Booking = makeBooking();
+    Booking.Work.Body = shareText(std::string(LongBodyBytes, 'x'));
+    Client->execute(Booking);
+    CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Broken);
+  }
+
+  auto run_partThenResetDuringTheUpload_isBroken() -> void {
+    scripted_server Server({earlyPart()});
+    const auto Client = makeClient(Server.port());
+    auto Generation = makeGeneration();
+    Generation.Work.Body = shareText(std::string(LongBodyBytes, 'x'));
+    Client->execute(Generation);
+    CPPUNIT_ASSERT(waitFor<target_ended>().End == target_end::Broken);
+  }
+
+  auto call_statusOutOfRange_isBroken() -> void {
+    for (const auto &Answer : answersOutOfRange("{}")) {
+      scripted_server Server({{Answer}});
+      const auto Client = makeClient(Server.port());
+      Client->execute(makeBooking());
+      CPPUNIT_ASSERT_MESSAGE(Answer,
+                             waitFor<target_ended>().End == target_end::Broken);
+    }
+  }
+
+  auto run_statusOutOfRange_isBrokenWithoutOutput() -> void {
+    for (const auto &Answer : answersOutOfRange(
+             "{\"offset\":0,\"pieces\":[\"a\"]}\n{\"total\":1}\n")) {
+      scripted_server Server({{Answer}});
+      const auto Client = makeClient(Server.port());
+      Client->execute(makeGeneration());
+      // The first event: there is no output before the end.
+      const auto First = waitForAny();
+      const auto *Ended = std::get_if<target_ended>(&First);
+      CPPUNIT_ASSERT_MESSAGE(Answer, Ended != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(Answer, Ended->End == target_end::Broken);
+    }
+  }
+
+  auto order_statusOutOfRange_isNoAnswer() -> void {
+    for (const auto &Answer : answersOutOfRange("{\"highest\":7}")) {
+      scripted_server Server({{Answer}});
+      const auto Client = makeClient(Server.port());
+      Client->execute(makeLoad(1));
+      CPPUNIT_ASSERT_MESSAGE(Answer, waitFor<order_replied>().Status ==
+                                         order_status::NoAnswer);
+    }
+  }
+
 private:
+  /// Answers that are whole but for their status.
+  static auto answersOutOfRange(const std::string &Body)
+      -> std::vector<std::string> {
+    std::vector<std::string> Answers;
+    for (const auto *Status : {"000", "099", "600", "999"})
+      Answers.push_back("HTTP/1.1 " + std::string(Status) +
+                        " X\r\nContent-Length: " + std::to_string(Body.size()) +
+                        "\r\n\r\n" + Body);
+    return Answers;
+  }
+
+  /// More than the kernel buffers for a connection.
+  static constexpr std::size_t LongBodyBytes = std::size_t{24} << 20U;
+
+  /// Part of an answer that ends with the connection, before the request is
+  /// read.
+  static auto earlyPart() -> scripted_server::answer {
+    scripted_server::answer Answer;
+    Answer.Bytes = "HTTP/1.1 200 OK\r\n\r\n{\"offset\":0,\"pieces\":[]}\n";
+    Answer.Reset = true;
+    Answer.Early = true;
+    return Answer;
+  }
+
   /// An answer whose \p Part comes again and again ends the call before much
   /// was sent.
   auto checkEndless(const std::string &Start, const std::string &Part,
@@ -191,12 +272,17 @@
     });
   }
 
-  template <typename kind> auto waitFor() -> kind {
+  auto waitForAny() -> event {
     std::unique_lock Lock(Mutex);
+    Changed.wait(Lock, [this] { return !Events.empty(); });
+    auto Event = Events.front();
+    Events.pop_front();
+    return Event;
+  }
+
+  template <typename kind> auto waitFor() -> kind {
     for (;;) {
-      Changed.wait(Lock, [this] { return !Events.empty(); });
-      const auto Event = Events.front();
-      Events.pop_front();
+      const auto Event = waitForAny();
       if (const auto *Found = std::get_if<kind>(&Event))
         return *Found;
     }
--- a/libs/engine/tests/scripted_server.h
+++ b/libs/engine/tests/scripted_server.h
@@ -27,7 +27,8 @@
     bool Reset = false;
     std::string LateBytes; ///< Sent 50 ms after the others.
     std::string EndlessBytes =
-        {}; ///< Sent again and again until the client closes.
+        {};             ///< Sent again and again until the client closes.
+    bool Early = false; ///< Sent when the head of the request was read.
   };
 
   explicit scripted_server(std::deque<answer> Script)
@@ -67,7 +68,8 @@
         return;
       Open = Socket;
       bool KeepOpen = true;
-      while (KeepOpen && !Answers.empty() && readRequest(Socket))
+      while (KeepOpen && !Answers.empty() &&
+             readRequest(Socket, Answers.front().Early))
         KeepOpen = writeAnswer(Socket);
       Open = -1;
       close(Socket);
@@ -98,12 +100,17 @@
     return !Answer.Close;
   }
 
-  /// Reads a request with a Content-Length.
-  static auto readRequest(int Socket) -> bool {
+  /// Reads a request with a Content-Length, or only its head.
+  static auto readRequest(int Socket, bool HeadOnly) -> bool {
     const std::string LengthField = "Content-Length: ";
     std::string Text;
     for (;;) {
       const auto End = Text.find("\r\n\r\n");
+      if (End != std::string::npos && HeadOnly) {
+        // The write of the request has filled the buffers of the connection.
+        usleep(50'000);
+        return true;
+      }
       if (End != std::string::npos) {
         const auto Length = Text.find(LengthField);
         const auto Body =
--- a/libs/net/include/net/http_message.h
+++ b/libs/net/include/net/http_message.h
@@ -3,13 +3,19 @@
 #ifndef LIMPETBRIDGE_NET_HTTP_MESSAGE_H
 #define LIMPETBRIDGE_NET_HTTP_MESSAGE_H
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace limpetbridge::net {
 
+/// A body that several owners hold once; null if there is none.
+using shared_body = std::shared_ptr<const std::string>;
+
 /// One header field, spelled as in the message.
 struct header_field {
   std::string Name;
@@ -50,6 +56,13 @@
 /// Media type of the body without its parameters; empty if it is not named.
 [[nodiscard]] auto mediaType(const header_fields &Fields) -> std::string_view;
 
+/// Time after which the sender of \p Fields closes an idle connection, ms, from
+/// Keep-Alive: `timeout=SECONDS` or `SECONDS`. \returns none if it names no
+/// time, and 0 if its time cannot be read or it takes no further request
+/// (`max=0`).
+[[nodiscard]] auto keepAliveMs(const header_fields &Fields)
+    -> std::optional<std::int64_t>;
+
 /// The end-to-end fields: without hop-by-hop fields, those that Connection
 /// names, Expect and Content-Length.
 [[nodiscard]] auto endToEndFields(const header_fields &Fields) -> header_fields;
@@ -65,6 +78,13 @@
 /// A response with Content-Length; Connection: close if \p Close.
 [[nodiscard]] auto serializeResponse(const http_response &Response, bool Close)
     -> std::string;
+/// The head alone, as answer to HEAD; with a length only if \p Head names one.
+[[nodiscard]] auto serializeHeadOnly(const response_head &Head, bool Close)
+    -> std::string;
+/// Head of a request whose body has \p BodyBytes bytes, with Content-Length if
+/// it has a body.
+[[nodiscard]] auto serializeRequestHead(const http_request &Request,
+                                        std::size_t BodyBytes) -> std::string;
 /// A request, with Content-Length if it has a body.
 [[nodiscard]] auto serializeRequest(const http_request &Request) -> std::string;
 /// One chunk of a chunked body.
--- a/libs/net/include/net/server.h
+++ b/libs/net/include/net/server.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,9 +22,14 @@
   using accept_handler =
       std::function<void(std::shared_ptr<caller_connection>)>;
 
+  /// True if one more connection may be accepted now.
+  using accept_gate = std::function<bool()>;
+
+  /// Connections wait in the backlog while \p MayAccept, if there is one, is
+  /// false; it is asked again every few milliseconds.
   /// \throws boost::system::system_error if \p Address cannot be bound.
   listener(asio::io_context &Context, const std::string &Address,
-           accept_handler OnAccepted);
+           accept_handler AcceptHandler, accept_gate MayAccept = {});
   /// Accepts the connections that wait in the backlog and no more; open ones
   /// stay.
   auto stop() -> void;
@@ -34,10 +40,15 @@
 
 private:
   auto acceptNext() -> void;
+  /// Accepts at most \p Limit connections that wait in the backlog.
+  auto acceptWaiting(int Limit) -> void;
+  /// Calls acceptNext after a moment.
+  auto acceptLater() -> void;
 
   tcp::acceptor Acceptor;
   asio::steady_timer RetryTimer;
   accept_handler OnAccepted;
+  accept_gate Gate;
 };
 
 /// Handles a complete request.
@@ -75,9 +86,14 @@
   /// Passes on the datagrams that have arrived, at most \c MaxReceived.
   auto receiveAll() -> void;
 
+  /// `ip:port` of \p Endpoint.
+  auto textOf(const udp::endpoint &Endpoint) -> const std::string &;
+
   static constexpr int MaxReceived = 256;
   static constexpr std::size_t MaxBytes = 60'000;
   udp::socket Socket;
+  /// Kept, as formatting them took a third of the time to receive a datagram.
+  std::map<udp::endpoint, std::string> SenderTexts;
   udp::endpoint Sender;
   std::array<char, MaxBytes> Buffer{};
   receive_handler OnDatagram;
--- a/libs/net/include/net/target_connection.h
+++ b/libs/net/include/net/target_connection.h
@@ -1,6 +1,7 @@
 /// \file
-/// Client side of one HTTP/1.1 exchange on a connection of its own: a target
-/// may send late or surplus responses, which a new connection never receives.
+/// Client side of HTTP/1.1 exchanges on one connection. A target may send late
+/// or surplus responses, which a new connection never receives; whoever uses a
+/// connection again has to tell them from its own.
 #ifndef LIMPETBRIDGE_NET_TARGET_CONNECTION_H
 #define LIMPETBRIDGE_NET_TARGET_CONNECTION_H
 
@@ -37,8 +38,14 @@
 /// Name of the stage in logs.
 [[nodiscard]] auto nameOf(exchange_stage Stage) -> std::string_view;
 
-/// One exchange, or several in sequence with a peer that is trusted to respond
-/// in order. To be used on its io_context's thread only.
+/// What ended the time in which a connection was idle.
+enum class idle_end : std::uint8_t {
+  Closed,    ///< The peer has closed or reset it, or is unreachable.
+  StrayBytes ///< Bytes have arrived that belong to no request.
+};
+
+/// One exchange, or several in sequence. To be used on its io_context's thread
+/// only.
 class target_connection
     : public std::enable_shared_from_this<target_connection> {
 public:
@@ -54,18 +61,27 @@
   /// machine is there, and nothing listens.
   [[nodiscard]] auto isRefused() const -> bool;
 
-  /// Starts to send \p Bytes. The response may be read meanwhile, since a
-  /// target may respond before it has read the complete request.
-  auto startSend(std::string Bytes) -> void;
+  /// Starts to send \p Head and then \p Body, which is shared, so that it is
+  /// held once and can be sent again. The response may be read meanwhile, since
+  /// a target may respond before it has read the complete request. What was
+  /// sent before must have been sent completely.
+  auto startSend(std::string Head, shared_body Body = nullptr) -> void;
+
+  /// Whether the next responses are to a HEAD request: they have no body,
+  /// whatever their heads say.
+  auto expectNoBody(bool Expected) -> void { ExpectsNoBody = Expected; }
 
   /// Reads the head of the response; informational ones are skipped.
-  /// \returns none if the connection ended or the head is not valid.
+  /// \returns none if the connection ended or the head is not valid, for
+  /// example because its status is outside 100 to 599.
   auto readResponseHead() -> awaitable<std::optional<response_head>>;
 
   /// Reads up to \p Bytes of the next responses at a time.
   auto setReadSize(std::size_t Bytes) -> void { ReadSize = Bytes; }
 
-  /// Reads a part of the body and appends it to \p Bytes.
+  /// Reads a part of the body and appends it to \p Bytes. A body that ends with
+  /// the connection is complete only if the request was sent completely: a
+  /// reset is reported once, to the write or to the read.
   auto readBody(std::string &Bytes) -> awaitable<body_read>;
 
   /// True if the head of a response was read.
@@ -87,10 +103,38 @@
     return LastReadError;
   }
 
-  /// True if the last response was read completely, nothing has arrived since
-  /// and the peer has not closed the connection.
+  /// True if nothing of the last request was sent: its first write failed.
+  [[nodiscard]] auto nothingWasSent() const -> bool {
+    return !Sending && SendError && SentBytes == 0;
+  }
+
+  /// True if the peer ended the connection before any byte of a response to the
+  /// last request.
+  [[nodiscard]] auto endedUnanswered() const -> bool;
+
+  /// True if a byte of a response to the last request was received.
+  [[nodiscard]] auto hasReceived() const -> bool { return Received; }
+
+  /// True if the rest of the response has arrived, so that readBody does not
+  /// wait. Only for responses with a length.
+  [[nodiscard]] auto isBodyBuffered() const -> bool;
+
+  /// True if more of the response than the end of a chunk has arrived and was
+  /// not read yet, so that the next read does not show when it arrived.
+  [[nodiscard]] auto hasUnreadBytes() const -> bool;
+
+  /// True if the last request was sent and its response read completely,
+  /// nothing has arrived since and neither side has closed the connection or
+  /// said that it will. The peer has received the whole request.
   [[nodiscard]] auto isReusable() -> bool;
 
+  /// Watches a reusable connection and releases its buffers. \p OnEnd is called
+  /// at most once, unless stopIdle is called before.
+  auto startIdle(std::function<void(idle_end)> OnEnd) -> void;
+  /// Ends the watch. \returns what has ended the idle time meanwhile, if
+  /// anything.
+  [[nodiscard]] auto stopIdle() -> std::optional<idle_end>;
+
   /// Closes the connection; pending calls fail.
   auto close() -> void;
 
@@ -103,13 +147,27 @@
   /// chunk or on a trailer.
   static constexpr std::size_t MaxUnparsedBytes = std::size_t{192} * 1024;
 
+  /// What can be read of an idle connection; none while nothing can.
+  auto peek() -> std::optional<idle_end>;
+  /// Result of a read that found the response complete.
+  auto checkEnd() -> awaitable<body_read>;
+
   tcp::socket Socket;
   asio::steady_timer Timer;
+  asio::steady_timer SendTimer; ///< Cancelled when the request is sent.
+  bool Sending = false;
+  error_code SendError;      ///< Of the last request.
+  std::size_t SentBytes = 0; ///< Of the last request, once it is not sent on.
+  bool Received = false;     ///< Anything of a response to the last request.
+  error_code HeadError;      ///< Of the last read of a head.
+  std::uint64_t IdleGeneration = 0; ///< Of the watch; changes when it ends.
   boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<parser_type> Parser;
-  std::string RequestBytes;
+  std::string RequestHead;
+  shared_body RequestBody;
   std::vector<char> ReadBuffer;
   std::size_t ReadSize = 0; ///< 0: the default.
+  bool ExpectsNoBody = false;
   error_code ConnectError;
   error_code LastReadError;
 };
--- a/libs/net/src/caller_connection.cpp
+++ b/libs/net/src/caller_connection.cpp
@@ -1,68 +1,36 @@
 #include "net/caller_connection.h"
 
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <algorithm>
+
+#include <array>
 
 namespace limpetbridge::net {
 
 namespace {
 
-namespace http = boost::beast::http;
-
-/// Limit of bytes that are read ahead while a request is in progress.
-constexpr std::size_t MaxReadAhead = std::size_t{64} * 1024;
-/// Limit of bytes that are read and not parsed yet, besides the header: the
-/// read-ahead and one read of the parser.
-constexpr std::size_t MaxUnparsedBytes = 3 * MaxReadAhead;
-/// Largest single read, bytes.
+/// Bytes from which on nothing more is read ahead while a request is in
+/// progress: one longest head, or some ordinary requests.
+constexpr std::size_t MaxReadAhead = std::size_t{16} * 1024;
+/// Largest single read of bytes ahead, bytes.
 constexpr std::size_t ReadBytes = std::size_t{8} * 1024;
+/// Bytes that are read and discarded before the connection closes. A peer that
+/// goes on sending, for example a body over the limit, is not read further.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{64} * 1024;
 /// Time without progress after which a peer that does not read is given up.
 constexpr duration WriteStallTimeout = seconds(5);
 /// Time in which a new connection is expected to carry its first request.
 constexpr duration FirstRequestTime = seconds(1);
 /// Longest wait for the peer to close after sending was shut down.
 constexpr duration LingerTimeout = milliseconds(500);
-/// Timeout of a body after its header, per started megabyte of the limit.
-constexpr duration BodyTimeoutPerMb = seconds(4);
-constexpr std::uint64_t BytesPerMb = 1'000'000;
-
-template <typename message>
-auto copyFields(const message &Header) -> header_fields {
-  header_fields Fields;
-  for (const auto &Field : Header)
-    Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  return Fields;
-}
-
-auto makeRejection(std::uint16_t Status, std::string_view Reason)
-    -> read_outcome {
-  read_outcome Outcome;
-  Outcome.End = read_end::Rejected;
-  Outcome.Status = Status;
-  Outcome.Reason = Reason;
-  return Outcome;
-}
-
-auto makeErrorOutcome(const error_code &Error) -> read_outcome {
-  if (Error == http::error::header_limit)
-    return makeRejection(431, "header is too large");
-  if (Error == http::error::body_limit)
-    return makeRejection(413, "body is too large");
-  if (Error.category() == make_error_code(http::error::bad_method).category() &&
-      Error != http::error::end_of_stream &&
-      Error != http::error::partial_message)
-    return makeRejection(400, "not a request of HTTP/1.1");
-  return {};
-}
+/// Memory of a connection besides its buffers: the object, its timers and the
+/// frames of its tasks, rounded up.
+constexpr std::size_t ConnectionBytes = std::size_t{4} * 1024;
 
 } // namespace
 
 caller_connection::caller_connection(tcp::socket Accepted)
     : Socket(std::move(Accepted)), Timer(Socket.get_executor()),
-      WriteTimer(Socket.get_executor()),
+      WriteTimer(Socket.get_executor()), RoomTimer(Socket.get_executor()),
       FirstRequestDeadline(process_clock::now() + FirstRequestTime) {
   error_code Ignored; // Only tuning; a broken socket fails at a read.
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -78,100 +46,35 @@
     if (Error || !This || This->TimerGeneration != Generation)
       return;
     This->TimedOut = true;
-    error_code Ignored; // The socket may be closed already.
-    This->Socket.cancel(Ignored);
+    This->cancelRead();
   });
 }
 
-auto caller_connection::waitForFirstByte(duration IdleTimeout)
-    -> awaitable<bool> {
-  if (Buffer.size() > 0)
-    co_return true;
-  Phase = read_phase::FirstByte;
-  error_code Error;
-  std::size_t Count = 0;
-  for (;;) {
-    startTimer(IdleTimeout);
-    Count = co_await Socket.async_read_some(Buffer.prepare(ReadBytes),
-                                            storeError(Error));
-    if (Error != asio::error::operation_aborted)
-      break;
-    // The timer or closeIfIdle ended the wait; a request that has arrived by
-    // now is served.
-    error_code Ignored; // A broken socket has nothing to read.
-    if (Socket.available(Ignored) > 0)
-      continue;
-    Socket.close(Ignored);
-    break;
-  }
-  Phase = read_phase::None;
-  Buffer.commit(Count);
-  FirstRequestDeadline = {};
-  co_return !Error && Count > 0;
+auto caller_connection::setAccount(
+    std::unique_ptr<connection_account> ConnectionAccount) -> void {
+  Account = std::move(ConnectionAccount);
 }
 
-auto caller_connection::readRequest(connection_limits Limits)
-    -> awaitable<read_outcome> {
-  const auto Self = shared_from_this();
-  if (!co_await waitForFirstByte(milliseconds(Limits.IdleTimeoutMs)))
-    co_return makeErrorOutcome({});
-  Phase = read_phase::Rest;
-  auto Outcome = co_await readRest(Limits);
-  Phase = read_phase::None;
-  ++TimerGeneration;
-  co_return Outcome;
+auto caller_connection::heldBytes() const -> std::size_t {
+  return ConnectionBytes + Buffer.capacity() + RequestBytes + WritingBytes;
 }
 
-auto caller_connection::describeError(const error_code &Error,
-                                      std::string_view TimeoutReason) const
-    -> read_outcome {
-  if (RejectsPartialRequest)
-    return makeRejection(503, "the server stops");
-  return TimedOut ? makeRejection(408, TimeoutReason) : makeErrorOutcome(Error);
+auto caller_connection::report(connection_phase NewPhase) -> void {
+  Reported = NewPhase;
+  if (!Account)
+    return;
+  const auto Bytes = heldBytes();
+  auto Largest = Bytes;
+  if (NewPhase == connection_phase::Body)
+    Largest += std::max(LargestRequest, RequestBytes) - RequestBytes;
+  Account->update({NewPhase, Bytes, Largest, MovedBytes});
 }
 
-auto caller_connection::readRest(connection_limits Limits)
-    -> awaitable<read_outcome> {
-  const auto FirstByte = process_clock::now();
-  // The parser has no limit of its own on the extension of a chunk.
-  Buffer.max_size(MaxUnparsedBytes + Limits.HeaderBytes);
-  startTimer(milliseconds(Limits.HeaderTimeoutMs));
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(Limits.HeaderBytes);
-  Parser.body_limit(Limits.BodyBytes);
-  error_code Error;
-  co_await http::async_read_header(Socket, Buffer, Parser, storeError(Error));
-  if (Error)
-    co_return describeError(Error, "header came too slowly");
-  const auto &Header = Parser.get();
-  read_outcome Outcome;
-  Outcome.FirstByte = FirstByte;
-  Outcome.Request.Method = std::string(Header.method_string());
-  Outcome.Request.Target = std::string(Header.target());
-  Outcome.Request.Fields = copyFields(Header);
-  Outcome.Request.HasBody = Parser.chunked() || Header.has_content_length();
-  constexpr unsigned Version11 = 11;
-  if (Header.version() != Version11)
-    co_return makeRejection(505, "only HTTP/1.1 is served");
-  if (const auto Reason = findAmbiguity(Outcome.Request); !Reason.empty())
-    co_return makeRejection(400, Reason);
-  if (Outcome.Request.HasBody && !Parser.is_done()) {
-    if (equalsIgnoreCase(findField(Outcome.Request.Fields, "expect"),
-                         "100-continue")) {
-      std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-      const bool Written = co_await write(std::move(Continue));
-      if (!Written)
-        co_return makeErrorOutcome({});
-    }
-    startTimer(milliseconds(Limits.HeaderTimeoutMs) +
-               BodyTimeoutPerMb * (1 + Limits.BodyBytes / BytesPerMb));
-    co_await http::async_read(Socket, Buffer, Parser, storeError(Error));
-    if (Error)
-      co_return describeError(Error, "body came too slowly");
-  }
-  Outcome.Request.Body = std::move(Parser.get().body());
-  Outcome.End = read_end::Request;
-  co_return Outcome;
+auto caller_connection::releaseBuffer() -> void {
+  if (Buffer.size() > 0 || Buffer.capacity() == 0)
+    return;
+  Buffer.clear();
+  Buffer.shrink_to_fit();
 }
 
 auto caller_connection::startDisconnectWatch(std::function<void()> Callback)
@@ -185,22 +88,45 @@
   OnDisconnect = nullptr;
 }
 
+auto caller_connection::checkDisconnect() -> void {
+  if (!OnDisconnect)
+    return;
+  std::array<char, 1> Byte{};
+  error_code Error;
+  Socket.receive(asio::buffer(Byte), tcp::socket::message_peek, Error);
+  if (!Error || Error == asio::error::would_block ||
+      Error == asio::error::try_again)
+    return;
+  ++WatchGeneration;
+  std::exchange(OnDisconnect, nullptr)();
+}
+
 auto caller_connection::watchNextRead(std::uint64_t Generation) -> void {
+  // A peer that does not read its answer is not read from either.
+  WatchPaused = Blocked;
+  if (Blocked || Buffer.size() >= MaxReadAhead)
+    return;
   Socket.async_wait(tcp::socket::wait_read, [Self = shared_from_this(),
                                              Generation](error_code Error) {
     if (Self->WatchGeneration != Generation)
       return;
+    if (Self->Blocked && !Error) {
+      Self->WatchPaused = true;
+      return;
+    }
     std::size_t Count = 0;
     if (!Error)
       Count = Self->Socket.read_some(Self->Buffer.prepare(ReadBytes), Error);
     Self->Buffer.commit(Count);
+    Self->MovedBytes += Count;
+    Self->report(Self->Reported);
     const bool KeepWatching = !Error || Error == asio::error::would_block ||
                               Error == asio::error::try_again;
     if (!KeepWatching) {
       ++Self->WatchGeneration;
       if (auto Callback = std::exchange(Self->OnDisconnect, nullptr))
         Callback();
-    } else if (Self->Buffer.size() < MaxReadAhead) {
+    } else {
       Self->watchNextRead(Generation);
     }
   });
@@ -209,16 +135,27 @@
 auto caller_connection::write(std::string Bytes) -> awaitable<bool> {
   const auto Self = shared_from_this();
   std::size_t Sent = 0;
-  while (Sent < Bytes.size()) {
+  bool Writable = true;
+  while (Writable && Sent < Bytes.size()) {
     error_code Error;
-    Sent += Socket.write_some(asio::buffer(Bytes) + Sent, Error);
-    bool Writable = !Error;
-    if (Error == asio::error::would_block || Error == asio::error::try_again)
+    const auto Count = Socket.write_some(asio::buffer(Bytes) + Sent, Error);
+    Sent += Count;
+    MovedBytes += Count;
+    Writable = !Error;
+    if (Error == asio::error::would_block || Error == asio::error::try_again) {
+      Blocked = true;
+      WritingBytes = Bytes.capacity();
+      report(connection_phase::Writing);
       Writable = co_await waitForWritable();
-    if (!Writable)
-      co_return false;
+    }
   }
-  co_return true;
+  if (std::exchange(Blocked, false)) {
+    WritingBytes = 0;
+    report(connection_phase::Serving);
+    if (WatchPaused && OnDisconnect)
+      watchNextRead(WatchGeneration);
+  }
+  co_return Writable;
 }
 
 auto caller_connection::waitForWritable() -> awaitable<bool> {
@@ -244,8 +181,12 @@
   const auto Self = shared_from_this();
   error_code Error;
   Socket.shutdown(tcp::socket::shutdown_send, Error);
+  if (PartialRejection && PartialRejection->ClosesAtOnce &&
+      Socket.available(Error) == 0)
+    Socket.close(Error);
   startTimer(LingerTimeout);
-  while (!Error && !TimedOut) {
+  while (!Error && !TimedOut && Socket.is_open() &&
+         DiscardedBytes < MaxDiscardedBytes) {
     DiscardedBytes += Buffer.size();
     Buffer.consume(Buffer.size());
     const auto Count = co_await Socket.async_read_some(
@@ -253,6 +194,13 @@
     Buffer.commit(Count);
   }
   DiscardedBytes += Buffer.size();
+  Buffer.consume(Buffer.size());
+  releaseBuffer();
+  report(Reported);
+  // Unread bytes would reset the connection before the peer has the answer.
+  RoomTimer.expires_at(std::chrono::steady_clock::time_point::max());
+  if (!Error && !TimedOut && Socket.is_open())
+    co_await RoomTimer.async_wait(storeError(Error));
   ++TimerGeneration;
   Timer.cancel();
   Socket.close(Error);
@@ -268,12 +216,35 @@
   Socket.cancel(Error); // waitForFirstByte closes the connection.
 }
 
-auto caller_connection::rejectPartialRequest() -> void {
-  if (Phase != read_phase::Rest)
-    return;
-  RejectsPartialRequest = true;
+auto caller_connection::awaitRoom(std::size_t Bytes) -> awaitable<bool> {
+  if (!Account || Account->requestRoom(Bytes))
+    co_return true;
+  HasRoom = false;
+  while (!HasRoom && !TimedOut && !PartialRejection && Socket.is_open()) {
+    RoomTimer.expires_at(std::chrono::steady_clock::time_point::max());
+    error_code Cancelled; // By grantRoom or cancelRead.
+    co_await RoomTimer.async_wait(storeError(Cancelled));
+  }
+  co_return HasRoom;
+}
+
+auto caller_connection::grantRoom() -> void {
+  HasRoom = true;
+  RoomTimer.cancel();
+}
+
+auto caller_connection::cancelRead() -> void {
   error_code Ignored; // A broken socket fails at its read.
   Socket.cancel(Ignored);
+  RoomTimer.cancel();
+}
+
+auto caller_connection::rejectPartialRequest(const rejection &Rejection)
+    -> void {
+  if (Phase != read_phase::Rest || PartialRejection)
+    return;
+  PartialRejection = Rejection;
+  cancelRead();
 }
 
 } // namespace limpetbridge::net
--- a/libs/net/src/http_message.cpp
+++ b/libs/net/src/http_message.cpp
@@ -71,6 +71,40 @@
   return trim(Type.substr(0, Type.find(';')));
 }
 
+auto keepAliveMs(const header_fields &Fields) -> std::optional<std::int64_t> {
+  constexpr std::int64_t MsPerSecond = 1000;
+  /// Longer times are as good as this one.
+  constexpr std::int64_t MaxSeconds = 86'400;
+  std::optional<std::int64_t> Milliseconds;
+  std::string_view Remaining = findField(Fields, "keep-alive");
+  while (!Remaining.empty()) {
+    const auto Comma = Remaining.find(',');
+    const auto Parameter = trim(Remaining.substr(0, Comma));
+    Remaining = Comma == std::string_view::npos ? std::string_view()
+                                                : Remaining.substr(Comma + 1);
+    if (Parameter.empty())
+      continue;
+    const auto Equals = Parameter.find('=');
+    const bool HasName = Equals != std::string_view::npos;
+    const auto Name = HasName ? trim(Parameter.substr(0, Equals)) : "timeout";
+    const auto Value = HasName ? trim(Parameter.substr(Equals + 1)) : Parameter;
+    const bool IsTime = equalsIgnoreCase(Name, "timeout");
+    if (!IsTime && !equalsIgnoreCase(Name, "max"))
+      continue;
+    std::int64_t Number = 0;
+    // A number that is too long for its type is not read.
+    const bool IsReadable =
+        isNumber(Value) &&
+        std::from_chars(Value.data(), Value.data() + Value.size(), Number).ec ==
+            std::errc();
+    if (!IsReadable || Number == 0)
+      return 0;
+    if (IsTime)
+      Milliseconds = std::min(Number, MaxSeconds) * MsPerSecond;
+  }
+  return Milliseconds;
+}
+
 auto endToEndFields(const header_fields &Fields) -> header_fields {
   static const std::array<std::string_view, 10> AlwaysExcluded = {
       "connection", "keep-alive",          "proxy-authenticate",
@@ -137,13 +171,23 @@
   return Text + "\r\n" + Response.Body;
 }
 
-auto serializeRequest(const http_request &Request) -> std::string {
+auto serializeHeadOnly(const response_head &Head, bool Close) -> std::string {
+  return serializeResponseHead(Head) + (Close ? "Connection: close\r\n" : "") +
+         "\r\n";
+}
+
+auto serializeRequestHead(const http_request &Request, std::size_t BodyBytes)
+    -> std::string {
   std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   for (const auto &Field : Request.Fields)
     Text += Field.Name + ": " + Field.Value + "\r\n";
-  if (Request.HasBody || !Request.Body.empty())
-    Text += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
-  return Text + "\r\n" + Request.Body;
+  if (Request.HasBody || BodyBytes > 0)
+    Text += "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
+  return Text + "\r\n";
+}
+
+auto serializeRequest(const http_request &Request) -> std::string {
+  return serializeRequestHead(Request, Request.Body.size()) + Request.Body;
 }
 
 auto serializeChunk(std::string_view Bytes) -> std::string {
--- a/libs/net/src/target_connection.cpp
+++ b/libs/net/src/target_connection.cpp
@@ -5,6 +5,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -46,7 +49,7 @@
 }
 
 target_connection::target_connection(const asio::any_io_executor &Executor)
-    : Socket(Executor), Timer(Executor) {}
+    : Socket(Executor), Timer(Executor), SendTimer(Executor) {}
 
 auto target_connection::connect(const std::string &Address, time_point Deadline)
     -> awaitable<bool> {
@@ -73,32 +76,49 @@
   return ConnectError == asio::error::connection_refused;
 }
 
-auto target_connection::startSend(std::string Bytes) -> void {
-  RequestBytes = std::move(Bytes);
-  asio::async_write(Socket, asio::buffer(RequestBytes),
-                    [Self = shared_from_this()](error_code, std::size_t) {
-                      // A failed write is detected by reading the response.
-                    });
+auto target_connection::startSend(std::string Head, shared_body Body) -> void {
+  RequestHead = std::move(Head);
+  RequestBody = std::move(Body);
+  std::array<asio::const_buffer, 2> Buffers = {asio::buffer(RequestHead), {}};
+  if (RequestBody)
+    Buffers[1] = asio::buffer(*RequestBody);
+  Sending = true;
+  Received = false;
+  HeadError.clear();
+  LastReadError.clear();
+  asio::async_write(
+      Socket, Buffers,
+      [Self = shared_from_this()](error_code Error, std::size_t Count) {
+        Self->Sending = false;
+        Self->SendError = Error;
+        Self->SentBytes = Count;
+        Self->SendTimer.cancel();
+      });
 }
 
 auto target_connection::readResponseHead()
     -> awaitable<std::optional<response_head>> {
   const auto Self = shared_from_this();
+  constexpr unsigned FirstStatus = 100;
   constexpr unsigned FirstFinalStatus = 200;
+  constexpr unsigned LastStatus = 599;
   // The parser reads as much at a time as the buffer has room for, and an empty
   // buffer has room for 512 bytes.
   Buffer.reserve(std::max(MinBufferBytes, ReadSize));
   for (int HeadCount = 0; HeadCount < MaxHeadsRead; ++HeadCount) {
     Parser.emplace();
     Parser->header_limit(MaxHeadBytes);
+    Parser->skip(ExpectsNoBody);
     // Bodies are read in parts, so their total size does not matter here.
     Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    error_code Error;
     co_await http::async_read_header(Socket, Buffer, *Parser,
-                                     storeError(Error));
-    if (Error)
+                                     storeError(HeadError));
+    Received |= Parser->got_some() || Buffer.size() > 0;
+    if (HeadError)
       co_return std::nullopt;
     const auto &Header = Parser->get();
+    if (Header.result_int() < FirstStatus || Header.result_int() > LastStatus)
+      co_return std::nullopt;
     if (Header.result_int() < FirstFinalStatus)
       continue;
     response_head Head;
@@ -116,6 +136,28 @@
   return Parser && Parser->is_header_done();
 }
 
+auto target_connection::endedUnanswered() const -> bool {
+  return !Received && (HeadError == http::error::end_of_stream ||
+                       HeadError == asio::error::eof ||
+                       HeadError == asio::error::connection_reset ||
+                       HeadError == asio::error::connection_aborted ||
+                       HeadError == asio::error::broken_pipe);
+}
+
+auto target_connection::isBodyBuffered() const -> bool {
+  return Parser && !Parser->need_eof() && !Parser->chunked() &&
+         (Parser->is_done() ||
+          Buffer.size() >=
+              Parser->content_length_remaining().value_or(Buffer.size() + 1));
+}
+
+auto target_connection::hasUnreadBytes() const -> bool {
+  // The line end of a chunk is parsed with the next chunk.
+  constexpr std::size_t ChunkEndBytes = 2;
+  error_code Error;
+  return Buffer.size() + Socket.available(Error) > ChunkEndBytes;
+}
+
 auto target_connection::endsWithConnection() const -> bool {
   return Parser && Parser->need_eof();
 }
@@ -143,12 +185,31 @@
     Bytes.append(ReadBuffer.data(), Count);
     if (Error && Error != http::error::need_buffer) {
       LastReadError = Error;
-      co_return Parser->is_done() ? body_read::End : body_read::Broken;
+      if (!Parser->is_done())
+        co_return body_read::Broken;
     }
     if (Count > 0 && !Parser->is_done())
       co_return body_read::Data;
   }
-  co_return body_read::End;
+  co_return co_await checkEnd();
+}
+
+auto target_connection::checkEnd() -> awaitable<body_read> {
+  if (!Parser->need_eof())
+    co_return body_read::End;
+  // The end of the connection was read, perhaps before the result of a write
+  // that the same reset has ended. A peer that has only stopped sending may go
+  // on reading; if it does not, TCP_USER_TIMEOUT or the deadline ends the
+  // write.
+  while (Sending) {
+    SendTimer.expires_at(std::chrono::steady_clock::time_point::max());
+    error_code Cancelled; // By the end of the write.
+    co_await SendTimer.async_wait(storeError(Cancelled));
+  }
+  if (!SendError)
+    co_return body_read::End;
+  LastReadError = SendError;
+  co_return body_read::Broken;
 }
 
 auto target_connection::close() -> void {
@@ -157,16 +218,57 @@
 }
 
 auto target_connection::isReusable() -> bool {
-  if (!Socket.is_open() || !Parser || !Parser->is_done() ||
-      !Parser->keep_alive() || Parser->need_eof() || Buffer.size() > 0)
+  if (!Socket.is_open() || Sending || SendError || !Parser ||
+      !Parser->is_done() || !Parser->keep_alive() || Parser->need_eof() ||
+      Buffer.size() > 0)
+    return false;
+  // A peer may respond before it has received the whole request.
+  int UnacknowledgedBytes = 0;
+  if (ioctl(Socket.native_handle(), SIOCOUTQ, &UnacknowledgedBytes) != 0 ||
+      UnacknowledgedBytes > 0)
     return false;
   // A second copy of the response, or the end of the connection, may have
   // arrived meanwhile.
+  return !peek();
+}
+
+auto target_connection::peek() -> std::optional<idle_end> {
   std::array<char, 1> Byte{};
   error_code Error;
   Socket.non_blocking(true, Error);
-  Socket.receive(asio::buffer(Byte), tcp::socket::message_peek, Error);
-  return Error == asio::error::would_block;
+  const auto Count =
+      Socket.receive(asio::buffer(Byte), tcp::socket::message_peek, Error);
+  if (Count > 0)
+    return idle_end::StrayBytes;
+  if (Error == asio::error::would_block)
+    return std::nullopt;
+  return idle_end::Closed;
+}
+
+auto target_connection::startIdle(std::function<void(idle_end)> OnEnd) -> void {
+  // Idle connections are many; their buffers are allocated again when needed.
+  Parser.reset();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+  ReadBuffer = std::vector<char>();
+  RequestHead = std::string();
+  RequestBody.reset();
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Self = shared_from_this(), OnEnd = std::move(OnEnd),
+                     Generation = ++IdleGeneration](error_code) {
+                      if (Self->IdleGeneration != Generation)
+                        return;
+                      ++Self->IdleGeneration;
+                      OnEnd(Self->peek().value_or(idle_end::Closed));
+                    });
+}
+
+auto target_connection::stopIdle() -> std::optional<idle_end> {
+  ++IdleGeneration;
+  const auto End = peek();
+  error_code Ignored; // A broken socket fails at its next use.
+  Socket.cancel(Ignored);
+  return End;
 }
 
 namespace {
--- a/libs/net/tests/exchange_test.cpp
+++ b/libs/net/tests/exchange_test.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(closeIfIdle_nothingHasArrived_connectionCloses);
   CPPUNIT_TEST(datagrams_arriveInABusyLoop_areReceivedInFewTurns);
   CPPUNIT_TEST(readBody_longBodyHasArrived_takesFewReads);
+  CPPUNIT_TEST(hasUnreadBytes_chunksInOneSegment_untilTheLastOne);
+  CPPUNIT_TEST(startSend_sharedBody_isSentWithoutACopy);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +129,66 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(Reads), Reads <= 4);
   }
 
+  // Events that are read one by one after a lag must not pass for a pace.
+  auto hasUnreadBytes_chunksInOneSegment_untilTheLastOne() -> void {
+    tcp::acceptor Acceptor(*Context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto Connection =
+        std::make_shared<target_connection>(Context->get_executor());
+    std::string Unread;
+    const auto Read = [&]() -> awaitable<void> {
+      const auto PeerAddress =
+          "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+      const bool Connected = co_await Connection->connect(
+          PeerAddress, process_clock::now() + TestTimeout);
+      CPPUNIT_ASSERT(Connected);
+      auto Peer = Acceptor.accept();
+      const std::string Head =
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      asio::write(Peer, asio::buffer(Head));
+      const auto Received = co_await Connection->readResponseHead();
+      CPPUNIT_ASSERT(Received.has_value());
+      const std::string Chunks = "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n";
+      asio::write(Peer, asio::buffer(Chunks));
+      std::string Body;
+      for (int I = 0; I < 3; ++I) {
+        co_await Connection->readBody(Body);
+        Unread += Connection->hasUnreadBytes() ? '1' : '0';
+      }
+      Context->stop();
+    };
+    spawn(Context->get_executor(), Read());
+    Context->run();
+    CPPUNIT_ASSERT_EQUAL(std::string("110"), Unread);
+  }
+
+  /// A request and the attempt at it once held a body each.
+  auto startSend_sharedBody_isSentWithoutACopy() -> void {
+    http_request Request;
+    Request.Method = "POST";
+    Request.Target = "/a";
+    Request.Fields.push_back({"Host", Address});
+    const auto Body = std::make_shared<const std::string>("some bytes");
+    const auto Connection =
+        std::make_shared<target_connection>(Context->get_executor());
+    std::string Answer;
+    bool Shared = false;
+    const auto Exchange = [&]() -> awaitable<void> {
+      const auto Deadline = process_clock::now() + TestTimeout;
+      co_await Connection->connect(Address, Deadline);
+      Connection->startSend(serializeRequestHead(Request, Body->size()), Body);
+      Shared = Body.use_count() > 1;
+      const auto Head = co_await Connection->readResponseHead();
+      CPPUNIT_ASSERT(Head.has_value());
+      co_await Connection->readBody(Answer);
+      Context->stop();
+    };
+    spawn(Context->get_executor(), Exchange());
+    Context->run();
+    CPPUNIT_ASSERT(Shared);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /a some bytes"), Answer);
+  }
+
   auto fetch_closedPort_returnsNone() -> void {
     Server->stop();
     Context->poll();
--- a/libs/platform/src/platform_client.cpp
+++ b/libs/platform/src/platform_client.cpp
@@ -1,12 +1,13 @@
 #include "platform/platform_client.h"
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/thread.h"
 #include "platform/instance_codec.h"
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -79,7 +80,18 @@
   }
   const json Body = {{"conditions", std::move(Conditions)},
                      {"writes", std::move(Writes)}};
-  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return toJsonText(Body);
+}
+
+/// The era that an answer names; none if it has none that can be read.
+auto readEra(const httplib::Response &Answer) -> std::optional<std::uint64_t> {
+  const auto Text = Answer.get_header_value("Store-Era");
+  std::uint64_t Named = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Named);
+  if (Text.empty() || Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Named;
 }
 
 } // namespace
@@ -94,6 +106,9 @@
   platform_sink Sink;
   std::mutex ListMutex;
   std::uint64_t ListVersion = 0;
+  /// Era of the platform: it has returned from an older copy when it rises.
+  std::optional<std::uint64_t> Era;
+  std::optional<instance_record> Announced; ///< Own record, once confirmed.
   bool ListReadInProgress = false;
   std::map<std::string, instance_record> Instances;
   thread_pool Pool;
@@ -114,8 +129,44 @@
     return *Client;
   }
 
-  auto post(const char *Path, const std::string &Body) const -> http_result {
-    return toHttpResult(client().Post(Path, Body, JsonType));
+  auto post(const char *Path, const std::string &Body) -> http_result {
+    return record(client().Post(Path, Body, JsonType));
+  }
+
+  /// Records the era that an answer names. An answer of an earlier era has no
+  /// result.
+  auto record(const httplib::Result &Answer) -> http_result {
+    const auto Named = Answer ? readEra(*Answer) : std::nullopt;
+    if (!Named)
+      return toHttpResult(Answer);
+    std::optional<instance_record> Missing;
+    {
+      const std::lock_guard Lock(ListMutex);
+      if (Era && *Named < *Era)
+        return {};
+      if (Era && *Named > *Era) {
+        log(log_level::Warning, "store_era_rose",
+            {{"era", std::to_string(*Named)}});
+        ListVersion = 0;
+        Missing = Announced;
+      }
+      Era = *Named;
+    }
+    if (Missing)
+      announceAgain(*Missing);
+    return toHttpResult(Answer);
+  }
+
+  /// The copy may be older than this instance.
+  auto announceAgain(const instance_record &Record) -> void {
+    (void)Pool.submit([this, Record] {
+      const auto Path = "/instances/" + Record.Name.Text;
+      const auto Result = record(client().Put(
+          Path.c_str(), toJsonText(encodeInstance(Record)), JsonType));
+      if (Result.HttpStatus != StatusOk)
+        log(log_level::Warning, "registration_failed",
+            {{"status", std::to_string(Result.HttpStatus)}});
+    });
   }
 
   /// Runs \p Request on the pool and reports its result as table_replied. A
@@ -156,12 +207,14 @@
 
   /// Applies the platform's reply to the local list. Returns the whole list if
   /// its version changed or the reply holds all rows.
-  auto applyListReply(const std::string &Text)
+  auto applyListReply(const std::string &Text, std::uint64_t Since)
       -> std::optional<instances_listed> {
     const auto Body = json::parse(Text, nullptr, false);
     if (!Body.is_object())
       return std::nullopt;
     const std::lock_guard Lock(ListMutex);
+    if (Since != ListVersion) // The era has risen since: it is read again.
+      return std::nullopt;
     const auto Version = Body.value("version", std::uint64_t{0});
     if (Body.value("full", false))
       Instances.clear();
@@ -185,11 +238,11 @@
       Since = ListVersion;
     }
     const auto Path = "/instances?since=" + std::to_string(Since);
-    const auto Result = toHttpResult(client().Get(Path.c_str()));
+    const auto Result = record(client().Get(Path.c_str()));
     if (Result.HttpStatus != StatusOk)
       return;
     try {
-      if (auto Event = applyListReply(Result.Body))
+      if (auto Event = applyListReply(Result.Body, Since))
         Sink(std::move(*Event));
     } catch (const json::exception &) {
       // Ignores a reply that cannot be decoded; the list is polled again.
@@ -212,7 +265,7 @@
 
 auto platform_client::execute(const table_read &Effect) -> void {
   const json Body = {{"keys", Effect.Keys}};
-  Details->submitTableRequest(Effect.Ticket, [this, Text = Body.dump()] {
+  Details->submitTableRequest(Effect.Ticket, [this, Text = toJsonText(Body)] {
     return Details->post("/table/read", Text);
   });
 }
@@ -221,23 +274,23 @@
   const json Body = {{"prefix", Effect.Prefix},
                      {"from", Effect.From},
                      {"limit", Effect.Limit}};
-  Details->submitTableRequest(Effect.Ticket, [this, Text = Body.dump()] {
+  Details->submitTableRequest(Effect.Ticket, [this, Text = toJsonText(Body)] {
     return Details->post("/table/range", Text);
   });
 }
 
 auto platform_client::execute(const object_get &Effect) -> void {
   Details->submitObjectRequest(Effect.Ticket, [this, Key = Effect.Key] {
-    return toHttpResult(Details->client().Get(("/objects/" + Key).c_str()));
+    return Details->record(Details->client().Get(("/objects/" + Key).c_str()));
   });
 }
 
 auto platform_client::execute(const object_put &Effect) -> void {
-  Details->submitObjectRequest(
-      Effect.Ticket, [this, Key = Effect.Key, Value = Effect.Value] {
-        return toHttpResult(Details->client().Put(("/objects/" + Key).c_str(),
-                                                  Value, JsonType));
-      });
+  Details->submitObjectRequest(Effect.Ticket, [this, Key = Effect.Key,
+                                               Value = Effect.Value] {
+    return Details->record(
+        Details->client().Put(("/objects/" + Key).c_str(), Value, JsonType));
+  });
 }
 
 auto platform_client::readInstances() -> void {
@@ -265,12 +318,14 @@
   Client.set_connection_timeout(Details->Options.Timeout);
   Client.set_read_timeout(Details->Options.Timeout);
   const auto Path = "/instances/" + Self.Name.Text;
-  const auto Result = toHttpResult(
-      Client.Put(Path.c_str(), encodeInstance(Self).dump(), JsonType));
+  const auto Result = Details->record(
+      Client.Put(Path.c_str(), toJsonText(encodeInstance(Self)), JsonType));
   if (Result.HttpStatus != StatusOk)
     return failure(
         result_code::StoreUnavailable,
         "the platform did not confirm the registration of this instance");
+  const std::lock_guard Lock(Details->ListMutex);
+  Details->Announced = Self;
   return boost::outcome_v2::success();
 }
 
--- a/libs/serving/include/serving/call.h
+++ b/libs/serving/include/serving/call.h
@@ -5,8 +5,10 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/workspace_key.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,8 +42,12 @@
   std::string Path;
   time_point Arrived; ///< First byte of the request.
   time_point CallerDeadline = NoDeadline;
+  workspace_key Key; ///< Empty if the request has none, or more than one.
   bool HasPrompt = false;
   prompt Prompt;
+  /// Tokens of prompt and answer together; not set if the request does not
+  /// state them.
+  std::optional<std::uint64_t> StatedTokens;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/configuration.h
+++ b/libs/serving/include/serving/configuration.h
@@ -1,13 +1,15 @@
 /// \file
 /// Configuration of a deployment, as declared by its operators: routes,
-/// services and limits.
+/// services, workspaces and limits.
 #ifndef LIMPETBRIDGE_SERVING_CONFIGURATION_H
 #define LIMPETBRIDGE_SERVING_CONFIGURATION_H
 
 #include "base/ids.h"
+#include "serving/workspace_key.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,15 +31,20 @@
   std::string Host;   ///< Lower case, without a port.
   std::string Prefix; ///< Begins and ends with a slash.
   request_kind Kind = request_kind::NonIdempotent;
-  bool Resumable = false;           ///< A stream may resume at another target.
-  bool HasPrompt = false;           ///< Requests carry a model and a prompt.
-  std::uint32_t MaxAttempts = 1;    ///< Targets that may see one request.
-  std::uint32_t Priority = 0;       ///< 0 is the most urgent.
+  bool Resumable = false;        ///< A stream may resume at another target.
+  bool HasPrompt = false;        ///< Requests carry a model and a prompt.
+  std::uint32_t MaxAttempts = 1; ///< Targets that may see one request.
+  std::uint32_t Priority = 0;    ///< 0 is the most urgent.
+  /// Requests need no key, even if the configuration has workspaces.
+  bool Public = false;
   std::int64_t TimeoutMs = 0;       ///< Limit of the time to the last byte.
   std::int64_t TargetLatencyMs = 0; ///< Objective for the first byte.
   /// Time after which callers disconnect if no byte has arrived; 0: the
   /// request's deadline applies.
   std::int64_t FirstOutputTimeoutMs = 0;
+  /// Longest pause allowed between two events of a stream; 0: no bound, the
+  /// streams are not protected.
+  std::int64_t GapBoundMs = 0;
   std::vector<service_share> Shares;
 };
 
@@ -59,6 +66,8 @@
   double WeightsMb = 0; ///< Accelerator memory for weights and adapters.
   std::uint32_t AdapterSlots = 0;
   double LoadsPerSecond = 0; ///< Limit of the weight store, over all targets.
+  /// Output tokens of one stream event; 0 if unknown: pauses are not predicted.
+  std::uint32_t TokensPerEvent = 0;
   std::map<model_name, model_spec> Models;
 };
 
@@ -71,6 +80,31 @@
   engine_spec Engine;
 };
 
+/// What a request counts as in the quota of its workspace.
+enum class quota_unit : std::uint8_t {
+  Requests, ///< 1.
+  Tokens    ///< The tokens that it states.
+};
+
+/// A workspace: callers with common keys, priority and quota. The quota holds
+/// for all gateways together.
+struct workspace_spec {
+  workspace_name Name;
+  /// Replaces the priority of the route; not set: the route's applies.
+  std::optional<std::uint32_t> Priority;
+  quota_unit Unit = quota_unit::Requests;
+  /// Tokens that a request without a token count counts as.
+  double UncountedTokens = 0;
+  double RatePerSecond = 0; ///< Of the unit; 0 with Burst 0: no limit.
+  double Burst = 0;         ///< Of the unit, beyond the rate.
+};
+
+/// A key and the workspace whose requests carry it.
+struct declared_key {
+  workspace_key Key;
+  workspace_name Workspace;
+};
+
 /// Limits on callers' connections and requests.
 struct caller_limits {
   std::uint32_t HeaderBytes = 16384;
@@ -84,6 +118,11 @@
   std::uint64_t Version = 0; ///< 0: no configuration is known yet.
   std::vector<route> Routes;
   std::map<service_name, service_spec> Services;
+  /// Empty: no request needs a key.
+  std::map<workspace_name, workspace_spec> Workspaces;
+  /// In the order of the declaration; see key_index, which decides what a key
+  /// that is declared twice belongs to.
+  std::vector<declared_key> Keys;
   caller_limits Limits;
 };
 
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -4,11 +4,20 @@
 #ifndef LIMPETBRIDGE_SERVING_GATEWAY_H
 #define LIMPETBRIDGE_SERVING_GATEWAY_H
 
+#include "serving/configuration_history.h"
+#include "serving/fair_share.h"
+#include "serving/fleet_account.h"
 #include "serving/gateway_effects.h"
 #include "serving/gateway_events.h"
+#include "serving/hedging.h"
 #include "serving/placement.h"
+#include "serving/priority_order.h"
+#include "serving/quota_shares.h"
 #include "serving/retry_budget.h"
+#include "serving/self_limit.h"
+#include "serving/stream_protection.h"
 #include "serving/target_book.h"
+#include "serving/workspaces.h"
 
 #include <map>
 #include <optional>
@@ -35,22 +44,61 @@
   /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
   quarantine_policy Quarantine;
+  /// Time after which a key that was removed must be refused at every gateway
+  /// that can reach another one.
+  duration RevocationBound = seconds(5);
+  /// No key is accepted on a configuration that may be older than the bound.
+  bool RevocationIsStrict = false;
+  hash_secret KeySecret; ///< Of the index of keys.
+  keep_policy Connections;
+  quota_policy Quota;
+  std::uint64_t Incarnation = 0; ///< Of the process, for quotas.
+  hedge_policy Hedging;
+  self_limit_policy SelfLimit;
+  bool HasFairShares = false;
+  /// Whether the speed of targets is learned from the pace of streams.
+  bool MeasuresPace = false;
   /// Gateways to query when this one starts while the store is unreachable,
   /// ip:port.
   std::vector<std::string> Seeds;
   std::uint64_t Seed = 1; ///< Of the random numbers.
 };
 
+/// One of two attempts at a request that are in progress.
+struct parallel_attempt {
+  attempt_number Number = 0;
+  bool IsHedge = false;
+  target_name Target;
+  double PrefillMs = 0;
+  double ExpectedFirstOutputMs = 0;
+  time_point SentAt;
+  std::int64_t FirstOutputMs = -1;
+  std::uint64_t SentIncarnation = 0;
+  bool OutputContinued = false;
+  kept_connection Connection;
+};
+
 /// A request in progress.
 struct request_state {
   call Call;
   route Route;
+  /// Whose key the request carries, as of the last check; not set if it needs
+  /// none. A key may move to another workspace between two attempts.
+  std::optional<workspace_name> Workspace;
+  key_digest KeyDigest;             ///< Of the key of Call.
+  std::uint32_t TargetPriority = 0; ///< Sent to targets; 0 is served first.
   service_name Service;
   std::vector<prefix_key> PrefixKeys;
   time_point Deadline;
   /// The caller disconnects if the first byte has not arrived by then.
   time_point FirstOutputDeadline;
-  std::uint32_t Attempts = 0;         ///< Attempts that a target may have seen.
+  std::uint32_t Attempts = 0;       ///< Attempts that a target may have seen.
+  attempt_number AttemptNumber = 0; ///< Of the current attempt.
+  bool IsHedge = false;             ///< The current attempt.
+  /// The other attempt in progress; see gateway_hedging.cpp.
+  std::optional<parallel_attempt> Other;
+  bool WasHedged = false;   ///< No further hedge is sent.
+  bool AnswerBegun = false; ///< Of any attempt; set only if hedging is on.
   std::set<target_name> TriedTargets; ///< Not tried again.
   target_name CurrentTarget;        ///< Runs it; empty while the request waits.
   double PrefillMs = 0;             ///< Still counted at CurrentTarget.
@@ -60,19 +108,47 @@
   std::int64_t FirstOutputMs = -1;   ///< Since SentAt; below 0: none yet.
   std::uint64_t SentIncarnation = 0; ///< Of CurrentTarget.
   bool OutputContinued = false;      ///< The current attempt's has.
+  kept_connection Connection; ///< Of the last attempt; Number 0: a new one.
+  bool NeedsNewConnection = false; ///< For the next attempt.
   /// While it is tried, no other request that has this may be in progress here.
   std::optional<suspect> TriedSuspect;
   /// Load that the request waits for: target, and adapter or empty.
   std::optional<std::pair<target_name, std::string>> AwaitedLoad;
   std::uint32_t LoadRequests = 0; ///< Loads requested for this request.
+  /// Since when it has waited for a target without prefill; the epoch if it
+  /// never did.
+  time_point PacedSince;
+  std::int64_t PacedMs = -1; ///< How long it waited; below 0: not at all.
+  /// Fair shares: counts in the rate of its workspace; has no first output yet;
+  /// waits as others are served less.
+  bool IsShared = false;
+  bool AwaitsOutcome = false;
+  bool IsHeld = false;
+  time_point HeldSince;    ///< Of the first such wait; the epoch: none.
   bool AwaitsView = false; ///< It waits for a current view of the targets.
+  /// It waits until the configuration is known to be recent.
+  bool AwaitsConfiguration = false;
+  /// What the request was charged with in a quota, or waits for; not set if
+  /// there is no limit.
+  struct quota_charge {
+    workspace_name Workspace; ///< The key may move to another one later.
+    double Tokens = 0;
+  };
+  std::optional<quota_charge> Charge;
+  /// When a wait for the quota ends or has ended; not set without one.
+  std::optional<time_point> QuotaWaitEnd;
 };
 
 /// Complete state of a gateway.
 struct gateway_state {
   gateway_options Options;
   configuration Configuration;
+  configuration_history ConfigurationHistory;
+  std::uint64_t StoreEra = 0; ///< 0: unknown, or the store counts none.
   route_table Routes;
+  std::map<service_name, stream_bounds> StreamBounds; ///< Of protected ones.
+  std::map<service_name, service_pace> ServicePaces;  ///< The same.
+  priority_order Priorities;
   target_book Book;
   demand Demand;
   /// Moving average of the observed prefill time per token, by model, ms.
@@ -86,6 +162,10 @@
   /// the stop; NoDeadline without one.
   time_point BalancerEnd = NoDeadline;
   std::map<service_name, retry_budget> RetryBudgets;
+  kept_connections KeptConnections;
+  connection_trust ConnectionTrust;
+  hedging Hedging;
+  self_limit SelfLimit;
   std::map<request_number, request_state> Requests;
   std::map<instance_name, instance_record> Instances;
   /// Addresses of controllers by the addresses of their targets.
@@ -134,7 +214,8 @@
   suspect LastReportedSuspect; ///< The next periodic report begins after it.
   /// State of another gateway according to its last digest.
   struct peer_status {
-    std::uint64_t Configuration = 0; ///< Version in force.
+    configuration_mark Configuration; ///< In force; the hash is not known.
+    std::uint64_t StoreEra = 0;       ///< That it has seen.
     bool StoreReachable = false;
     data_centre_name DataCentre;
     /// When it last read the targets from the store; the epoch if it does not
@@ -145,11 +226,32 @@
     time_point TargetsKnownAt;
     std::uint64_t TargetsVersion = 0; ///< Newest row that it knows.
     time_point ReadyAt; ///< When it takes any request; the past if it does.
+    bool Overloaded = false; ///< For some seconds.
   };
   std::map<instance_name, peer_status> PeerStatuses;
   /// Start of the time in which this gateway has no configuration or a peer
   /// has a newer one; NoDeadline if neither is so.
   time_point ConfigurationStaleSince = NoDeadline;
+  key_index Keys; ///< Of the configuration in force.
+  /// As of when the configuration in force was the newest, whoever read it; the
+  /// epoch if that is not known.
+  time_point ConfigurationKnownAt;
+  /// Since when that is too long ago to rely on the keys; NoDeadline if it is
+  /// not, or if there are no keys.
+  time_point KeysDoubtfulSince = NoDeadline;
+  std::optional<quota_shares> Quotas; ///< Set if there are quotas.
+  fleet_account Account; ///< Rates of all workspaces, also without quotas.
+  std::uint64_t RateReports = 0; ///< Sent without quotas.
+  /// When gateways were last listed, this one included.
+  std::map<instance_name, time_point> GatewaysListedAt;
+  bool HasQuotaLimits = false; ///< Of any workspace.
+  time_point NextQuotaReport;
+  /// Gateways may have to be told at once what has changed about quotas.
+  bool QuotasChanged = false;
+  std::set<request_number> QuotaWaits; ///< Requests that wait for tokens.
+  time_point NextConfigurationQuery;
+  time_point NextEraCheck; ///< Next read because a peer has seen a later era.
+  duration ConfigurationQueryInterval = duration::zero();
   /// This gateway reads the targets from the store; the others of its data
   /// centre get them from it.
   bool ReadsTargets = true;
@@ -159,6 +261,8 @@
   /// As of when the rows of the targets are known to be complete, whoever read
   /// them; the epoch before the first read.
   time_point TargetsKnownAt;
+  /// That was before the last rise of the store's era.
+  bool ViewIsOfOldEra = false;
   time_point FirstViewAt; ///< When the first read or answer arrived.
   /// Start of the time in which the view of the targets has been too old to
   /// send requests; NoDeadline if it is not.
@@ -182,6 +286,18 @@
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
   time_point NextPeerQuery;
   std::size_t PeerQueryCount = 0; ///< Selects the next peer, round-robin.
+  /// Prompts that wait for a target without prefill, by the time at which they
+  /// are sent at the latest.
+  std::set<std::pair<time_point, request_number>> Paced;
+  time_point PacedExaminedAt; ///< Time of their last examination.
+  fair_share Fairness;
+  fair_queue HeldRequests;
+  /// When a request of a service could last not be in time for others.
+  std::map<service_name, time_point> ContendedAt;
+  /// Notices of prefill that may be sent now, and as of when.
+  double NoticeCredit = 0;
+  time_point NoticeCreditAt;
+  std::uint64_t NoticesHeldBack = 0; ///< For their rate.
   /// Since when no target serves a model.
   std::map<model_name, time_point> UnservedSince;
   time_point NextRestore; ///< Next check for models without a copy.
@@ -206,6 +322,11 @@
 [[nodiscard]] auto targetsReadAgeMs(const gateway_state &State, time_point Now)
     -> std::int64_t;
 
+/// Age of the view of the targets that other gateways may rely on, ms; below 0
+/// if there is none in this era of the store.
+[[nodiscard]] auto targetsKnownAgeMs(const gateway_state &State, time_point Now)
+    -> std::int64_t;
+
 /// False while the view of the targets is too old to send requests and another
 /// gateway may have a newer one. If no other one has, old rows are used.
 [[nodiscard]] auto mayChooseTargets(const gateway_state &State, time_point Now)
@@ -215,6 +336,25 @@
 [[nodiscard]] auto hasLostView(const gateway_state &State, time_point Now)
     -> bool;
 
+/// True if load balancers should send requests elsewhere, as this gateway has
+/// been overloaded for some seconds: in each data centre at most a quarter of
+/// the gateways at once, as far as their digests tell.
+[[nodiscard]] auto signalsOverload(const gateway_state &State) -> bool;
+
+/// False if the key of the request was removed while its attempt connected to
+/// the target, so that it must not be sent.
+[[nodiscard]] auto hasValidKey(const gateway_state &State,
+                               request_number Number) -> bool;
+
+/// True if requests with keys are refused because the configuration may be too
+/// old, and another gateway may have a recent one.
+[[nodiscard]] auto hasLostKeys(const gateway_state &State, time_point Now)
+    -> bool;
+
+/// Age of the configuration in force, ms; below 0 if it is not known.
+[[nodiscard]] auto configurationAgeMs(const gateway_state &State,
+                                      time_point Now) -> std::int64_t;
+
 /// True if a row that is missing here was deleted: it is not one of those that
 /// lapse while the store is unreachable and may come back.
 [[nodiscard]] auto rowsAreSettled(const gateway_state &State, time_point Now)
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -5,7 +5,11 @@
 
 #include "serving/call.h"
 #include "serving/configuration.h"
+#include "serving/configuration_history.h"
 #include "serving/crash_ledger.h"
+#include "serving/kept_connections.h"
+#include "serving/quota_shares.h"
+#include "serving/self_limit.h"
 #include "serving/target.h"
 #include "serving/target_book.h"
 
@@ -61,15 +65,35 @@
   std::string ReadError;    ///< Why the last read failed; empty if none did.
 };
 
+/// Identifies one of the attempts at a request that are in progress; 0: the
+/// only one.
+using attempt_number = std::uint32_t;
+
 /// The first byte of output arrived from the target.
 struct first_output {
   request_number Number = 0;
+  attempt_number Attempt = 0;
+};
+
+/// The answer of an attempt can be relayed: its head is that of an answer other
+/// than a server error, or the first event of a stream has arrived. Reported
+/// before any of it is relayed, only while hedging is switched on.
+struct answer_begun {
+  request_number Number = 0;
+  attempt_number Attempt = 0;
+};
+
+/// The time set with set_hedge_timer has come.
+struct hedge_due {
+  request_number Number = 0;
+  attempt_number Attempt = 0; ///< The one that may be slow.
 };
 
 /// The second event of a stream arrived: its target lives on after it has begun
 /// to answer.
 struct output_continued {
   request_number Number = 0;
+  attempt_number Attempt = 0;
 };
 
 /// Whether something accepts connections at an address.
@@ -106,6 +130,33 @@
   time_point RefusesUntil; ///< The epoch if it does not refuse any.
 };
 
+/// What an attempt shows of the connection that it used.
+struct connection_use {
+  bool Kept = false; ///< The connection had carried another request.
+  /// The target ended it before any byte of an answer.
+  bool Lost = false;
+  /// An answer to another call, or bytes that are no answer, were received.
+  bool StrayBytes = false;
+  bool UnnamedAnswer = false; ///< The answer named no call.
+};
+
+/// The connection of an attempt rests: the request was sent and answered
+/// completely, nothing is unread, and neither side has said that it closes.
+/// Comes before the end of the attempt.
+struct connection_rested {
+  request_number Number = 0;
+  connection_number Connection = 0;
+  /// Time after which the target closes it, ms; none if it names none.
+  std::optional<std::int64_t> StatedMs;
+  attempt_number Attempt = 0;
+};
+
+/// A connection that rested was closed.
+struct connection_lost {
+  connection_number Connection = 0;
+  close_reason Reason = close_reason::PeerClosed; ///< Or StrayBytes.
+};
+
 /// An attempt ended.
 struct attempt_ended {
   request_number Number = 0;
@@ -115,6 +166,8 @@
                                  ///< target does not hold the model.
   std::int64_t LongestGapMs = 0; ///< Between two chunks of the answer.
   received_body Body;
+  connection_use Connection;
+  attempt_number Attempt = 0;
 };
 
 /// The caller disconnected before its answer was complete.
@@ -130,6 +183,22 @@
 /// A configuration was read; it may be older than the one in force.
 struct configuration_read {
   configuration Configuration;
+  configuration_source Source = {};
+};
+
+/// An answer of the store, or of a gateway that reads it, named another era
+/// than the one that was known.
+struct store_era_changed {
+  std::uint64_t Era = 0;
+  /// The store was restored from an older copy: its versions begin anew. False
+  /// if no answer of it was known before.
+  bool IsRise = false;
+};
+
+/// The configuration was read from the store, changed or not; a changed one has
+/// been reported.
+struct configuration_confirmed {
+  time_point AsOf; ///< All changes before it are known.
 };
 
 /// A row of a target was added or changed in the store.
@@ -219,9 +288,11 @@
   std::map<target_name, std::uint64_t> Leaving;
   /// Pending model loads that the sender requested.
   std::map<target_name, model_change> Loading;
-  std::uint64_t Configuration = 0; ///< Version in force.
-  bool StoreReachable = true;      ///< The sender can read the store.
-  data_centre_name DataCentre;     ///< Of the sender.
+  std::uint64_t StoreEra = 0; ///< To which the versions belong; 0: unknown.
+  std::uint64_t Configuration = 0;           ///< Version in force.
+  std::uint64_t ConfigurationGeneration = 0; ///< See configuration_mark.
+  bool StoreReachable = true;                ///< The sender can read the store.
+  data_centre_name DataCentre;               ///< Of the sender.
   /// Time since the sender last read the targets from the store, ms; below 0 if
   /// it does not read them.
   std::int64_t TargetsReadAgeMs = -1;
@@ -232,6 +303,31 @@
   /// Time until the sender, or the process that replaces it, takes any request,
   /// ms; 0 while it does.
   std::int64_t ReadyInMs = 0;
+  bool Overloaded = false; ///< The sender has been so for some seconds.
+};
+
+/// Another gateway has sent a prompt with much prefill. Its next digest has it
+/// as well.
+struct prefill_notice {
+  instance_name From;
+  target_name Target;
+  std::size_t Rank = 0;
+  double PrefillMs = 0;
+};
+
+/// What another gateway tells one of the others about quotas.
+struct quota_report {
+  instance_name From;
+  /// The receiver. Another gateway may have got its address since, and must not
+  /// take what is lent to it.
+  instance_name To;
+  quota_message Message;
+};
+
+/// The machine was suspended: the process clock has stood still, that of the
+/// other gateways has not.
+struct machine_resumed {
+  std::uint64_t Incarnation = 0; ///< From now on, for quotas.
 };
 
 /// This gateway stops. Streams that are not complete by the deadline are cut.
@@ -248,6 +344,8 @@
 /// Periodic timer event.
 struct tick {
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that is known.
+  loop_sample Loop;                 ///< Of the event loop, as of this tick.
+  target_paces Paces = {}; ///< Of protected streams, since the last tick.
 };
 
 /// The targets were read from the store, changed or not.
@@ -274,17 +372,22 @@
   /// Age of the peer's view when it answered, ms; below 0 if it has none.
   std::int64_t TargetsKnownAgeMs = -1;
   bool RowsAreSettled = false; ///< At the peer; see rowsAreSettled.
+  /// As of when all changes of the configuration are known with the answer. Not
+  /// set if the peer does not know, or if its rows differ from those here.
+  std::optional<time_point> ConfigurationKnownAt = std::nullopt;
 };
 
 using gateway_event =
-    std::variant<request_arrived, first_output, output_continued,
-                 target_checked, crash_report, quarantine_lifted, target_notice,
-                 attempt_ended, caller_left, deadline_passed,
-                 configuration_read, target_updated, target_lost,
-                 row_unreadable, store_reachability_changed, targets_listed,
-                 instances_listed, load_answered, holdings_report,
-                 gateway_digest, targets_read, targets_read_failed,
-                 peer_answered, stop_began, stop_deadline_passed, tick>;
+    std::variant<request_arrived, first_output, answer_begun, hedge_due,
+                 output_continued, target_checked, crash_report,
+                 quarantine_lifted, target_notice, connection_rested,
+                 connection_lost, attempt_ended, caller_left, deadline_passed,
+                 configuration_read, store_era_changed, configuration_confirmed,
+                 target_updated, target_lost, row_unreadable,
+                 store_reachability_changed, targets_listed, instances_listed,
+                 load_answered, holdings_report, gateway_digest, prefill_notice,
+                 targets_read, targets_read_failed, peer_answered, stop_began,
+                 quota_report, machine_resumed, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/include/serving/load_window.h
+++ b/libs/serving/include/serving/load_window.h
@@ -24,6 +24,10 @@
   /// \returns false if the limit is reached.
   [[nodiscard]] auto acquire(std::int64_t NowMs, std::int64_t WindowMs,
                              std::size_t Limit) -> bool;
+  /// Adds a start that was recorded before, unless it is there: the store may
+  /// have been restored from a copy without it. \returns true if it was
+  /// missing.
+  auto restore(std::int64_t StartMs) -> bool;
   [[nodiscard]] auto serialize() const -> std::string;
 
 private:
--- a/libs/serving/include/serving/protocol.h
+++ b/libs/serving/include/serving/protocol.h
@@ -19,6 +19,7 @@
   std::uint32_t Priority = 0;   ///< 0 is the most urgent.
   /// Id of the last stream event that the caller received; empty if none.
   std::string ResumeAfter;
+  workspace_name Workspace; ///< Whose request it is; empty if nobody's.
 };
 
 /// What the head of a target's answer says about the attempt.
--- a/libs/serving/include/serving/target_book.h
+++ b/libs/serving/include/serving/target_book.h
@@ -8,6 +8,7 @@
 #include "serving/configuration.h"
 #include "serving/prefix_cache.h"
 #include "serving/target.h"
+#include "serving/target_speed.h"
 
 #include <array>
 #include <map>
@@ -48,6 +49,14 @@
   std::vector<model_name> Victims; ///< Models to unload first.
 };
 
+/// Prefill that another gateway has given notice of.
+struct noticed_prefill {
+  instance_name From;
+  std::size_t Rank = 0;
+  double PrefillMs = 0;
+  time_point At;
+};
+
 /// One target and what this gateway knows about it.
 struct target_entry {
   target Target;
@@ -55,11 +64,17 @@
   target_load PeerLoad; ///< Of the other gateways: sum of LoadsByPeer.
   /// Load that each of the other gateways last reported.
   std::map<instance_name, target_load> LoadsByPeer;
+  /// What other gateways have sent there since their last digests.
+  std::vector<noticed_prefill> NoticedPrefill;
   prefix_cache Cache;
   std::string ControllerAddress; ///< ip:port; empty if none is known.
   double FailureShare = 0;       ///< Moving average of failed attempts, 0 to 1.
   /// Moving average of observed over expected time to the first output.
   double Slowness = 1;
+  target_speed Speed; ///< Observed only with targets.measure_pace.
+  /// Most prefill that was due in the last 700 ms, beside own streams, ms.
+  double RecentDueMs = 0;
+  time_point RecentDueAt;
   /// Moving average of the time that a request holds its slot after its first
   /// output, ms; 0 until one was observed.
   double DecodeMs = 0;
@@ -82,6 +97,10 @@
   /// Models of all loads in progress or queued there.
   std::set<model_name> ModelsLoading;
 
+  /// Slowness of its protected streams, at least 1.
+  [[nodiscard]] auto streamSlowness(time_point Now) const -> double {
+    return Speed.wasObserved() ? Speed.slowness(Now) : std::max(Slowness, 1.0);
+  }
   /// Load from all gateways.
   [[nodiscard]] auto load() const -> target_load;
   /// A newer incarnation uses the address, so this one has ended even if the
@@ -156,6 +175,10 @@
   /// \param PrefillMs prefill time that is still counted.
   auto recordAttemptEnded(const target_name &Name, std::size_t Rank,
                           double PrefillMs, bool Failed) -> void;
+  /// Records that an attempt was cancelled, which says nothing about the
+  /// target.
+  auto recordAttemptCancelled(const target_name &Name, std::size_t Rank,
+                              double PrefillMs) -> void;
 
 private:
   /// What a target has said of itself.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -9,11 +9,15 @@
 
 namespace limpetbridge::serving {
 
+using log_fields = std::vector<std::pair<std::string, std::string>>;
+
 /// Context of one call of the reducer.
 struct gateway_step {
   gateway_state &State;
   time_point Now;
   gateway_effects &Effects;
+  /// Called with the inputs of the choice of a target, if it is set.
+  const std::function<void(const pick_request &)> *ObserveChoice = nullptr;
 };
 
 // gateway_requests.cpp
@@ -22,10 +26,72 @@
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void;
 auto handle(const gateway_step &Step, const caller_left &Event) -> void;
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void;
+/// An attempt with less time than this cannot succeed.
+inline constexpr duration MinAttemptTime = milliseconds(5);
+/// True if the request may be sent to one more target.
+/// \param UsesRetryBudget whether the retry is taken from the service's budget.
+auto mayRetry(const gateway_step &Step, request_state &Request,
+              bool UsesRetryBudget) -> bool;
+/// Sends the request to the picked target and counts it in the load there.
+auto sendAttempt(const gateway_step &Step, request_number Number,
+                 request_state &Request, const pick &Pick) -> void;
 /// Sends the request to a target, queues it until a model or an adapter is
 /// loaded or the targets are known, or refuses it.
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void;
 
+// gateway_quota.cpp
+auto handle(const gateway_step &Step, const quota_report &Event) -> void;
+auto handle(const gateway_step &Step, const machine_resumed &Event) -> void;
+/// Charges the request to the quota of its workspace, once in its life, and
+/// begins to serve it. It may have to wait for tokens, or is refused.
+auto admitRequest(const gateway_step &Step, request_number Number) -> void;
+/// Ends a wait for tokens whose time is over.
+/// \returns false if it is the request's own deadline that has passed.
+auto endQuotaWait(const gateway_step &Step, request_number Number) -> bool;
+/// The request ends. Its tokens are returned unless it may have run.
+auto settleCharge(const gateway_step &Step, request_number Number,
+                  bool MayHaveRun) -> void;
+/// Takes the limits of the configuration in force.
+auto takeQuotaLimits(const gateway_step &Step) -> void;
+/// Takes the gateways that are listed.
+auto takeQuotaMembers(const gateway_step &Step, const instances_listed &Event)
+    -> void;
+/// Tells each of the other gateways what it has to know about quotas, if that
+/// is due: what it lends and, with fair shares, the rates of its workspaces.
+/// Without limits and fair shares nothing is sent.
+auto sendQuotaReports(const gateway_step &Step) -> void;
+/// Tells those that have to know it at once.
+auto sendUrgentQuotaReports(const gateway_step &Step) -> void;
+// gateway_attempt_log.cpp
+/// Logs how an attempt at \p Target ended; what the request asked for only if
+/// it failed, as that may be the cause.
+auto logAttemptEnd(const gateway_step &Step, const request_state &Request,
+                   const target_name &Target, const attempt_ended &Event)
+    -> void;
+
+// gateway_hedging.cpp
+auto handle(const gateway_step &Step, const answer_begun &Event) -> void;
+auto handle(const gateway_step &Step, const hedge_due &Event) -> void;
+/// Sets the time at which the attempt that was just sent is slow.
+auto scheduleHedge(const gateway_step &Step, request_number Number,
+                   const request_state &Request) -> void;
+/// Makes the attempt that an event is about the current one of the request.
+/// \returns false if it is not in progress.
+auto selectAttempt(request_state &Request, attempt_number Attempt) -> bool;
+/// Removes the other attempt from the load that is counted at its target.
+auto releaseOther(const gateway_step &Step, request_state &Request) -> void;
+/// Makes the other attempt the current one after the current one has ended
+/// without an answer. \returns false if there is no other.
+auto continueOther(const gateway_step &Step, request_state &Request,
+                   const attempt_ended &Event) -> bool;
+/// Counts a request, of which the limit on hedges is a share.
+auto noteHedgedRequest(const gateway_step &Step) -> void;
+/// Notes that a request was refused for want of capacity.
+auto noteShortage(const gateway_step &Step, const service_name &Service)
+    -> void;
+/// Forgets what is too old to count.
+auto expireHedging(const gateway_step &Step) -> void;
+
 // gateway_refusals.cpp
 /// Answers the request with \p Code, logs the refusal and forgets the request.
 auto refuseRequest(const gateway_step &Step, request_number Number,
@@ -52,7 +118,7 @@
 /// Refuses waiting requests whose deadline for the first output is near.
 auto refuseLateLoadWaits(const gateway_step &Step) -> void;
 
-/// Removes the request from the load that is counted at its target.
+/// Removes the current attempt from the load that is counted at its target.
 auto releaseTarget(const gateway_step &Step, request_state &Request,
                    bool Failed) -> void;
 /// Inputs of the choice of a target for \p Request; refers to it.
@@ -78,6 +144,8 @@
 /// attempt. \returns true if it was refused.
 auto refuseIfQuarantined(const gateway_step &Step, request_number Number)
     -> bool;
+/// True if anything in the prompt of the request is charged with a crash.
+auto hasSuspect(const gateway_step &Step, const request_state &Request) -> bool;
 /// Notes an attempt whose connection ended, in case its target crashed.
 auto notePossibleCrash(const gateway_step &Step, const request_state &Request,
                        const attempt_ended &Event) -> void;
@@ -104,6 +172,118 @@
 /// a gateway may have been away.
 auto sendCrashReport(const gateway_step &Step) -> void;
 
+// gateway_workspaces.cpp
+/// Takes the keys of the configuration in force, and refuses the requests that
+/// wait with a key that was removed.
+auto takeKeysInForce(const gateway_step &Step) -> void;
+/// Checks the key of the request, which is not being sent, and sets its
+/// workspace and priority. To be asked before each attempt.
+/// \returns true if it was refused.
+auto refuseWithoutKey(const gateway_step &Step, request_number Number) -> bool;
+/// Sends the request to targets with the most urgent priority that routes give
+/// to requests of its workspace.
+auto setFirstPriority(const gateway_step &Step, request_state &Request) -> void;
+/// Names the workspace of the request in a log entry, if it has one.
+auto addWorkspace(log_fields &Fields, const request_state &Request) -> void;
+
+// gateway_revocation.cpp
+auto handle(const gateway_step &Step, const configuration_confirmed &Event)
+    -> void;
+/// Records that the configuration in force was the newest at \p AsOf.
+auto recordConfigurationAge(const gateway_step &Step, time_point AsOf) -> void;
+/// False if the keys may have been removed longer ago than is allowed.
+auto areKeysCurrent(const gateway_state &State, time_point Now) -> bool;
+/// True if the store and other gateways are to be asked for the configuration,
+/// before it is too old.
+auto needsConfirmation(const gateway_state &State, time_point Now) -> bool;
+/// Interval until the next such query, after one that was just sent.
+auto nextQueryInterval(gateway_state &State) -> duration;
+/// Dispatches or refuses the requests that wait for a confirmation.
+auto checkConfigurationAge(const gateway_step &Step) -> void;
+/// Makes a request with a key wait for a short time if the configuration may be
+/// too old, then refuses it if revocation is strict.
+/// \returns false if it may be sent.
+auto awaitConfirmation(const gateway_step &Step, request_number Number) -> bool;
+// gateway_connections.cpp
+auto handle(const gateway_step &Step, const connection_rested &Event) -> void;
+auto handle(const gateway_step &Step, const connection_lost &Event) -> void;
+/// True if requests of \p Route may run more than once.
+auto isRepeatable(const route &Route) -> bool;
+/// Takes the connection for the next attempt of the request, which is sent to
+/// \p Entry, or gives up one that rests so that a new one has room. \returns 0
+/// for a new one.
+auto takeConnection(const gateway_step &Step, request_state &Request,
+                    const target_entry &Entry) -> connection_number;
+/// Adds the cost of new connections to the inputs of the choice of a target for
+/// \p Request; refers to it.
+auto addConnectionCost(const gateway_step &Step, const request_state &Request,
+                       pick_request &PickRequest) -> void;
+/// Records what the end of an attempt teaches of kept connections.
+auto learnFromConnection(const gateway_step &Step, const request_state &Request,
+                         const attempt_ended &Event) -> void;
+/// Sends a request that was lost on a kept connection once more, on a new one
+/// to the same target, if nothing of it was sent or it may be repeated. \param
+/// Pick choice of the lost attempt. \returns false if it may not.
+auto repeatOnNewConnection(const gateway_step &Step, const attempt_ended &Event,
+                           const pick &Pick) -> bool;
+/// Gives up the connections that have rested long enough or whose targets have
+/// changed, and all once this gateway stops.
+auto expireConnections(const gateway_step &Step) -> void;
+
+// gateway_pacing.cpp
+/// Adds what protects the streams of the service, if anything does, to the
+/// inputs of the choice of a target for \p Request.
+auto addStreamProtection(const gateway_step &Step, const request_state &Request,
+                         pick_request &PickRequest) -> void;
+/// Names the predicted pause in the log entry of an attempt, if there is one.
+auto addPauseFields(log_fields &Fields, const request_state &Request,
+                    const pick &Pick) -> void;
+
+/// Makes a prompt that has much time wait while every target that can serve it
+/// has prefill due. \p Pick is changed to a target without any if there is one.
+/// \returns true if it waits.
+auto waitForFreeTarget(const gateway_step &Step, request_number Number,
+                       pick_request PickRequest, pick &Pick) -> bool;
+/// Dispatches the prompts that wait for a target without prefill again, the
+/// most pressing ones first. \param All not only a few of them.
+auto dispatchPaced(const gateway_step &Step, bool All) -> void;
+/// The same for the most urgent ones, unless it was a moment ago.
+auto dispatchPacedAfterDigest(const gateway_step &Step) -> void;
+
+// gateway_fairness.cpp
+/// Makes a request of a workspace or kind that is served more than others wait
+/// or refuses it, if its targets have no room for all in time. Decides which
+/// requests go first; \p Pick may be changed for them.
+/// \returns true if it waits or was refused.
+auto yieldToOthers(const gateway_step &Step, request_number Number,
+                   const pick_request &PickRequest, pick &Pick) -> bool;
+/// Dispatches requests that wait so again. \param All not only a few of them.
+auto dispatchHeld(const gateway_step &Step, bool All) -> void;
+/// Records that the request got its first output.
+auto noteServed(const gateway_step &Step, request_state &Request) -> void;
+
+// gateway_speed.cpp
+/// Learns the speed of targets from the pace of their streams.
+auto observePaces(const gateway_step &Step, const target_paces &Paces) -> void;
+/// The slow spells of the targets of a service, as far as they were observed.
+auto spellsOf(const gateway_state &State, const service_name &Service)
+    -> slow_spells;
+
+// gateway_notices.cpp
+auto handle(const gateway_step &Step, const prefill_notice &Event) -> void;
+/// Tells the other gateways of a prompt that is being sent, if its prefill is
+/// long and the streams of its service are protected.
+auto sendPrefillNotice(const gateway_step &Step, const request_state &Request,
+                       const pick &Pick) -> void;
+
+// gateway_self_limit.cpp
+/// Takes an observation of the event loop.
+auto observeLoop(const gateway_step &Step, const loop_sample &Sample) -> void;
+/// Refuses a new request if this gateway is overloaded and the request is among
+/// those that it can not take. \returns true if it was refused.
+auto refuseIfOverloaded(const gateway_step &Step, request_number Number)
+    -> bool;
+
 // gateway_stop.cpp
 auto handle(const gateway_step &Step, const stop_began &Event) -> void;
 auto handle(const gateway_step &Step, const stop_deadline_passed &Event)
@@ -187,6 +367,16 @@
 /// they were deleted.
 auto endRowGrace(const gateway_step &Step) -> void;
 
+// gateway_era.cpp
+auto handle(const gateway_step &Step, const store_era_changed &Event) -> void;
+/// Takes the versions of another gateway's digest only if they belong to the
+/// era that is known here, and looks for a later one that it names.
+auto recordPeerEra(const gateway_step &Step, gateway_state::peer_status &Status)
+    -> void;
+/// True if the other gateway has seen a later era or has a newer configuration.
+auto isAhead(const gateway_state &State,
+             const gateway_state::peer_status &Status) -> bool;
+
 // gateway_view.cpp
 /// Records that the rows of the targets are complete as of \p AsOf.
 auto recordView(const gateway_step &Step, time_point AsOf) -> void;
@@ -206,8 +396,12 @@
 auto chooseTargetReader(const gateway_step &Step) -> void;
 auto handle(const gateway_step &Step, const peer_answered &Event) -> void;
 
+/// True if this gateway has no configuration or a peer has a newer one.
+auto isConfigurationStale(const gateway_state &State) -> bool;
+
 /// Queries another gateway for configuration, targets and instances if this one
-/// cannot read the store or has an older configuration than a peer.
+/// cannot read the store, has an older configuration than a peer, or does not
+/// know whether its keys are still valid.
 auto queryPeers(const gateway_step &Step) -> void;
 
 /// Sends this gateway's load, demand and pending loads to the other gateways.
@@ -215,8 +409,7 @@
 
 /// Adds a log entry to the effects.
 auto addLogEntry(const gateway_step &Step, log_level Level, std::string Event,
-                 std::vector<std::pair<std::string, std::string>> Fields)
-    -> void;
+                 log_fields Fields) -> void;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -42,6 +42,9 @@
   gateway_state State;
   State.Options = Options;
   State.Random.seed(static_cast<std::uint32_t>(Options.Seed));
+  if (Options.Quota.Window > duration::zero())
+    State.Quotas.emplace(Options.Quota, Options.Self, Options.Incarnation,
+                         Options.Seed);
   return State;
 }
 
@@ -104,17 +107,43 @@
 }
 
 auto addLogEntry(const gateway_step &Step, log_level Level, std::string Event,
-                 std::vector<std::pair<std::string, std::string>> Fields)
-    -> void {
+                 log_fields Fields) -> void {
   Step.Effects.push_back(
       write_note{Level, std::move(Event), std::move(Fields)});
 }
 
+namespace {
+
+/// True if a target has less to do since the event.
+auto endsWork(const gateway_event &Event) -> bool {
+  return std::holds_alternative<first_output>(Event) ||
+         std::holds_alternative<attempt_ended>(Event) ||
+         std::holds_alternative<caller_left>(Event);
+}
+
+/// True if a target may have no prefill due, or another target be known, since
+/// the event.
+auto mayFreeTarget(const gateway_event &Event) -> bool {
+  return endsWork(Event) || std::holds_alternative<target_updated>(Event);
+}
+
+} // namespace
+
 auto reduce(gateway_state &State, const gateway_event &Event, time_point Now)
     -> gateway_effects {
   gateway_effects Effects;
   const gateway_step Step{State, Now, Effects};
   std::visit([&](const auto &TypedEvent) { handle(Step, TypedEvent); }, Event);
+  const bool IsTick = std::holds_alternative<tick>(Event);
+  if (!State.Paced.empty()) {
+    if (IsTick || mayFreeTarget(Event))
+      dispatchPaced(Step, IsTick);
+    else if (std::holds_alternative<gateway_digest>(Event))
+      dispatchPacedAfterDigest(Step);
+  }
+  if (State.HeldRequests.size() > 0 && (IsTick || endsWork(Event)))
+    dispatchHeld(Step, IsTick);
+  sendUrgentQuotaReports(Step);
   return Effects;
 }
 
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -166,17 +166,27 @@
 
 auto handle(const gateway_step &Step, const configuration_read &Event) -> void {
   auto &State = Step.State;
-  if (Event.Configuration.Version <= State.Configuration.Version)
+  if (!State.ConfigurationHistory.offer(Event.Configuration.Version,
+                                        Event.Source))
     return;
   State.Configuration = Event.Configuration;
   State.Routes = route_table(State.Configuration);
+  State.StreamBounds = streamBounds(State.Configuration);
+  State.Priorities = priority_order(State.Configuration);
   for (auto &[Name, Entry] : State.Book.all())
     Entry.Cache.setCapacity(cacheTokens(State, Entry.Target.Service));
   addLogEntry(
       Step, log_level::Info, "configuration_in_force",
       {{"version", std::to_string(State.Configuration.Version)},
+       {"era", std::to_string(Event.Source.Era)},
+       {"generation",
+        std::to_string(State.ConfigurationHistory.inForce().Generation)},
        {"routes", std::to_string(State.Configuration.Routes.size())},
-       {"services", std::to_string(State.Configuration.Services.size())}});
+       {"services", std::to_string(State.Configuration.Services.size())},
+       {"workspaces", std::to_string(State.Configuration.Workspaces.size())}});
+  State.Fairness.configure(State.Configuration);
+  takeKeysInForce(Step);
+  takeQuotaLimits(Step);
 }
 
 auto handle(const gateway_step &Step, const row_unreadable &Event) -> void {
@@ -248,6 +258,7 @@
     if (auto *Entry = State.Book.findByAddress(Instance.TargetAddress))
       Entry->ControllerAddress = Instance.Address;
   }
+  takeQuotaMembers(Step, Event);
 }
 
 auto handle(const gateway_step &Step, const holdings_report &Event) -> void {
@@ -312,14 +323,17 @@
     return AgeMs < 0 ? time_point() : Step.Now - milliseconds(AgeMs);
   };
   const auto ReadAt = ToTime(Event.TargetsReadAgeMs);
-  State.PeerStatuses[Event.From] = {
-      Event.Configuration,
-      Event.StoreReachable,
-      Event.DataCentre,
-      ReadAt,
-      std::max(ReadAt, ToTime(Event.TargetsKnownAgeMs)),
-      Event.TargetsVersion,
-      Step.Now + milliseconds(Event.ReadyInMs)};
+  auto &Status = State.PeerStatuses[Event.From];
+  Status = {{Event.ConfigurationGeneration, Event.Configuration, 0},
+            Event.StoreEra,
+            Event.StoreReachable,
+            Event.DataCentre,
+            ReadAt,
+            std::max(ReadAt, ToTime(Event.TargetsKnownAgeMs)),
+            Event.TargetsVersion,
+            Step.Now + milliseconds(Event.ReadyInMs),
+            Event.Overloaded};
+  recordPeerEra(Step, Status);
   for (const auto &[Name, Incarnation] : Event.Leaving)
     recordLeaving(Step, Name, Incarnation, Event.From.Text);
   for (const auto &[Name, Key, Tokens] : Event.Prefixes)
@@ -350,9 +364,12 @@
 auto handle(const gateway_step &Step, const tick &Event) -> void {
   auto &State = Step.State;
   State.TargetsVersion = std::max(State.TargetsVersion, Event.TargetsVersion);
+  observeLoop(Step, Event.Loop);
+  observePaces(Step, Event.Paces);
   expirePeers(Step);
   chooseTargetReader(Step);
   queryPeers(Step);
+  checkConfigurationAge(Step);
   checkView(Step);
   expireLoads(Step);
   refuseLateLoadWaits(Step);
@@ -368,6 +385,9 @@
   if (Step.Now >= State.NextSubscription)
     subscribeToControllers(Step);
   expireCrashes(Step);
+  expireConnections(Step);
+  sendQuotaReports(Step);
+  expireHedging(Step);
   if (Step.Now >= State.NextDigest) {
     sendDigest(Step);
     sendCrashReport(Step);
@@ -383,12 +403,15 @@
   Digest.From = State.Options.Self;
   Digest.Address = State.Options.Address;
   Digest.Sequence = ++State.DigestSequence;
+  Digest.StoreEra = State.StoreEra;
   Digest.Configuration = State.Configuration.Version;
+  Digest.ConfigurationGeneration =
+      State.ConfigurationHistory.inForce().Generation;
   Digest.StoreReachable = State.StoreReachable;
   Digest.DataCentre = State.Options.DataCentre;
+  Digest.Overloaded = State.SelfLimit.isSustained();
   Digest.TargetsReadAgeMs = targetsReadAgeMs(State, Step.Now);
-  if (State.TargetsKnownAt != time_point())
-    Digest.TargetsKnownAgeMs = toMilliseconds(Step.Now - State.TargetsKnownAt);
+  Digest.TargetsKnownAgeMs = targetsKnownAgeMs(State, Step.Now);
   Digest.TargetsVersion = State.TargetsVersion;
   Digest.ReadyInMs = toMilliseconds(readyAt(State, Step.Now) - Step.Now);
   for (const auto &[Name, Entry] : State.Book.all())
--- a/libs/serving/src/gateway_loads.cpp
+++ b/libs/serving/src/gateway_loads.cpp
@@ -67,27 +67,29 @@
 
 /// Requests a load from the target's controller and records it as pending.
 /// \param Adapter empty to load the model itself.
-/// \param RequestId id of the request that needs it, for the log; may be empty.
+/// \param Request the one that needs it, for the log; null if none does.
 auto requestLoad(const gateway_step &Step, const target_entry &Entry,
                  const model_name &Model, const std::string &Adapter,
                  std::vector<model_name> Victims, time_point ExpectedEnd,
-                 time_point Deadline, const std::string &RequestId) -> void {
+                 time_point Deadline, const request_state *Request) -> void {
   Step.State.PendingLoads[Entry.Target.Name].push_back(
       {Model, Adapter, Victims, ExpectedEnd, Deadline});
   std::string VictimNames;
   for (const auto &Victim : Victims)
     VictimNames += (VictimNames.empty() ? "" : ",") + Victim.Text;
-  addLogEntry(
-      Step, log_level::Info, "load_asked",
-      {{"request", RequestId},
-       {"target", Entry.Target.Name.Text},
-       {"target_sequence", std::to_string(Entry.Target.Sequence)},
-       {"model", Model.Text},
-       {"adapter", Adapter},
-       {"victims", VictimNames},
-       {"work_ms_per_s",
-        std::to_string(static_cast<int>(
-            Step.State.Demand.rate(Model, Step.Now).WorkMsPerSecond))}});
+  log_fields Fields = {
+      {"request", Request == nullptr ? std::string() : Request->Call.Id},
+      {"target", Entry.Target.Name.Text},
+      {"target_sequence", std::to_string(Entry.Target.Sequence)},
+      {"model", Model.Text},
+      {"adapter", Adapter},
+      {"victims", VictimNames},
+      {"work_ms_per_s",
+       std::to_string(static_cast<int>(
+           Step.State.Demand.rate(Model, Step.Now).WorkMsPerSecond))}};
+  if (Request != nullptr)
+    addWorkspace(Fields, *Request);
+  addLogEntry(Step, log_level::Info, "load_asked", std::move(Fields));
   request_load Effect{Entry.Target.Name, Entry.ControllerAddress, Model,
                       Adapter,           std::move(Victims),      {}};
   if (!Adapter.empty())
@@ -112,12 +114,12 @@
 }
 
 auto requestPlannedLoad(const gateway_step &Step, const load_plan &Plan,
-                        const model_name &Model, const std::string &RequestId)
+                        const model_name &Model, const request_state *Request)
     -> void {
   const auto ExpectedEnd =
       Step.Now + milliseconds(static_cast<std::int64_t>(Plan.LoadMs));
   requestLoad(Step, *Step.State.Book.find(Plan.Target), Model, "", Plan.Victims,
-              ExpectedEnd, ExpectedEnd + LoadTimeoutMargin, RequestId);
+              ExpectedEnd, ExpectedEnd + LoadTimeoutMargin, Request);
 }
 
 } // namespace
@@ -168,7 +170,7 @@
     return;
   requestLoad(Step, *Step.State.Book.find(Chosen), Prompt.Model, Prompt.Adapter,
               {}, Step.Now + ExpectedAdapterLoadTime,
-              Step.Now + AdapterLoadTimeout, Request.Call.Id);
+              Step.Now + AdapterLoadTimeout, &Request);
 }
 
 auto waitForModel(const gateway_step &Step, request_state &Request,
@@ -186,7 +188,7 @@
     if (Request.LoadRequests >= MaxLoadRequests)
       return result_code::NoMemory;
     ++Request.LoadRequests;
-    requestPlannedLoad(Step, *Plan, Model, Request.Call.Id);
+    requestPlannedLoad(Step, *Plan, Model, &Request);
     Loading.push_back(Plan->Target);
   }
   const auto ExpectedEnd = expectedLoadEnd(Step, Model);
@@ -232,7 +234,7 @@
   const double Gain = MissingShare * CopyHorizonSeconds *
                       State.Demand.rate(Model, Step.Now).WorkMsPerSecond;
   if (Gain > Plan->CostMs)
-    requestPlannedLoad(Step, *Plan, Model, "");
+    requestPlannedLoad(Step, *Plan, Model, nullptr);
 }
 
 } // namespace
@@ -265,7 +267,7 @@
                            }))
     return;
   State.UnservedSince.erase(Model);
-  requestPlannedLoad(Step, *Plan, Model, "");
+  requestPlannedLoad(Step, *Plan, Model, nullptr);
 }
 
 } // namespace
--- a/libs/serving/src/gateway_quarantine.cpp
+++ b/libs/serving/src/gateway_quarantine.cpp
@@ -265,6 +265,18 @@
   return false;
 }
 
+auto hasSuspect(const gateway_step &Step, const request_state &Request)
+    -> bool {
+  const auto &Crashes = Step.State.Crashes;
+  if (Crashes.empty() || !Request.Call.HasPrompt)
+    return false;
+  const auto Suspects = suspectsOf(Request.Call);
+  return std::any_of(Suspects.begin(), Suspects.end(),
+                     [&](const suspect &Suspect) {
+                       return !Crashes.crashesOf(Suspect).empty();
+                     });
+}
+
 auto notePossibleCrash(const gateway_step &Step, const request_state &Request,
                        const attempt_ended &Event) -> void {
   const auto *Entry = Step.State.Book.find(Request.CurrentTarget);
@@ -345,7 +357,8 @@
 
 auto handle(const gateway_step &Step, const output_continued &Event) -> void {
   const auto Found = Step.State.Requests.find(Event.Number);
-  if (Found == Step.State.Requests.end())
+  if (Found == Step.State.Requests.end() ||
+      !selectAttempt(Found->second, Event.Attempt))
     return;
   Found->second.OutputContinued = true;
   recordServed(Step, Found->second);
--- a/libs/serving/src/gateway_refusals.cpp
+++ b/libs/serving/src/gateway_refusals.cpp
@@ -25,6 +25,14 @@
 /// that they do not meet its queue all at once, ms.
 constexpr std::int64_t ReturnSpreadMs = 200;
 
+/// True if the refusal shows that the targets lack capacity.
+auto isShortage(result_code Code) -> bool {
+  return Code == result_code::DeadlineUnreachable ||
+         Code == result_code::NoTarget || Code == result_code::NoMemory ||
+         Code == result_code::TargetRefused ||
+         Code == result_code::FairShareExceeded;
+}
+
 } // namespace
 
 auto refuseRequest(const gateway_step &Step, request_number Number,
@@ -39,10 +47,10 @@
     RetryAfterMs = 0;
   }
   Step.Effects.push_back(refuse_request{Number, Code, RetryAfterMs});
-  std::vector<std::pair<std::string, std::string>> Fields = {
-      {"code", std::string(describe(Code).Name)},
-      {"reason", std::move(Reason)},
-      {"retry_after_ms", std::to_string(RetryAfterMs)}};
+  Step.State.HeldRequests.erase(Number);
+  log_fields Fields = {{"code", std::string(describe(Code).Name)},
+                       {"reason", std::move(Reason)},
+                       {"retry_after_ms", std::to_string(RetryAfterMs)}};
   if (Found != Step.State.Requests.end()) {
     const auto &Request = Found->second;
     Fields.insert(Fields.begin(), {"request", Request.Call.Id});
@@ -54,6 +62,11 @@
         "left_ms", std::to_string(toMilliseconds(Request.Deadline - Step.Now)));
     Fields.emplace_back("configuration",
                         std::to_string(Step.State.Configuration.Version));
+    addWorkspace(Fields, Request);
+    settleCharge(Step, Number, describe(Code).Outcome != run_outcome::NotRun);
+    releaseOther(Step, Found->second);
+    if (isShortage(Code))
+      noteShortage(Step, Request.Service);
     Step.State.Requests.erase(Found);
   }
   addLogEntry(Step, log_level::Warning, "request_refused", std::move(Fields));
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -70,28 +70,16 @@
   return Reader;
 }
 
-/// True if this gateway has no configuration or a peer has a newer one.
-auto isConfigurationStale(const gateway_state &State) -> bool {
-  const auto Own = State.Configuration.Version;
-  return Own == 0 ||
-         std::any_of(State.PeerStatuses.begin(), State.PeerStatuses.end(),
-                     [&](const auto &PeerStatus) {
-                       return PeerStatus.second.Configuration > Own;
-                     });
-}
-
-/// Addresses of the peers that can read the store. Without any, and as long as
-/// no configuration is known, the addresses of the seeds.
-auto peerQueryAddresses(const gateway_state &State)
-    -> std::vector<std::string> {
+/// Addresses of the peers that can read the store or have a newer
+/// configuration.
+auto informedPeers(const gateway_state &State) -> std::vector<std::string> {
   std::vector<std::string> Addresses;
   for (const auto &[Name, Instance] : State.Instances) {
     const auto Status = State.PeerStatuses.find(Name);
-    if (Status != State.PeerStatuses.end() && Status->second.StoreReachable)
+    if (Status != State.PeerStatuses.end() &&
+        (Status->second.StoreReachable || isAhead(State, Status->second)))
       Addresses.push_back(Instance.Address);
   }
-  if (Addresses.empty() && State.Configuration.Version == 0)
-    Addresses = State.Options.Seeds;
   return Addresses;
 }
 
@@ -104,6 +92,14 @@
              : -1;
 }
 
+auto isConfigurationStale(const gateway_state &State) -> bool {
+  return State.Configuration.Version == 0 ||
+         std::any_of(State.PeerStatuses.begin(), State.PeerStatuses.end(),
+                     [&](const auto &PeerStatus) {
+                       return isAhead(State, PeerStatus.second);
+                     });
+}
+
 auto chooseTargetReader(const gateway_step &Step) -> void {
   auto &State = Step.State;
   const auto *Reader = findTargetReader(Step);
@@ -131,6 +127,8 @@
 auto handle(const gateway_step &Step, const peer_answered &Event) -> void {
   auto &State = Step.State;
   recordPeerView(Step, Event);
+  if (Event.ConfigurationKnownAt)
+    recordConfigurationAge(Step, *Event.ConfigurationKnownAt);
   if (!Event.Waited || Event.Address != State.AskedReader)
     return;
   State.AskedReader.clear();
@@ -166,15 +164,30 @@
   const bool Stale =
       State.ConfigurationStaleSince != NoDeadline &&
       Step.Now - State.ConfigurationStaleSince >= StaleConfigurationGrace;
-  if ((State.StoreReachable && !Stale) || Step.Now < State.NextPeerQuery)
+  const bool Doubtful = needsConfirmation(State, Step.Now);
+  const bool Lacks = !State.StoreReachable || Stale;
+  if (!(Lacks || Doubtful) || Step.Now < State.NextPeerQuery)
     return;
-  const auto Addresses = peerQueryAddresses(State);
-  if (Addresses.empty())
+  auto Addresses = informedPeers(State);
+  // Without an informed peer there is probably nothing to learn.
+  const bool Seldom = Doubtful && (!Lacks || Addresses.empty());
+  if (Addresses.empty() && State.Configuration.Version == 0)
+    Addresses = State.Options.Seeds;
+  else if (Addresses.empty() && Doubtful)
+    Addresses = gatewayAddresses(State);
+  // A gateway that the store turns away may have got no row of another one.
+  if (Addresses.empty() && Doubtful)
+    Addresses = State.Options.Seeds;
+  if (Addresses.empty() && !Doubtful)
     return;
-  State.NextPeerQuery = Step.Now + PeerQueryInterval;
-  Step.Effects.push_back(
-      query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()],
-                 Step.Now + PeerAnswerTime});
+  State.NextPeerQuery =
+      Step.Now + (Seldom ? nextQueryInterval(State) : PeerQueryInterval);
+  if (Doubtful && State.StoreReachable)
+    Step.Effects.push_back(read_configuration{});
+  if (!Addresses.empty())
+    Step.Effects.push_back(
+        query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()],
+                   Step.Now + PeerAnswerTime});
 }
 
 } // namespace limpetbridge::serving
