--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -22,8 +22,6 @@
 /// Time for which a full target is avoided that names no time: it completes a
 /// request every few milliseconds.
 constexpr duration FullTargetAvoidTime = milliseconds(150);
-/// An attempt with less time than this cannot succeed.
-constexpr duration MinAttemptTime = milliseconds(5);
 /// Limit of the targets that one request tries, unreachable ones included.
 constexpr std::size_t MaxTriedTargets = 4;
 /// Weight of one observation in the moving averages of the prefill time and of
@@ -84,11 +82,14 @@
   }
 }
 
-/// Sends the request to the picked target and counts it in the load there.
+} // namespace
+
 auto sendAttempt(const gateway_step &Step, request_number Number,
                  request_state &Request, const pick &Pick) -> void {
   auto *Entry = Step.State.Book.find(Pick.Target);
-  ++Request.Attempts;
+  const auto Connection = takeConnection(Step, Request, *Entry);
+  Request.AttemptNumber = ++Request.Attempts;
+  Request.IsHedge = Request.Other.has_value();
   Request.TriedTargets.insert(Pick.Target);
   Request.CurrentTarget = Pick.Target;
   Request.PrefillMs = Pick.PrefillMs;
@@ -109,28 +110,33 @@
     Step.State.UnsentAdapterUse.emplace(Pick.Target, Adapter);
   }
   Step.Effects.push_back(send_attempt{
-      Number, Request.Attempts, Pick.Target, Entry->Target.Incarnation,
+      Number, Request.AttemptNumber, Pick.Target, Entry->Target.Incarnation,
       Entry->Target.Address, Request.Deadline, Request.Route.Kind,
-      Request.Route.Resumable, Request.Route.Priority});
-  addLogEntry(
-      Step, log_level::Info, "attempt_sent",
-      {{"request", Request.Call.Id},
-       {"attempt", std::to_string(Request.Attempts)},
-       {"target", Pick.Target.Text},
-       {"model", Request.Call.Prompt.Model.Text},
-       {"adapter", Request.Call.Prompt.Adapter},
-       {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
-       {"read_ms", std::to_string(static_cast<int>(Pick.PrefillMs))},
-       {"output_tokens", std::to_string(Request.Call.Prompt.MaxOutputTokens)},
-       {"target_sequence", std::to_string(Entry->Target.Sequence)},
-       {"targets_age_ms",
-        std::to_string(toMilliseconds(Step.Now - Step.State.TargetsKnownAt))},
-       {"waited_ms",
-        std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}});
+      Request.Route.Resumable, Request.TargetPriority,
+      Request.Workspace.value_or(workspace_name()), Connection, Request.IsHedge,
+      Step.State.Options.MeasuresPace &&
+          Step.State.StreamBounds.contains(Request.Service)});
+  log_fields Fields = {
+      {"request", Request.Call.Id},
+      {"attempt", std::to_string(Request.AttemptNumber)},
+      {"target", Pick.Target.Text},
+      {"model", Request.Call.Prompt.Model.Text},
+      {"adapter", Request.Call.Prompt.Adapter},
+      {"expected_ms", std::to_string(static_cast<int>(Pick.ExpectedMs))},
+      {"read_ms", std::to_string(static_cast<int>(Pick.PrefillMs))},
+      {"output_tokens", std::to_string(Request.Call.Prompt.MaxOutputTokens)},
+      {"target_sequence", std::to_string(Entry->Target.Sequence)},
+      {"targets_age_ms",
+       std::to_string(toMilliseconds(Step.Now - Step.State.TargetsKnownAt))},
+      {"waited_ms",
+       std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}};
+  sendPrefillNotice(Step, Request, Pick);
+  addPauseFields(Fields, Request, Pick);
+  addWorkspace(Fields, Request);
+  addLogEntry(Step, log_level::Info, "attempt_sent", std::move(Fields));
+  scheduleHedge(Step, Number, Request);
 }
 
-} // namespace
-
 auto makePickRequest(const gateway_step &Step, const request_state &Request)
     -> pick_request {
   const auto &Call = Request.Call;
@@ -144,18 +150,23 @@
   PickRequest.Keys = &Request.PrefixKeys;
   PickRequest.Tried = &Request.TriedTargets;
   PickRequest.Now = Step.Now;
+  addConnectionCost(Step, Request, PickRequest);
+  addStreamProtection(Step, Request, PickRequest);
   return PickRequest;
 }
 
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void {
   auto &Request = Step.State.Requests.at(Number);
   Request.AwaitsView = false;
+  Request.AwaitsConfiguration = false;
+  if (refuseWithoutKey(Step, Number))
+    return;
   if (Request.Deadline - Step.Now < MinAttemptTime)
     return refuseRequest(Step, Number, result_code::DeadlineUnreachable, 0,
                          "no time is left");
   if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
     return refuseStopping(Step, Number);
-  if (refuseIfQuarantined(Step, Number))
+  if (refuseIfQuarantined(Step, Number) || awaitConfirmation(Step, Number))
     return;
   if (!mayChooseTargets(Step.State, Step.Now))
     return awaitView(Step, Number);
@@ -166,7 +177,13 @@
           ? time_point()
           : loadHeldUntil(Step, Call.Prompt.Model, Call.Prompt.Adapter);
   PickRequest.MayLoadAdapter = Step.Now >= AdapterHeldUntil;
-  const auto Pick = pickTarget(Step.State.Book, PickRequest);
+  if (Step.ObserveChoice != nullptr)
+    (*Step.ObserveChoice)(PickRequest);
+  auto Pick = pickTarget(Step.State.Book, PickRequest);
+  if (Pick && waitForFreeTarget(Step, Number, PickRequest, *Pick))
+    return;
+  if (Pick && yieldToOthers(Step, Number, PickRequest, *Pick))
+    return;
   if (Pick && Call.HasPrompt && exceedsCallerTimeout(Request, *Pick, Step.Now))
     return refuseRequest(Step, Number, result_code::DeadlineUnreachable,
                          queueRetryAfterMs(Request, *Pick),
@@ -198,10 +215,6 @@
                 "no target takes work");
 }
 
-namespace {
-
-/// True if the request may be sent to one more target.
-/// \param UsesRetryBudget whether the retry is taken from the service's budget.
 auto mayRetry(const gateway_step &Step, request_state &Request,
               bool UsesRetryBudget) -> bool {
   if (Request.Attempts >= Request.Route.MaxAttempts ||
@@ -213,6 +226,8 @@
       Step.State.Options.Retries, gatewayCount(Step.State), Step.Now);
 }
 
+namespace {
+
 /// Avoids the target for a while if it was unreachable or refused the request,
 /// and forgets the model or adapter that it turned out not to hold.
 auto applyAttemptOutcome(const gateway_step &Step, const request_state &Request,
@@ -220,7 +235,7 @@
   auto *Entry = Step.State.Book.find(Request.CurrentTarget);
   if (Entry == nullptr)
     return;
-  if (Event.End == attempt_end::NotSent)
+  if (Event.End == attempt_end::NotSent && !Event.Connection.Lost)
     Entry->AvoidUntil = Step.Now + UnreachableAvoidTime;
   else if (Event.End == attempt_end::NotRun)
     Entry->AvoidUntil = Step.Now + (Event.WrongTarget ? WrongTargetAvoidTime
@@ -257,45 +272,18 @@
     Update(Entry->DecodeMs, DecodeMs);
 }
 
-/// Logs how an attempt at \p Target ended; what the request asked for only if
-/// it failed, as that may be the cause.
-auto logAttemptEnd(const gateway_step &Step, const request_state &Request,
-                   const target_name &Target, const attempt_ended &Event)
-    -> void {
-  std::vector<std::pair<std::string, std::string>> Fields = {
-      {"request", Request.Call.Id},
-      {"attempt", std::to_string(Request.Attempts)},
-      {"target", Target.Text},
-      {"end", std::string(nameOf(Event.End))},
-      {"status", std::to_string(Event.Status)},
-      {"route", Request.Route.Name},
-      {"first_ms", std::to_string(Request.FirstOutputMs)},
-      {"longest_gap_ms", std::to_string(Event.LongestGapMs)},
-      {"took_ms", std::to_string(toMilliseconds(Step.Now - Request.SentAt))},
-      {"framing", std::string(nameOf(Event.Body.Framing))},
-      {"bytes", std::to_string(Event.Body.Bytes)},
-      {"events", std::to_string(Event.Body.Events)},
-      {"inside_event", Event.Body.InsideEvent ? "true" : "false"},
-      {"read_error", Event.Body.ReadError}};
-  const bool Answered = Event.End == attempt_end::Answered;
-  const auto &Prompt = Request.Call.Prompt;
-  if (!Answered && Request.Call.HasPrompt) {
-    Fields.emplace_back("model", Prompt.Model.Text);
-    Fields.emplace_back("adapter", Prompt.Adapter);
-    Fields.emplace_back("parts", describeParts(Prompt.Parts));
-  }
-  addLogEntry(Step, Answered ? log_level::Info : log_level::Warning,
-              "attempt_ended", std::move(Fields));
-}
-
 auto isSuccess(std::uint16_t Status) -> bool {
   constexpr std::uint16_t FirstSuccessStatus = 200;
   constexpr std::uint16_t FirstRedirectStatus = 300;
   return Status >= FirstSuccessStatus && Status < FirstRedirectStatus;
 }
 
-/// True if \p End counts as a failure of the target.
-auto isFailure(attempt_end End) -> bool {
+/// True if the end of an attempt counts as a failure of the target. It may
+/// close a connection that rests.
+auto isFailure(const attempt_ended &Event) -> bool {
+  const auto End = Event.End;
+  if (Event.Connection.Kept && Event.Connection.Lost)
+    return false;
   return End == attempt_end::NotSent || End == attempt_end::Failed ||
          End == attempt_end::Unknown || End == attempt_end::CutShort;
 }
@@ -316,6 +304,9 @@
     return refuseRequest(Step, Event.Number, result_code::NotFound, 0,
                          "no route for host and path");
   Request.Route = *Route;
+  Request.KeyDigest = Event.Call.Key.digest(State.Options.KeySecret);
+  if (refuseWithoutKey(Step, Event.Number))
+    return;
   Request.Service = chooseService(State, *Route);
   Request.Deadline =
       std::min(Event.Call.CallerDeadline,
@@ -327,25 +318,20 @@
                          milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
   // Before it counts as demand for its model.
-  if (refuseIfQuarantined(Step, Event.Number))
+  if (refuseIfQuarantined(Step, Event.Number) ||
+      refuseIfOverloaded(Step, Event.Number))
     return;
-  if (Event.Call.HasPrompt) {
-    const auto &Prompt = Event.Call.Prompt;
-    Request.PrefixKeys = prefixKeys(Prompt);
-    State.Demand.recordRequest(
-        Prompt.Model, expectedWorkMs(State, Request.Service, Prompt), Step.Now);
-  }
-  State.RetryBudgets[Request.Service].recordRequest(Step.Now);
-  Step.Effects.push_back(set_deadline{Event.Number, Request.Deadline});
-  dispatchRequest(Step, Event.Number);
+  admitRequest(Step, Event.Number);
 }
 
 auto handle(const gateway_step &Step, const first_output &Event) -> void {
   const auto Found = Step.State.Requests.find(Event.Number);
-  if (Found == Step.State.Requests.end())
+  if (Found == Step.State.Requests.end() ||
+      !selectAttempt(Found->second, Event.Attempt))
     return;
   auto &Request = Found->second;
   Request.FirstOutputMs = toMilliseconds(Step.Now - Request.SentAt);
+  noteServed(Step, Request);
   auto *Entry = Step.State.Book.find(Request.CurrentTarget);
   if (Entry != nullptr && Request.ExpectedFirstOutputMs >= MinCalibrationMs) {
     const double TookMs =
@@ -367,17 +353,25 @@
 
 auto handle(const gateway_step &Step, const attempt_ended &Event) -> void {
   const auto Found = Step.State.Requests.find(Event.Number);
-  if (Found == Step.State.Requests.end())
+  if (Found == Step.State.Requests.end() ||
+      !selectAttempt(Found->second, Event.Attempt))
     return;
   auto &Request = Found->second;
-  applyAttemptOutcome(Step, Request, Event);
+  // It was not sent because its key was removed; the target is not at fault.
+  const bool Revoked = Event.End == attempt_end::NotSent &&
+                       !hasValidKey(Step.State, Event.Number);
+  if (!Revoked)
+    applyAttemptOutcome(Step, Request, Event);
   if (Event.End == attempt_end::Answered)
     recordDecodeTime(Step, Request);
   if (Event.End == attempt_end::Answered && isSuccess(Event.Status))
     recordServed(Step, Request);
   notePossibleCrash(Step, Request, Event);
   const auto Target = Request.CurrentTarget;
-  releaseTarget(Step, Request, isFailure(Event.End));
+  const pick LastPick{Target, false, Request.PrefillMs,
+                      Request.ExpectedFirstOutputMs};
+  learnFromConnection(Step, Request, Event);
+  releaseTarget(Step, Request, !Revoked && isFailure(Event));
   logAttemptEnd(Step, Request, Target, Event);
   Request.MayHaveRun |= Event.End == attempt_end::Failed ||
                         Event.End == attempt_end::Unknown ||
@@ -385,8 +379,12 @@
   Step.Effects.push_back(record_attempt_times{
       Request.Route.Name, Request.FirstOutputMs,
       toMilliseconds(Step.Now - Request.Call.Arrived), Event.LongestGapMs});
-  const bool Repeatable =
-      Request.Route.Kind == request_kind::Idempotent || Request.Route.Resumable;
+  if (Event.End == attempt_end::NotRun && !Event.WrongTarget)
+    noteShortage(Step, Request.Service);
+  if (continueOther(Step, Request, Event) ||
+      repeatOnNewConnection(Step, Event, LastPick))
+    return;
+  const bool Repeatable = isRepeatable(Request.Route);
   switch (Event.End) {
   case attempt_end::Answered:
     Step.State.Requests.erase(Found);
@@ -394,7 +392,7 @@
   case attempt_end::NotSent:
     // No target has seen the request, so it does not count as an attempt.
     --Request.Attempts;
-    if (mayRetry(Step, Request, Request.Attempts > 0))
+    if (Revoked || mayRetry(Step, Request, Request.Attempts > 0))
       return dispatchRequest(Step, Event.Number);
     return refuseRequest(Step, Event.Number, result_code::TargetUnreachable,
                          refusedRetryAfterMs(Step, Request),
@@ -427,18 +425,23 @@
   if (Found == Step.State.Requests.end())
     return;
   auto &Request = Found->second;
-  addLogEntry(Step, log_level::Info, "caller_left",
-              {{"request", Request.Call.Id},
-               {"target", Request.CurrentTarget.Text},
-               {"after_ms", std::to_string(toMilliseconds(
-                                Step.Now - Request.Call.Arrived))}});
+  log_fields Fields = {{"request", Request.Call.Id},
+                       {"target", Request.CurrentTarget.Text},
+                       {"after_ms", std::to_string(toMilliseconds(
+                                        Step.Now - Request.Call.Arrived))}};
+  addWorkspace(Fields, Request);
+  addLogEntry(Step, log_level::Info, "caller_left", std::move(Fields));
+  settleCharge(Step, Event.Number,
+               Request.MayHaveRun || !Request.CurrentTarget.empty());
   releaseTarget(Step, Request, false);
+  releaseOther(Step, Request);
+  Step.State.HeldRequests.erase(Event.Number);
   Step.State.Requests.erase(Found);
 }
 
 auto handle(const gateway_step &Step, const deadline_passed &Event) -> void {
   const auto Found = Step.State.Requests.find(Event.Number);
-  if (Found == Step.State.Requests.end())
+  if (Found == Step.State.Requests.end() || endQuotaWait(Step, Event.Number))
     return;
   auto &Request = Found->second;
   const bool MayHaveRun = Request.MayHaveRun || !Request.CurrentTarget.empty();
--- a/libs/serving/src/gateway_stop.cpp
+++ b/libs/serving/src/gateway_stop.cpp
@@ -85,6 +85,7 @@
 auto handle(const gateway_step &Step, const stop_began &Event) -> void {
   Step.State.StopDeadline = Event.Deadline;
   Step.State.BalancerEnd = Event.BalancerEnd;
+  expireConnections(Step);
 }
 
 auto handle(const gateway_step &Step, const stop_deadline_passed & /*Event*/)
--- a/libs/serving/src/gateway_view.cpp
+++ b/libs/serving/src/gateway_view.cpp
@@ -163,6 +163,7 @@
     return;
   if (State.FirstViewAt == time_point())
     State.FirstViewAt = Step.Now;
+  State.ViewIsOfOldEra = false;
   State.TargetsKnownAt = std::max(State.TargetsKnownAt, AsOf);
 }
 
--- a/libs/serving/src/load_window.cpp
+++ b/libs/serving/src/load_window.cpp
@@ -1,5 +1,6 @@
 #include "serving/load_window.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace limpetbridge::serving {
@@ -21,14 +22,24 @@
 
 auto load_window::acquire(std::int64_t NowMs, std::int64_t WindowMs,
                           std::size_t Limit) -> bool {
-  std::erase_if(Starts,
-                [&](std::int64_t Start) { return Start <= NowMs - WindowMs; });
+  // A start in the future is of another clock, that of the store before it was
+  // restored. Whoever recorded it restores it.
+  std::erase_if(Starts, [&](std::int64_t Start) {
+    return Start <= NowMs - WindowMs || Start > NowMs;
+  });
   if (Starts.size() >= Limit)
     return false;
   Starts.push_back(NowMs);
   return true;
 }
 
+auto load_window::restore(std::int64_t StartMs) -> bool {
+  if (std::find(Starts.begin(), Starts.end(), StartMs) != Starts.end())
+    return false;
+  Starts.push_back(StartMs);
+  return true;
+}
+
 auto load_window::serialize() const -> std::string {
   std::string Text;
   for (const auto Start : Starts)
--- a/libs/serving/src/target_book.cpp
+++ b/libs/serving/src/target_book.cpp
@@ -86,6 +86,7 @@
   // the lower order sequence is older.
   if (SameIncarnation && Target.Sequence < Known.Sequence) {
     const bool Changed = Target.Draining && !Known.Draining;
+    Entry.RowMissingSince = NoDeadline;
     Entry.Target.Draining |= Target.Draining;
     return Changed;
   }
@@ -95,6 +96,8 @@
     Entry.Cache.clear();
     Entry.FailureShare = 0;
     Entry.Slowness = 1;
+    Entry.Speed = target_speed();
+    Entry.NoticedPrefill.clear();
     Entry.DecodeMs = 0;
     Entry.AvoidUntil = {};
     Entry.RefusesUntil = {};
@@ -299,13 +302,19 @@
 
 auto target_book::recordAttemptEnded(const target_name &Name, std::size_t Rank,
                                      double PrefillMs, bool Failed) -> void {
-  auto *Entry = find(Name);
-  if (Entry == nullptr)
-    return;
-  subtractClamped(Entry->OwnLoad.PendingMs[Rank], PrefillMs);
-  subtractClamped(Entry->OwnLoad.Active[Rank], 1U);
-  Entry->FailureShare +=
-      FailureWeight * ((Failed ? 1.0 : 0.0) - Entry->FailureShare);
+  recordAttemptCancelled(Name, Rank, PrefillMs);
+  if (auto *Entry = find(Name))
+    Entry->FailureShare +=
+        FailureWeight * ((Failed ? 1.0 : 0.0) - Entry->FailureShare);
+}
+
+auto target_book::recordAttemptCancelled(const target_name &Name,
+                                         std::size_t Rank, double PrefillMs)
+    -> void {
+  if (auto *Entry = find(Name)) {
+    subtractClamped(Entry->OwnLoad.PendingMs[Rank], PrefillMs);
+    subtractClamped(Entry->OwnLoad.Active[Rank], 1U);
+  }
 }
 
 } // namespace limpetbridge::serving
--- a/libs/serving/tests/gateway_fixture.h
+++ b/libs/serving/tests/gateway_fixture.h
@@ -57,6 +57,47 @@
   return Configuration;
 }
 
+/// The same with streams that have a bound of their gaps. The requests of
+/// /plan/ may wait for long.
+inline auto protectedConfiguration(std::uint64_t Version = 2) -> configuration {
+  auto Configuration = makeConfiguration(Version);
+  for (auto &Route : Configuration.Routes) {
+    if (Route.Kind != request_kind::Stream)
+      continue;
+    Route.GapBoundMs = 500;
+    if (Route.Name == "/plan/") {
+      Route.TargetLatencyMs = 8000;
+      Route.TimeoutMs = Route.FirstOutputTimeoutMs = 12'000;
+      Route.Priority = 2;
+    }
+  }
+  Configuration.Services[service_name("models")].Engine.TokensPerEvent = 5;
+  return Configuration;
+}
+
+/// The same with workspaces that have the given keys, and a public route.
+/// Workspaces with a name that begins with a digit have it as their priority.
+inline auto makeConfiguration(
+    std::uint64_t Version,
+    const std::map<std::string, std::vector<std::string>> &Workspaces)
+    -> configuration {
+  auto Configuration = makeConfiguration(Version);
+  auto Open = Configuration.Routes.back();
+  Open.Name = Open.Prefix = "/open/";
+  Open.Public = true;
+  Configuration.Routes.push_back(Open);
+  for (const auto &[Name, Keys] : Workspaces) {
+    workspace_spec Spec;
+    Spec.Name = workspace_name(Name);
+    if (Name[0] >= '0' && Name[0] <= '9')
+      Spec.Priority = static_cast<std::uint32_t>(Name[0] - '0');
+    Configuration.Workspaces[Spec.Name] = Spec;
+    for (const auto &Key : Keys)
+      Configuration.Keys.push_back({workspace_key(Key), Spec.Name});
+  }
+  return Configuration;
+}
+
 /// A gateway that has a configuration, but no targets.
 struct gateway_harness {
   gateway_harness() {
@@ -103,6 +144,7 @@
     Event.Call.Host = "h";
     Event.Call.Path = Path;
     Event.Call.Arrived = Now;
+    Event.Call.Key = workspace_key(Key);
     if (Model != nullptr) {
       Event.Call.HasPrompt = true;
       Event.Call.Prompt.Model = model_name(Model);
@@ -135,8 +177,21 @@
     return Found.size() == 1 ? Found.front() : effect();
   }
 
+  /// A field of the first log entry \p Event that the last event caused; empty
+  /// if there is none.
+  [[nodiscard]] auto logField(const std::string &Event,
+                              const std::string &Name) const -> std::string {
+    for (const auto &Entry : effectsOf<write_note>())
+      if (Entry.Event == Event)
+        for (const auto &[Field, Value] : Entry.Fields)
+          if (Field == Name)
+            return Value;
+    return "";
+  }
+
   gateway_state State;
   gateway_effects Effects;
+  std::string Key; ///< Of the requests; empty for none.
   time_point Now{seconds(1000)};
 };
 
--- a/libs/serving/tests/gateway_fleet.h
+++ b/libs/serving/tests/gateway_fleet.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,8 +33,10 @@
   query_peer Query;
   time_point AskedAt;
   bool Answered = false;
-  std::uint64_t Version = 0; ///< Of the peer.
-  time_point TargetsKnownAt; ///< The same, or the epoch.
+  std::uint64_t Version = 0;       ///< Of the peer.
+  time_point TargetsKnownAt;       ///< The same, or the epoch.
+  std::uint64_t Configuration = 0; ///< The same.
+  time_point ConfigurationKnownAt; ///< The same, or the epoch.
 };
 
 /// One gateway with its connection to the store and to the others.
@@ -55,6 +58,9 @@
   duration TurnInterval = duration::zero();
   time_point NextTurn;
   bool HearsDigests = true;
+  /// Its call for changes of the configuration gets no answers.
+  bool MissesConfiguration = false;
+  int StoreFailures = 0; ///< Calls without an answer, one after the other.
   /// Immediate queries, and their answers as they were written.
   std::vector<open_query> Immediate;
   int Queries = 0;  ///< Sent, of any kind.
@@ -69,10 +75,14 @@
     Processes.clear();
     Reads = 0;
     Digests = 0;
+    ConfigurationReads = 0;
+    NextConfigurationReads.clear();
     StoreVersion = 1;
     ChangedAt = {time_point(), time_point()};
     LosesDigests = false;
     LastRequest = 0;
+    Configurations.clear();
+    IsCut = [](int, int) { return false; };
     for (int I = 0; I < Count; ++I) {
       const auto Name = "g" + std::to_string(I);
       gateway_options Options;
@@ -193,7 +203,10 @@
       if (const auto *Query = std::get_if<query_peer>(&Effect))
         ask(Process, *Query);
       else if (const auto *Digest = std::get_if<send_digest>(&Effect))
-        send(*Digest);
+        send(Process, *Digest);
+      else if (std::holds_alternative<read_configuration>(Effect) &&
+               Process.ReachesStore)
+        NextConfigurationReads.insert(&Process);
       else if (const auto *Attempt = std::get_if<send_attempt>(&Effect))
         checkSend(Process, *Attempt);
     }
@@ -209,8 +222,13 @@
       return;
     }
     const auto &Peer = Processes.at(Query.Address);
-    open_query Open{Query, Now, Peer.Alive && Peer.AnswersQueries, Peer.Version,
-                    Peer.State.TargetsKnownAt};
+    open_query Open{Query,
+                    Now,
+                    reaches(Process, Query.Address) && Peer.AnswersQueries,
+                    Peer.Version,
+                    Peer.State.TargetsKnownAt,
+                    Peer.State.Configuration.Version,
+                    Peer.State.ConfigurationKnownAt};
     Process.Immediate.push_back(Open);
   }
 
@@ -235,14 +253,44 @@
         Event.TargetsKnownAt = Query.TargetsKnownAt;
         Event.TargetsKnownAgeMs =
             toMilliseconds(Query.AskedAt - Query.TargetsKnownAt);
+        learn(Process, Query.Configuration);
+        if (Query.ConfigurationKnownAt != time_point())
+          Event.ConfigurationKnownAt = Query.ConfigurationKnownAt;
       }
       perform(Process, Event);
     }
   }
 
-  auto send(const send_digest &Digest) -> void {
+  /// True if a message of \p Process arrives at \p Address.
+  auto reaches(const gateway_process &Process, const std::string &Address)
+      -> bool {
+    return Processes.at(Address).Alive &&
+           !IsCut(numberOf(Process.State.Options.Self.Text), numberOf(Address));
+  }
+
+  static auto numberOf(const std::string &Name) -> int {
+    return std::stoi(Name.substr(1));
+  }
+
+  /// \p Process gets a version of the configuration, if it is a newer one.
+  auto learn(gateway_process &Process, std::uint64_t Newest) -> void {
+    const auto Found = Configurations.find(Newest);
+    if (Found != Configurations.end() &&
+        Newest > Process.State.Configuration.Version)
+      perform(Process, configuration_read{Found->second});
+  }
+
+  /// \p Process reads the configuration from the store.
+  auto readConfiguration(gateway_process &Process) -> void {
+    if (Configurations.empty())
+      return;
+    learn(Process, Configurations.rbegin()->first);
+    perform(Process, configuration_confirmed{Now});
+  }
+
+  auto send(const gateway_process &Process, const send_digest &Digest) -> void {
     for (const auto &Address : Digest.Addresses)
-      if (Processes.at(Address).Alive && !LosesDigests &&
+      if (reaches(Process, Address) && !LosesDigests &&
           Processes.at(Address).HearsDigests) {
         ++Digests;
         apply(Processes.at(Address), Digest.Digest, Now);
@@ -254,8 +302,11 @@
     const auto Query = *Process.Query;
     const auto &Peer = Processes.at(Query.Address);
     const auto AgeMs = targetsReadAgeMs(Peer.State, Now);
-    const bool News = Peer.Version > Process.Version;
-    if (Peer.Alive && Peer.AnswersQueries && !Process.AnswerLost &&
+    const bool News =
+        Peer.Version > Process.Version ||
+        Peer.State.Configuration.Version > Process.State.Configuration.Version;
+    if (reaches(Process, Query.Address) && Peer.AnswersQueries &&
+        !Process.AnswerLost &&
         (News || AgeMs < 0 ||
          Now >= Process.AskedAt + milliseconds(Query.WaitMs))) {
       Process.AnswerLost = News && Process.AnswersToLose-- > 0;
@@ -266,6 +317,9 @@
         Event.TargetsKnownAt = Peer.State.TargetsKnownAt;
         Event.TargetsKnownAgeMs =
             toMilliseconds(Now - Peer.State.TargetsKnownAt);
+        learn(Process, Peer.State.Configuration.Version);
+        if (Peer.State.ConfigurationKnownAt != time_point())
+          Event.ConfigurationKnownAt = Peer.State.ConfigurationKnownAt;
         perform(Process, Event);
         return;
       }
@@ -282,7 +336,10 @@
       Process.NextRead = Now + ReadInterval;
       Process.ReadFailsAt = NoDeadline;
       Process.Version = StoreVersion;
+      noteStoreCall(Process, true);
       perform(Process, targets_read{});
+      if (!Process.MissesConfiguration)
+        readConfiguration(Process);
       return;
     }
     if (Process.ReadFailsAt == NoDeadline)
@@ -291,6 +348,15 @@
       return;
     Process.ReadFailsAt = NoDeadline;
     perform(Process, targets_read_failed{});
+    noteStoreCall(Process, false);
+  }
+
+  /// The store counts as unreachable after two calls without an answer.
+  auto noteStoreCall(gateway_process &Process, bool Answered) -> void {
+    Process.StoreFailures = Answered ? 0 : Process.StoreFailures + 1;
+    const bool Reachable = Process.StoreFailures < 2;
+    if (!Configurations.empty() && Reachable != Process.State.StoreReachable)
+      perform(Process, store_reachability_changed{Reachable});
   }
 
   auto advance(gateway_process &Process, bool Ticks) -> void {
@@ -302,18 +368,29 @@
       // Its time-outs passed while it waited for its turn.
       Process.AnswerLost = Process.Query && Now >= Process.Query->Deadline;
     }
+    if (NextConfigurationReads.erase(&Process) > 0) {
+      ++ConfigurationReads;
+      readConfiguration(Process);
+    }
     if (Process.State.ReadsTargets && Now >= Process.NextRead)
       readStore(Process);
     if (Process.Query)
       answer(Process);
     answerImmediate(Process);
     if (Ticks)
-      perform(Process, tick{Process.Version});
+      perform(Process, tick{Process.Version, {}});
   }
 
   time_point Now;
   std::map<std::string, gateway_process> Processes;
   std::uint64_t StoreVersion = 1;
+  /// Versions of the configuration that the store has had; without any, all
+  /// gateways have the same one.
+  std::map<std::uint64_t, configuration> Configurations;
+  std::set<gateway_process *> NextConfigurationReads;
+  int ConfigurationReads = 0; ///< Beside the calls that wait for changes.
+  /// True if messages from one gateway to the other are lost.
+  std::function<bool(int From, int To)> IsCut;
   std::vector<time_point> ChangedAt; ///< When each version was written.
   request_number LastRequest = 0;
   int Reads = 0;
--- a/libs/serving/tests/gateway_loads_test.cpp
+++ b/libs/serving/tests/gateway_loads_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 
@@ -30,6 +32,7 @@
   CPPUNIT_TEST(target_rowOlderThanReport_isIgnored);
   CPPUNIT_TEST(lostTarget_lastCopyOfAModel_isLoadedElsewhere);
   CPPUNIT_TEST(lostTarget_onlyLastCopiesToEvict_nothingIsLoaded);
+  CPPUNIT_TEST(addedTargets_demandAboveTheCopies_getModelsAndWork);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,6 +251,23 @@
       CPPUNIT_ASSERT(!Entry.Change || Entry.Change->Victims.empty());
   }
 
+  // Targets are added when there are too few, so seconds without work count.
+  auto addedTargets_demandAboveTheCopies_getModelsAndWork() -> void {
+    Harness.dispatch(configuration_read{protectedConfiguration()});
+    Harness.addTarget("e1", "models", {"a", "b"});
+    Harness.addTarget("e2", "models", {"a", "b"});
+    serve(seconds(4));
+    Harness.addTarget("e3", "models", {});
+    Harness.addTarget("e4", "models", {});
+    serve(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                         Harness.State.Book.copyCount(model_name("a")));
+    Sent.clear();
+    serve(seconds(2));
+    // Half of the copies of a, which has four fifths of the demand.
+    CPPUNIT_ASSERT(Sent["e3"] + Sent["e4"] > (Sent["e1"] + Sent["e2"]) / 2);
+  }
+
 private:
   /// Each of the five models has one copy; e1 holds three of them.
   auto addAllModels() -> void {
@@ -295,6 +315,48 @@
     return Harness.onlyEffect<refuse_request>();
   }
 
+  /// 40 requests a second for a and 10 for b, of 50 ms of prefill. Targets
+  /// work on one after the other; loads take a second.
+  auto serve(duration Time) -> void {
+    for (const auto End = Harness.Now + Time; Harness.Now < End;) {
+      ++LastRequest;
+      Harness.receiveRequest(LastRequest, "/chat/x",
+                             LastRequest % 5 == 0 ? "b" : "a", 2000);
+      takeEffects();
+      Harness.Now += milliseconds(20);
+      while (!Due.empty() && Due.begin()->first <= Harness.Now) {
+        Harness.dispatch(Due.begin()->second);
+        Due.erase(Due.begin());
+        takeEffects();
+      }
+      if (LastRequest % 5 == 0)
+        Harness.dispatch(tick{});
+      takeEffects();
+    }
+  }
+
+  auto takeEffects() -> void {
+    for (const auto &Send : Harness.effectsOf<send_attempt>()) {
+      ++Sent[Send.Target.Text];
+      auto &FreeAt = FreeTimes[Send.Target.Text];
+      FreeAt = std::max(FreeAt, Harness.Now) + milliseconds(50);
+      Due.emplace(FreeAt, first_output{Send.Number, Send.Attempt});
+      attempt_ended Ended;
+      Ended.Number = Send.Number;
+      Ended.Attempt = Send.Attempt;
+      Ended.End = attempt_end::Answered;
+      Due.emplace(FreeAt + milliseconds(200), Ended);
+    }
+    for (const auto &Load : Harness.effectsOf<request_load>())
+      Due.emplace(Harness.Now + seconds(1),
+                  load_answered{Load.Target, Load.Model, "", true});
+    Harness.Effects.clear();
+  }
+
+  request_number LastRequest = 100;
+  std::multimap<time_point, gateway_event> Due;
+  std::map<std::string, time_point> FreeTimes;
+  std::map<std::string, int> Sent;
   gateway_harness Harness;
 };
 
--- a/libs/serving/tests/parts_test.cpp
+++ b/libs/serving/tests/parts_test.cpp
@@ -124,6 +124,8 @@
   CPPUNIT_TEST(acquire_fullWindow_isRefusedUntilOldestExpires);
   CPPUNIT_TEST(serialize_roundTrip_keepsStarts);
   CPPUNIT_TEST(construct_unreadableText_isEmpty);
+  CPPUNIT_TEST(restore_startsThatTheCopyLacks_countAgain);
+  CPPUNIT_TEST(acquire_startInTheFuture_isDropped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +149,21 @@
     load_window Window("x,,{}");
     CPPUNIT_ASSERT(Window.acquire(1000, 5000, 1));
   }
+
+  auto restore_startsThatTheCopyLacks_countAgain() -> void {
+    load_window Copy("1000");
+    CPPUNIT_ASSERT(Copy.restore(2000));
+    CPPUNIT_ASSERT(!Copy.restore(1000));
+    CPPUNIT_ASSERT(!Copy.acquire(5999, 5000, 2));
+    CPPUNIT_ASSERT(Copy.acquire(6000, 5000, 2));
+  }
+
+  /// Guards against a window that never empties once the store has returned
+  /// with a clock that is behind.
+  auto acquire_startInTheFuture_isDropped() -> void {
+    load_window Window("900000");
+    CPPUNIT_ASSERT(Window.acquire(1000, 5000, 1));
+  }
 };
 
 class prefix_cache_test : public CppUnit::TestFixture {
--- a/review/stand_ins/platform.h
+++ b/review/stand_ins/platform.h
@@ -276,6 +276,21 @@
   auto Text = Content.str();
   if (Text.empty())
     throw std::runtime_error("no template " + File);
+  // Sections stay if the platform states their value.
+  for (std::size_t Begin = 0;
+       (Begin = Text.find("{{#")) != std::string::npos;) {
+    const auto Name =
+        Text.substr(Begin + 3, Text.find("}}", Begin) - Begin - 3);
+    const auto Open = "{{#" + Name + "}}\n";
+    const auto Close = "{{/" + Name + "}}\n";
+    const auto End = Text.find(Close, Begin);
+    if (End == std::string::npos)
+      throw std::runtime_error("no end of section " + Name);
+    const auto Inner = Text.substr(Begin + Open.size(),
+                                   End - Begin - Open.size());
+    Text.replace(Begin, End + Close.size() - Begin,
+                 Values.contains(Name) ? Inner : "");
+  }
   for (std::size_t Begin = 0;
        (Begin = Text.find("{{", Begin)) != std::string::npos;) {
     const auto End = Text.find("}}", Begin);
@@ -294,6 +309,7 @@
   return {{"zone", "north"},
           {"ip_address", "127.0.0.1"},
           {"limits.memory_mb", "260"},
+          {"contracts", ""},
           {"platform.address", Store.address()},
           {"bounds.drain_timeout_ms", "2000"},
           {"bounds.grace_period_s", "8"},
--- a/testing/emulator/include/emulator/store_emulator.h
+++ b/testing/emulator/include/emulator/store_emulator.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,15 @@
   [[nodiscard]] auto version(const std::string &Table,
                              const std::string &Key) const -> std::uint64_t;
 
+  /// Takes the copy that restore returns to.
+  auto takeCopy() -> void;
+  /// Returns to the copy: what was written since is gone, versions are given
+  /// out again and the era rises. Calls that wait for changes are answered as
+  /// of then, or stay open until their wait is over.
+  auto restore(bool EndsWaits = true) -> void;
+
+  /// Named by every answer, errors included; not set if eras are not counted.
+  std::optional<std::uint64_t> Era;
   store_faults Faults;
   std::uint64_t Calls = 0;
 
@@ -49,6 +59,7 @@
   using row_name = std::pair<std::string, std::string>;
 
   auto answer(net::http_request Request) -> net::awaitable<net::http_response>;
+  auto execute(net::http_request Request) -> net::awaitable<net::http_response>;
   auto get(const std::map<std::string, std::string> &Query) -> nlohmann::json;
   auto feed(std::map<std::string, std::string> Query)
       -> net::awaitable<net::http_response>;
@@ -60,6 +71,8 @@
   net::asio::io_context &Context;
   std::map<row_name, row> Rows;
   std::uint64_t Version = 0;
+  std::map<row_name, row> CopiedRows;
+  std::uint64_t CopiedVersion = 0;
   std::vector<std::shared_ptr<net::asio::steady_timer>> Waiting;
   std::unique_ptr<net::listener> Listener;
 };
--- a/testing/emulator/src/store_emulator.cpp
+++ b/testing/emulator/src/store_emulator.cpp
@@ -88,6 +88,19 @@
                                                       : Found->second.Version;
 }
 
+auto store_emulator::takeCopy() -> void {
+  CopiedRows = Rows;
+  CopiedVersion = Version;
+}
+
+auto store_emulator::restore(bool EndsWaits) -> void {
+  Rows = CopiedRows;
+  Version = CopiedVersion;
+  Era = Era.value_or(0) + 1;
+  if (EndsWaits)
+    wake();
+}
+
 auto store_emulator::wake() -> void {
   for (const auto &Timer : std::exchange(Waiting, {}))
     Timer->cancel();
@@ -127,6 +140,9 @@
   const auto Until =
       process_clock::now() + milliseconds(std::stoll(Query.at("wait_time_ms")));
   for (;;) {
+    // A version that the store does not have.
+    if (After > Version)
+      co_return makeAnswer(410, json::object());
     json List = json::array();
     for (const auto &[Name, Row] : Rows)
       if (Name.first == Query.at("table") && Row.Version > After)
@@ -173,6 +189,14 @@
 
 auto store_emulator::answer(net::http_request Request)
     -> awaitable<net::http_response> {
+  auto Answer = co_await execute(std::move(Request));
+  if (Era)
+    Answer.Head.Fields.push_back({"Store-Era", std::to_string(*Era)});
+  co_return Answer;
+}
+
+auto store_emulator::execute(net::http_request Request)
+    -> awaitable<net::http_response> {
   ++Calls;
   const bool Write = Request.Target == "/rows-tx";
   if (Faults.Down)
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -10,6 +10,7 @@
 using json = nlohmann::json;
 using net::awaitable;
 
+constexpr std::string_view EndOfHead = "\r\n\r\n";
 constexpr int Events = 6;
 constexpr int CutAt = 3;
 constexpr std::uint64_t Born = 1000;
@@ -84,14 +85,21 @@
     const net::http_request &Request) -> awaitable<bool> {
   auto Head = signedHead(Request);
   Head.Fields.push_back({"Content-Type", "text/event-stream"});
-  Head.Fields.push_back({"Transfer-Encoding", "chunked"});
+  if (!UnframedStreams)
+    Head.Fields.push_back({"Transfer-Encoding", "chunked"});
   std::string Bytes = serializeResponseHead(Head) + "\r\n";
   for (int Number = 1; Number <= EventsBeforeCrash; ++Number)
-    Bytes += net::serializeChunk(eventText(Number));
+    Bytes += UnframedStreams ? eventText(Number)
+                             : net::serializeChunk(eventText(Number));
   if (!CrashesBeforeHead)
     co_await Connection->write(std::move(Bytes));
   // A reset discards what the peer has not read yet.
   co_await net::sleepFor(milliseconds(EventGapMs));
+  // The connections of a process that is killed end without a reset if nothing
+  // is unread.
+  Listener->stop();
+  if (UnframedStreams)
+    co_await Connection->closeGracefully();
   crash();
   co_return false;
 }
@@ -282,6 +290,8 @@
   default:
     co_return co_await runEndless(Connection, Request);
   }
+  if (Request.Method == "HEAD")
+    Bytes.resize(Bytes.find(EndOfHead) + EndOfHead.size());
   co_return co_await Connection->write(std::move(Bytes));
 }
 
@@ -370,6 +380,8 @@
   if (!UnframedStreams)
     Head.Fields.push_back({"Transfer-Encoding", "chunked"});
   std::string Bytes = serializeResponseHead(Head) + "\r\n";
+  if (Seen->Request.Method == "HEAD")
+    co_return co_await Connection->write(std::move(Bytes));
   const bool Unframed = UnframedStreams;
   const auto After =
       std::string(net::findField(Seen->Request.Fields, "Last-Event-Id"));
--- a/testing/emulator/tests/broken_answer_test.cpp
+++ b/testing/emulator/tests/broken_answer_test.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(stream_answerCutAnywhere_doesNotLookComplete);
   CPPUNIT_TEST(stream_resumedWithAnError_errorIsNotInTheStream);
   CPPUNIT_TEST(plain_refusalOfAnotherRequest_isNotTakenForThisOne);
+  CPPUNIT_TEST(plain_statusOutOfRange_isOfUnknownOutcome);
+  CPPUNIT_TEST(stream_statusOutOfRange_isNotAnAnswer);
+  CPPUNIT_TEST(read_statusOutOfRange_isSentToAnotherTarget);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,7 +98,51 @@
     }
   }
 
+  auto plain_statusOutOfRange_isOfUnknownOutcome() -> void {
+    for (const auto &Bytes : answersOutOfRange()) {
+      answerRaw(*Ledger, Bytes, false);
+      const auto Before = seenCount();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Bytes, std::uint16_t{502},
+                                   Fleet->send("/pay/x", "b").Head.Status);
+      CPPUNIT_ASSERT_EQUAL(Before + 1, seenCount());
+    }
+  }
+
+  auto stream_statusOutOfRange_isNotAnAnswer() -> void {
+    for (const auto &Bytes : answersOutOfRange()) {
+      answerRaw(*Engine, Bytes, false);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Bytes, std::uint16_t{502},
+                                   chat("/chat/x").Head.Status);
+    }
+  }
+
+  auto read_statusOutOfRange_isSentToAnotherTarget() -> void {
+    auto &Second = Fleet->addWorker("w2", "ledger");
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Fleet->metric("target_active{target=\"w2\"}") == 0; }));
+    for (const auto &Bytes : answersOutOfRange()) {
+      answerRaw(*Ledger, Bytes, false);
+      for (int Count = 0; Count < 4; ++Count)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Bytes, std::uint16_t{200},
+                                     Fleet->send("/read/x").Head.Status);
+    }
+    CPPUNIT_ASSERT(
+        Fleet->Outside.call([&] { return !Second.Requests.empty(); }));
+  }
+
 private:
+  /// Answers that are whole but for their status.
+  static auto answersOutOfRange() -> std::vector<std::string> {
+    std::vector<std::string> Answers;
+    for (const auto *Status : {"000", "099", "600", "999"})
+      Answers.push_back("HTTP/1.1 " + std::string(Status) +
+                        " X\r\nX-Limpetbridge-Attempt-Id: $ID\r\n"
+                        "X-Limpetbridge-Response-Signature: p\r\n"
+                        "Content-Type: text/event-stream\r\n"
+                        "Content-Length: 18\r\n\r\nid: 1\ndata: some\n\n");
+    return Answers;
+  }
+
   /// Answers that end before they are complete.
   static auto cutAnswers() -> std::vector<std::string> {
     const std::string Head = "HTTP/1.1 200 OK\r\n"
--- a/testing/emulator/tests/containment_test.cpp
+++ b/testing/emulator/tests/containment_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_fixture.h"
+#include "link_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -20,6 +21,10 @@
   CPPUNIT_TEST(rows_oddEntriesKeepChanging_othersAreFollowed);
   CPPUNIT_TEST(attempt_unexpectedError_endsOnlyItsRequest);
   CPPUNIT_TEST(event_unexpectedError_endsOnlyItsRequest);
+  CPPUNIT_TEST(call_namesThatAreNotUtf8_areRefused);
+  CPPUNIT_TEST(digest_namesThatAreNotUtf8_loadsGoOn);
+  CPPUNIT_TEST(peerAnswer_unexpectedError_processGoesOn);
+  CPPUNIT_TEST(order_unexpectedError_endsOnlyItsLoad);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,7 +175,98 @@
     checkServing();
   }
 
+  /// A load that names an adapter in other bytes once ended the process.
+  auto call_namesThatAreNotUtf8_areRefused() -> void {
+    startWithController();
+    for (const auto *Model : {"a/\xff\xfe", "\xc3", "a/\xed\xa0\x80"})
+      CPPUNIT_ASSERT_EQUAL(std::uint16_t{400}, chat(Model).Head.Status);
+    CPPUNIT_ASSERT_EQUAL(wholeStream(), chat("a").Body);
+    CPPUNIT_ASSERT_EQUAL(wholeStream(), chat("b").Body);
+  }
+
+  auto digest_namesThatAreNotUtf8_loadsGoOn() -> void {
+    startWithController();
+    serving::gateway_digest Digest;
+    Digest.From = instance_name("gateway-\xff");
+    Digest.Address = "127.0.0.1:9";
+    Digest.Sequence = 1;
+    Digest.AdapterUse.emplace(
+        target_name("e1"), serving::adapter_key(model_name("a"), "\xff\xfe"));
+    Digest.Demand[model_name("\xff")] = {1, 1};
+    sendDatagram(Fleet->Gateway->peersAddress(), encodeLink(Digest));
+    CPPUNIT_ASSERT(
+        eventually([&] { return Fleet->metric("gateways_heard") == 1; }));
+    // The request for a load names the adapters that were used.
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{503}, chat("a/x").Head.Status);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-1},
+                         Fleet->metric("unexpected_errors{kind=\"load\"}"));
+    CPPUNIT_ASSERT_EQUAL(wholeStream(), chat("b").Body);
+  }
+
+  auto peerAnswer_unexpectedError_processGoesOn() -> void {
+    Fleet->ChangeHooks = [](gateway_hooks &Hooks) {
+      Hooks.Watch = [Inner = Hooks.Watch](auto &&...Arguments) {
+        auto Sync = Inner(Arguments...);
+        Sync.BuildQuery = []() -> std::string {
+          throw std::runtime_error("unexpected");
+        };
+        return Sync;
+      };
+    };
+    // Without the store, a seed is asked.
+    Fleet->ChangeSettings = [](node_settings &Settings) {
+      Settings.GatewaySeeds = "127.0.0.1:9";
+    };
+    Fleet->Outside.call([&] { return Fleet->Store->Faults.Down = true; });
+    Fleet->startGateway();
+    CPPUNIT_ASSERT(eventually([&] {
+      return Fleet->metric("unexpected_errors{kind=\"peer_query\"}") > 0;
+    }));
+    Fleet->Outside.call([&] { return Fleet->Store->Faults.Down = false; });
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    checkServing();
+  }
+
+  auto order_unexpectedError_endsOnlyItsLoad() -> void {
+    const auto Failing = std::make_shared<std::atomic<bool>>(true);
+    Fleet->ChangeControllerHooks = [Failing](controller_hooks &Hooks) {
+      Hooks.BuildOrderRequest =
+          [Failing, Inner = Hooks.BuildOrderRequest](const order_facts &Facts) {
+            if (*Failing)
+              throw std::runtime_error("unexpected");
+            return Inner(Facts);
+          };
+    };
+    startWithController();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{503}, chat("b").Head.Status);
+    *Failing = false;
+    CPPUNIT_ASSERT(eventually([&] { return chat("b").Body == wholeStream(); }));
+  }
+
 private:
+  /// Starts a controller and a gateway; the engine holds model a.
+  auto startWithController() -> void {
+    auto &Engine = Fleet->addWorker("e1", "models");
+    Fleet->Outside.call([&] {
+      Engine.Behaviour = behaviour::Stream;
+      return Engine.Models.insert("a").second;
+    });
+    Fleet->publish("e1");
+    Fleet->startController("e1");
+    start();
+    CPPUNIT_ASSERT(eventually([&] { return chat("a").Body == wholeStream(); }));
+    // Before the controller is listed, no load can be requested.
+    CPPUNIT_ASSERT(eventually([&] {
+      return Fleet->metric("target_told_age_ms{target=\"e1\"}") >= 0;
+    }));
+  }
+
+  auto chat(const std::string &Model) -> client_answer {
+    return Fleet->send("/chat/x", "prompt",
+                       {{"X-Limpetbridge-Model", Model},
+                        {"X-Limpetbridge-Token-Usage", "100,20"}});
+  }
+
   auto start() -> void {
     Fleet->startGateway();
     CPPUNIT_ASSERT(Fleet->awaitReady());
--- a/testing/emulator/tests/crash_report_test.cpp
+++ b/testing/emulator/tests/crash_report_test.cpp
@@ -43,7 +43,8 @@
 
   auto decode_suspectOfAnotherKind_isSkipped() -> void {
     auto Json = parseMessagePack(encodeLink(makeReport(2, 1))).value();
-    Json["s"][0][0] = "model:d1";
+    // A kind of a later version may have other values.
+    Json["s"][0] = {"model:d1", {{"ages", 1}}};
     const auto Report = decode(toMessagePack(Json));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Report.Suspects.size());
   }
--- a/testing/emulator/tests/crashing_prompt_test.cpp
+++ b/testing/emulator/tests/crashing_prompt_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(prompts_twoPartsCrashTargets_neitherIsSentOn);
   CPPUNIT_TEST(prompts_targetsCrashBeforeTheirHead_isNotSentOn);
   CPPUNIT_TEST(prompts_targetsCrashAfterOneEvent_isNotSentOn);
+  CPPUNIT_TEST(prompts_targetsCrashInUnframedStreams_isNotSentOn);
   CPPUNIT_TEST(prompts_gatewayIsReplaced_isNotSentOn);
   CPPUNIT_TEST(prompts_targetsCrashForOtherReasons_areServed);
   CPPUNIT_TEST(quarantinePage_lifted_isServedByBothGateways);
@@ -98,6 +99,16 @@
     CPPUNIT_ASSERT(isServed({SharedPart, "b1"}));
   }
 
+  /// Such a stream counted as complete, so its prompt was never suspected.
+  auto prompts_targetsCrashInUnframedStreams_isNotSentOn() -> void {
+    EventsBeforeCrash = 1;
+    UnframedStreams = true;
+    setCrashParts({"d1"});
+    sendUntilCrashes({SharedPart, "d1"});
+    expectFewLateRequests({SharedPart, "d1"});
+    CPPUNIT_ASSERT(isServed({SharedPart, "b1"}));
+  }
+
   auto prompts_gatewayIsReplaced_isNotSentOn() -> void {
     setCrashParts({"d1"});
     sendUntilCrashes({SharedPart, "d1"});
@@ -184,6 +195,7 @@
         Worker->CrashParts = CrashParts;
         Worker->CrashesBeforeHead = CrashesBeforeHead;
         Worker->EventsBeforeCrash = EventsBeforeCrash;
+        Worker->UnframedStreams = UnframedStreams;
       }
       return 0;
     });
@@ -274,6 +286,7 @@
   std::set<std::string> CrashParts;
   bool CrashesBeforeHead = false;
   int EventsBeforeCrash = 0;
+  bool UnframedStreams = false;
   bool Ended = false; ///< No engine is replaced any more.
   int LastEngine = 0;
   int LastRequest = 0;
--- a/testing/emulator/tests/digest_inbox_test.cpp
+++ b/testing/emulator/tests/digest_inbox_test.cpp
@@ -59,6 +59,18 @@
 
   auto isDigest_kindsOfMessages_areToldApart() -> void {
     CPPUNIT_ASSERT(isDigest(encodeLink(gateway_digest())));
+    gateway_digest Digest;
+    Digest.StoreEra = 3;
+    Digest.ConfigurationGeneration = 2;
+    Digest.Overloaded = true;
+    const auto Bytes = encodeLink(Digest);
+    CPPUNIT_ASSERT(isDigest(Bytes));
+    const auto Message = decodeLink(Bytes);
+    const auto &Decoded = std::get<gateway_digest>(Message.value());
+    CPPUNIT_ASSERT_EQUAL(Digest.StoreEra, Decoded.StoreEra);
+    CPPUNIT_ASSERT_EQUAL(Digest.ConfigurationGeneration,
+                         Decoded.ConfigurationGeneration);
+    CPPUNIT_ASSERT(Decoded.Overloaded);
     CPPUNIT_ASSERT(!isDigest(encodeLink(holdings_report())));
     CPPUNIT_ASSERT(!isDigest(encodeLink(crash_report())));
     CPPUNIT_ASSERT(!isDigest(""));
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -49,6 +50,8 @@
   Settings.StoreAddress = StoreAddress;
   Settings.StoreWaitMs = 300;
   Settings.BalancerWaitMs = 50;
+  // The whole program is run once more with connections that are kept.
+  Settings.KeepConnections = std::getenv("FLEET_KEEPS_CONNECTIONS") != nullptr;
   return Settings;
 }
 
@@ -89,6 +92,18 @@
   return *Workers[Id];
 }
 
+auto fleet::addRawTarget(const char *Id, const char *Service,
+                         decltype(raw_target::Serve) Serve) -> raw_target & {
+  Outside.call([&] {
+    auto Target = std::make_unique<raw_target>(Outside.Context);
+    Target->Serve = std::move(Serve);
+    Store->put("servers", Id, Target->row(Service));
+    RawTargets[Id] = std::move(Target);
+    return 0;
+  });
+  return *RawTargets[Id];
+}
+
 auto fleet::publish(const char *Id) -> void {
   Outside.call([&] {
     Store->put("servers", Id, Workers[Id]->row());
@@ -97,8 +112,10 @@
 }
 
 auto fleet::publishConfiguration() -> void {
+  auto Changed = nlohmann::json::parse(Configuration);
+  ChangeConfiguration(Changed);
   Outside.call([&] {
-    Store->put("op", "config", Configuration);
+    Store->put("op", "config", Changed.dump());
     return 0;
   });
 }
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -7,6 +7,7 @@
 #include "adapter/hooks.h"
 #include "base/thread.h"
 #include "controller_node.h"
+#include "emulator/raw_target.h"
 #include "emulator/store_emulator.h"
 #include "emulator/worker_emulator.h"
 #include "gateway_node.h"
@@ -91,6 +92,9 @@
   ~fleet();
 
   auto addWorker(const char *Id, const char *Service) -> worker_emulator &;
+  /// Adds a target that \p Serve serves each connection to, and its row.
+  auto addRawTarget(const char *Id, const char *Service,
+                    decltype(raw_target::Serve) Serve) -> raw_target &;
   /// Writes the worker's row anew.
   auto publish(const char *Id) -> void;
   auto publishConfiguration() -> void;
@@ -132,6 +136,9 @@
   /// Sends a request and closes after \p Wait without reading.
   auto sendAndLeave(const std::string &Path, duration Wait) -> void;
 
+  /// Changes the configuration before it is published.
+  std::function<void(nlohmann::json &)> ChangeConfiguration =
+      [](nlohmann::json &) {};
   /// Changes the hooks of the gateways that are started from then on.
   std::function<void(gateway_hooks &)> ChangeHooks = [](gateway_hooks &) {};
   /// Changes the settings of the gateways that are started from then on.
@@ -145,6 +152,7 @@
   emulator_thread Outside;
   std::unique_ptr<store_emulator> Store;
   std::map<std::string, std::unique_ptr<worker_emulator>> Workers;
+  std::map<std::string, std::unique_ptr<raw_target>> RawTargets;
   std::unique_ptr<gateway_node> Gateway;
   std::vector<std::unique_ptr<gateway_node>> MoreGateways;
   std::unique_ptr<gateway_node> CutOff;
--- a/testing/emulator/tests/gateway_path_test.cpp
+++ b/testing/emulator/tests/gateway_path_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_fixture.h"
+#include "full_backlog.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -301,22 +302,10 @@
   }
 
   auto drain_whileConnecting_requestGoesElsewhere() -> void {
-    // A target whose backlog is full: the opening packet of the next connection
-    // is lost and sent again after a second.
-    net::asio::io_context Context;
-    net::tcp::acceptor Full(Context, net::tcp::endpoint(net::tcp::v4(), 0));
-    Full.listen(0);
-    const net::tcp::endpoint Endpoint(net::asio::ip::address_v4::loopback(),
-                                      Full.local_endpoint().port());
-    std::vector<net::tcp::socket> Fillers;
-    for (int I = 0; I < 4; ++I) {
-      Fillers.emplace_back(Context);
-      Fillers.back().async_connect(Endpoint, [](net::error_code) {});
-    }
-    Context.run_for(milliseconds(50));
+    full_backlog Full;
     const auto Publish = [&](const char *State) {
       auto Row = nlohmann::json::parse(First->row());
-      Row["address"] = "127.0.0.1:" + std::to_string(Endpoint.port());
+      Row["address"] = Full.address();
       Row["state"] = State;
       Fleet->Outside.call([&] {
         Fleet->Store->put("servers", "w1", Row.dump());
@@ -331,18 +320,7 @@
     auto &Second = Fleet->addWorker("w2", "ledger");
     Publish("draining");
     usleep(500'000);
-    // Room in the backlog: the connection is established at the next try.
-    std::vector<net::tcp::socket> Accepted;
-    Full.non_blocking(true);
-    const auto Deadline = process_clock::now() + seconds(2);
-    while (process_clock::now() < Deadline) {
-      net::error_code Error;
-      net::tcp::socket Socket(Context);
-      Full.accept(Socket, Error);
-      if (!Error)
-        Accepted.push_back(std::move(Socket));
-      usleep(5000);
-    }
+    auto Accepted = Full.accept(seconds(2));
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{200}, Sending.get().Head.Status);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen(Second).size());
     CPPUNIT_ASSERT(!Accepted.empty());
--- a/testing/emulator/tests/stream_framing_test.cpp
+++ b/testing/emulator/tests/stream_framing_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(stream_connectionIsReset_isNotFramedAsComplete);
   CPPUNIT_TEST(stream_endsBetweenEvents_isRelayedByteForByte);
   CPPUNIT_TEST(stream_resumableEndsInsideAnEvent_goesOnAtAnotherTarget);
+  CPPUNIT_TEST(stream_targetCrashesBetweenEvents_isNotFramedAsComplete);
   CPPUNIT_TEST(stream_otherContentType_isRelayedByteForByte);
   CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +106,26 @@
     }
   }
 
+  auto stream_targetCrashesBetweenEvents_isNotFramedAsComplete() -> void {
+    auto &Second = addEngine("e2");
+    usleep(700'000);
+    const auto CrashNext = [&](worker_emulator &Worker) {
+      return Fleet->Outside.call([&] {
+        Worker.UnframedStreams = true;
+        Worker.EventsBeforeCrash = 2;
+        return Worker.CrashParts.insert("d1").second;
+      });
+    };
+    CrashNext(*Engine);
+    while (Fleet->Outside.call([&] { return !Engine->Crashed; })) {
+      const auto Answer = chat("/plan/x", "d1:100,");
+      CPPUNIT_ASSERT(Answer.Whole);
+      CPPUNIT_ASSERT_EQUAL(wholeStream(), Answer.Body);
+    }
+    CrashNext(Second);
+    CPPUNIT_ASSERT(!chat("/chat/x", "d1:100,").Whole);
+  }
+
   auto stream_otherContentType_isRelayedByteForByte() -> void {
     for (const auto *Path : {"/chat/x", "/plan/x"}) {
       answerRaw("\r\n{\"text\":\"a\"}", false, "application/json");
@@ -181,12 +202,13 @@
   }
 
   /// Each request has a prompt of its own, so that no cache attracts it.
-  auto chat(const std::string &Path) -> client_answer {
+  auto chat(const std::string &Path, const std::string &Parts = "")
+      -> client_answer {
     return Fleet->send(Path, "prompt",
                        {{"X-Limpetbridge-Model", "a"},
                         {"X-Limpetbridge-Token-Usage", "100,20"},
                         {"X-Limpetbridge-Prompt-Prefix",
-                         std::to_string(++LastPart) + ":100"}});
+                         Parts + std::to_string(++LastPart) + ":100"}});
   }
 
   std::unique_ptr<fleet> Fleet;
--- a/testing/pages/tests/pages_test.cpp
+++ b/testing/pages/tests/pages_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(languagePage_everyExample_parses);
   CPPUNIT_TEST(samples_everyFile_loads);
   CPPUNIT_TEST(operationsPage_everySetting_isListed);
+  CPPUNIT_TEST(sources_everyJsonText_takesBytesThatAreNotUtf8);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,8 +67,9 @@
     const auto Page = pageText("docs/OPERATIONS.md");
     for (const auto &Row : settingsTable()) {
       static const std::set<std::string_view> Sections = {
-          "instance", "gateway", "link", "metrics",    "store",     "retry",
-          "loads",    "drain",   "log",  "controller", "quarantine"};
+          "instance", "gateway",    "link",       "metrics", "store",
+          "retry",    "loads",      "drain",      "log",     "controller",
+          "targets",  "quarantine", "workspaces", "quota"};
       if (!Sections.contains(Row.Section))
         continue;
       const auto Cell =
@@ -79,6 +81,27 @@
     }
   }
 
+  /// The JSON library's dump() throws on such bytes, and an exception that
+  /// leaves a task ends the process.
+  auto sources_everyJsonText_takesBytesThatAreNotUtf8() -> void {
+    int Files = 0;
+    for (const auto *Folder : {"libs", "apps", "platform"})
+      for (const auto &Each : std::filesystem::recursive_directory_iterator(
+               std::string(SOURCE_FOLDER) + "/" + Folder)) {
+        const auto &Path = Each.path();
+        if (Path.extension() != ".cpp" && Path.extension() != ".h")
+          continue;
+        if (Path.filename() == "json_text.cpp" ||
+            Path.string().find("/tests/") != std::string::npos)
+          continue;
+        ++Files;
+        const auto Text = readFile(Path.string()).value();
+        CPPUNIT_ASSERT_MESSAGE(Path.string(),
+                               Text.find(".dump()") == std::string::npos);
+      }
+    CPPUNIT_ASSERT(Files >= 100);
+  }
+
 private:
   static auto pageText(const std::string &Page) -> std::string {
     return readFile(std::string(SOURCE_FOLDER) + "/" + Page).value();
