Quotas: a starting gateway need not wait for the term of a loan

Cause: a gateway that starts has no share of any quota for the term of a loan, since its predecessor may have lent all of it.

Change: a report says whether anything that its receiver lent is in use at the sender, together with a hash of the names of the gateways that the sender counts. A process that starts begins with an empty bucket as soon as all gateways agree on the names and hold nothing of its predecessor. Reports from processes that were not known are answered at once, and the first one leaves with the first list. Older versions skip the new field; without it the term is waited for.

--- a/apps/limpetbridge/src/serving/quota_codec.cpp
+++ b/apps/limpetbridge/src/serving/quota_codec.cpp
@@ -56,7 +56,7 @@
 auto writeQuotaReport(message_pack_writer &Writer, const quota_report &Report)
     -> void {
   const auto &Message = Report.Message;
-  Writer.beginMap(10);
+  Writer.beginMap(Message.Settled != 0 ? 11 : 10);
   Writer.write("d");
   Writer.beginArray(Message.Demands.size());
   for (const auto &Demand : Message.Demands) {
@@ -88,6 +88,8 @@
   }
   Writer.writeField("m", Message.Members);
   Writer.writeField("n", Message.Number);
+  if (Message.Settled != 0)
+    Writer.writeField("s", Message.Settled);
   Writer.writeField("t", Report.To.Text);
 }
 
@@ -104,6 +106,8 @@
   Message.HeardNumber = Fields.at("hn").readUnsigned();
   Message.Members = static_cast<std::uint32_t>(
       std::min<std::uint64_t>(Fields.at("m").readUnsigned(), UINT32_MAX));
+  if (Fields.contains("s"))
+    Message.Settled = Fields.at("s").readUnsigned();
   readList(Fields, "d", DemandValues,
            [&](message_pack_reader &Reader, std::size_t Values) {
              auto &Demand = Message.Demands.emplace_back();
--- a/libs/serving/include/serving/quota_members.h
+++ b/libs/serving/include/serving/quota_members.h
@@ -28,6 +28,8 @@
   std::uint32_t Members = 0;         ///< That it reported.
   std::uint64_t Confirmed = 0;       ///< Newest of our messages it processed.
   std::optional<time_point> ConfirmedAt; ///< When that one was sent.
+  /// Its newest message confirmed this process, see quota_message::Settled.
+  std::uint64_t Settled = 0;
   /// Numbers and times of the messages to it within the term of a loan.
   std::deque<std::pair<std::uint64_t, time_point>> Sent;
   /// Workspaces with demand of it, or loans to or from it.
@@ -41,6 +43,7 @@
   std::uint64_t HeardIncarnation = 0;
   std::uint64_t HeardNumber = 0;
   std::uint32_t Members = 0;
+  std::uint64_t Settled = 0;
 };
 
 /// The gateways that share quotas.
@@ -64,8 +67,9 @@
                              const quota_message_head &Head, time_point Now)
       -> std::optional<heard>;
   /// Head of the next message to \p To.
-  [[nodiscard]] auto send(const instance_name &To, time_point Now)
-      -> quota_message_head;
+  /// \param HoldsLoans something that \p To lent is in use here.
+  [[nodiscard]] auto send(const instance_name &To, bool HoldsLoans,
+                          time_point Now) -> quota_message_head;
 
   /// Follows the time; cheap if called often.
   auto update(time_point Now) -> void;
@@ -102,6 +106,8 @@
   [[nodiscard]] auto counts(const quota_member &Member, time_point Now) const
       -> bool;
   [[nodiscard]] auto mayStart(time_point Now) const -> bool;
+  [[nodiscard]] auto areLoansSettled() const -> bool;
+  [[nodiscard]] auto hashNames() const -> std::uint64_t;
   auto updateReported(std::uint32_t Own, time_point Now) -> void;
   auto updateOwnership(std::uint32_t Contacts, time_point Now) -> void;
 
@@ -115,10 +121,11 @@
   std::optional<time_point> UpdatedAt;
   std::optional<time_point> BaseSince;
   ownership Ownership = ownership::None;
-  std::uint32_t Own = 1;      ///< Gateways that count here.
-  std::uint32_t Count = 1;    ///< The same, or more if others count more.
-  std::uint32_t Reported = 1; ///< Of Own; all loans in force fit to it.
-  std::uint32_t Pending = 1;  ///< Will be reported at PendingUntil.
+  std::uint64_t NamesHash = 0; ///< Of the gateways that count here.
+  std::uint32_t Own = 1;       ///< Gateways that count here.
+  std::uint32_t Count = 1;     ///< The same, or more if others count more.
+  std::uint32_t Reported = 1;  ///< Of Own; all loans in force fit to it.
+  std::uint32_t Pending = 1;   ///< Will be reported at PendingUntil.
   std::optional<time_point> PendingUntil;
 };
 
--- a/libs/serving/include/serving/quota_shares.h
+++ b/libs/serving/include/serving/quota_shares.h
@@ -47,6 +47,9 @@
   std::uint64_t HeardIncarnation = 0;
   std::uint64_t HeardNumber = 0;
   std::uint32_t Members = 0; ///< Gateways that the sender shares limits with.
+  /// Hash of the names of these gateways if nothing that the receiver lent is
+  /// in use at the sender; 0 otherwise, and from versions without the field.
+  std::uint64_t Settled = 0;
   struct demand {
     workspace_name Workspace;
     double PerSecond = 0; ///< Tokens that its callers steadily ask for.
@@ -204,6 +207,8 @@
             bool InContact, time_point Now, quota_message &Message) -> void;
   auto receiveDemands(const instance_name &From, quota_member &Member,
                       const quota_message &Message, time_point Now) -> void;
+  [[nodiscard]] auto holdsLoansOf(const instance_name &Lender, time_point Now)
+      -> bool;
   auto ask(workspace &Workspace, time_point Now) -> void;
   auto sweep(time_point Now) -> void;
 
--- a/libs/serving/src/gateway_quota.cpp
+++ b/libs/serving/src/gateway_quota.cpp
@@ -252,6 +252,9 @@
   for (const auto &Instance : Event.Instances)
     if (Instance.Role == instance_role::Gateway)
       State.GatewaysListedAt[Instance.Name] = Step.Now;
+  // Its share begins when all others have confirmed it.
+  if (!WasListed)
+    State.NextQuotaReport = Step.Now;
   // The others do not count a gateway for ever that is listed and silent. So it
   // relies on the list once only, and on hearing from them later.
   if (State.Quotas)
--- a/libs/serving/src/quota_members.cpp
+++ b/libs/serving/src/quota_members.cpp
@@ -1,6 +1,7 @@
 #include "serving/quota_members.h"
 
 #include <algorithm>
+#include <string>
 
 namespace limpetbridge::serving {
 
@@ -89,6 +90,7 @@
   Member.SeenAt = Now;
   const bool MoreMembers = Head.Members > Count;
   Member.Members = Head.Members;
+  Member.Settled = Head.HeardIncarnation == Incarnation ? Head.Settled : 0;
   if (Head.HeardIncarnation == Incarnation)
     for (const auto &[Number, SentAt] : Member.Sent)
       if (Number == Head.HeardNumber) {
@@ -103,10 +105,11 @@
   return Heard;
 }
 
-auto quota_members::send(const instance_name &To, time_point Now)
-    -> quota_message_head {
+auto quota_members::send(const instance_name &To, bool HoldsLoans,
+                         time_point Now) -> quota_message_head {
   update(Now);
-  quota_message_head Head{Incarnation, ++LastNumber, 0, 0, Reported};
+  quota_message_head Head{
+      Incarnation, ++LastNumber, 0, 0, Reported, HoldsLoans ? 0 : NamesHash};
   auto *Member = find(To);
   if (Member == nullptr)
     return Head;
@@ -172,6 +175,7 @@
       Highest = std::max(Highest, Member.Members);
     ++Next;
   }
+  NamesHash = hashNames();
   Own = static_cast<std::uint32_t>(Members.size()) + 1;
   Count = std::max(Own, Highest);
   updateReported(Own, Now);
@@ -197,10 +201,37 @@
     updateReported(Own, Now);
 }
 
+auto quota_members::hashNames() const -> std::uint64_t {
+  std::string Names;
+  const auto Add = [&](const instance_name &Name) {
+    Names += Name.Text;
+    Names += '\n';
+  };
+  auto Next = Members.begin();
+  for (; Next != Members.end() && Next->first < Self; ++Next)
+    Add(Next->first);
+  Add(Self);
+  for (; Next != Members.end(); ++Next)
+    Add(Next->first);
+  return std::max<std::uint64_t>(1, stableHash(Names));
+}
+
+/// Whether nothing that an earlier process of this gateway lent is in use. All
+/// others have to count the same gateways, so that a borrower that is unknown
+/// here is noticed. One that knows no other waits, since others may be about to
+/// be listed.
+auto quota_members::areLoansSettled() const -> bool {
+  return !Members.empty() && Own == Count &&
+         std::all_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+           return Entry.second.Settled == NamesHash;
+         });
+}
+
 auto quota_members::mayStart(time_point Now) const -> bool {
   // Loans of an earlier process of this gateway end within a term.
   const auto Term = termFor(Count);
-  if (!StartedAt || !ListedAt || Now - *StartedAt <= Term)
+  if (!StartedAt || !ListedAt ||
+      (Now - *StartedAt <= Term && !areLoansSettled()))
     return false;
   // One that is not in contact may not know this gateway.
   return std::all_of(Members.begin(), Members.end(), [&](const auto &Entry) {
--- a/libs/serving/src/quota_messages.cpp
+++ b/libs/serving/src/quota_messages.cpp
@@ -156,16 +156,33 @@
   Add(Partner.GiftLent, Gift, GiftTerm, true);
 }
 
+auto quota_shares::holdsLoansOf(const instance_name &Lender, time_point Now)
+    -> bool {
+  const auto *Member = Members.find(Lender);
+  if (Member == nullptr)
+    return false;
+  return std::any_of(Member->Workspaces.begin(), Member->Workspaces.end(),
+                     [&](const workspace_name &Name) {
+                       const auto Found = Workspaces.find(Name);
+                       if (Found == Workspaces.end())
+                         return false;
+                       const auto Partner = Found->second.Partners.find(Lender);
+                       return Partner != Found->second.Partners.end() &&
+                              Partner->second.borrowed(Now) > 0;
+                     });
+}
+
 auto quota_shares::messageFor(const instance_name &To, time_point Now)
     -> quota_message {
   sweep(Now);
-  const auto Head = Members.send(To, Now);
+  const auto Head = Members.send(To, holdsLoansOf(To, Now), Now);
   quota_message Message;
   Message.Incarnation = Head.Incarnation;
   Message.Number = Head.Number;
   Message.HeardIncarnation = Head.HeardIncarnation;
   Message.HeardNumber = Head.HeardNumber;
   Message.Members = Head.Members;
+  Message.Settled = Head.Settled;
   Replies.erase(To);
   for (auto &[Name, Workspace] : Workspaces) {
     if (!Workspace.Limit)
@@ -224,16 +241,18 @@
     -> std::vector<workspace_name> {
   if (Policy.Window <= duration::zero())
     return {};
-  const auto Heard = Members.receive(From,
-                                     {Message.Incarnation, Message.Number,
-                                      Message.HeardIncarnation,
-                                      Message.HeardNumber, Message.Members},
-                                     Now);
+  const auto Heard = Members.receive(
+      From,
+      {Message.Incarnation, Message.Number, Message.HeardIncarnation,
+       Message.HeardNumber, Message.Members, Message.Settled},
+      Now);
   if (!Heard)
     return {};
   sweep(Now);
   auto &Member = *Members.find(From);
-  if (Heard->NewIncarnation)
+  if (Heard->NewIncarnation) {
+    // A process that starts has no share until all others have confirmed it.
+    Replies.insert(From);
     for (auto &[Name, Workspace] : Workspaces) {
       const auto Partner = Workspace.Partners.find(From);
       if (Partner == Workspace.Partners.end())
@@ -243,6 +262,7 @@
       Partner->second.GiftLent.restart();
       Partner->second.GiftBorrowed.restart();
     }
+  }
   receiveDemands(From, Member, Message, Now);
 
   // Loans that the message does not name have ended.
--- a/libs/serving/tests/quota_shares_test.cpp
+++ b/libs/serving/tests/quota_shares_test.cpp
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(admit_largestRequestAtAFreshGateway_gathersTokens);
   CPPUNIT_TEST(admit_overTheLimit_isRefusedWithASpreadTime);
   CPPUNIT_TEST(admit_oneGatewayAlone_usesTheWholeLimit);
+  CPPUNIT_TEST(start_allGatewaysAtOnce_sharesBeginWithinASecond);
   CPPUNIT_TEST(admit_noQuota_admitsAll);
   CPPUNIT_TEST(setLimits_tenChangesInTenSeconds_sharesStay);
   CPPUNIT_TEST(setLimits_lowered_bindsAtOnce);
@@ -203,6 +204,30 @@
     CPPUNIT_ASSERT_EQUAL(0.0, Fleet.Records[Small].WronglyRefused);
   }
 
+  /// Guards against a fleet that refuses all for the term of a loan (2 s) after
+  /// all its gateways have started again.
+  auto start_allGatewaysAtOnce_sharesBeginWithinASecond() -> void {
+    const workspace_name Workspace("large");
+    quota_fleet Fleet({seconds(8), 0.1, 0}, 7);
+    Fleet.setLimits({{Workspace, {500'000, 57'000}}});
+    for (int I = 0; I < 29; ++I)
+      Fleet.add();
+    Fleet.run(seconds(10));
+    for (auto &[Name, Gateway] : Fleet.Gateways)
+      Gateway.Alive = false;
+    Fleet.run(seconds(1));
+    std::vector<instance_name> Names;
+    for (const auto &[Name, Gateway] : Fleet.Gateways)
+      Names.push_back(Name);
+    for (const auto &Name : Names)
+      Fleet.start(Name, 0);
+    Fleet.run(seconds(1));
+    for (const auto &Name : Names)
+      Fleet.request(Name, Workspace, 100);
+    Fleet.run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0.0, Fleet.Records.at(Workspace).Refused);
+  }
+
   auto admit_noQuota_admitsAll() -> void {
     quota_shares NoWindow({}, instance_name("a"), 1, 1);
     quota_shares NoLimit(productPolicy(), instance_name("a"), 1, 1);
@@ -281,6 +306,7 @@
                               Sent.Incarnation,
                               Sent.Number,
                               Members,
+                              0,
                               {{Small, Odd, Odd}},
                               {{Small, Odd, Odd, false, Odd}}};
         (void)Gateway.Shares.receive(instance_name("gateway-1"), Message, Now);
