Fleet account: comments say which requests count

"Admitted or not" was wrong: a prompt counts once a target was found for it, whether it is then sent or yields to others. What the key, the quota or the lack of a target refused before does not count, nor do requests without a prompt. Comments only.

--- a/libs/serving/include/serving/fleet_account.h
+++ b/libs/serving/include/serving/fleet_account.h
@@ -1,7 +1,8 @@
 /// \file
-/// How many tokens the callers of each workspace ask for over all gateways,
-/// with or without a limit. Each gateway counts its own requests and tells the
-/// others its rates with the reports about quotas.
+/// How many tokens the prompts of each workspace ask for over all gateways,
+/// with or without a limit. Each gateway counts the prompts that it is about to
+/// send to a target, and tells the others its rates with the reports about
+/// quotas.
 ///
 /// For other parts, the state of a gateway has one:
 ///   State.Account.workspaceRate(Workspace, Step.Now)
@@ -20,7 +21,10 @@
 
 namespace limpetbridge::serving {
 
-/// Tokens that the callers of a workspace ask for, admitted or not.
+/// Tokens of the prompts of a workspace for which a target was found, whether
+/// they are sent then or yield to others (fair shares). Requests without a
+/// prompt do not count, nor do those that were refused before: for their key or
+/// quota, or as no target serves them.
 struct workspace_rate {
   double PerSecond = 0; ///< Of all gateways, averaged over about 2 s.
   /// Of the oldest report that is part of it; 0 if only requests at this
@@ -31,7 +35,8 @@
 /// Rates of the workspaces in use, over all gateways.
 class fleet_account {
 public:
-  /// A request with \p Tokens, 0 or more, has arrived at this gateway.
+  /// A prompt with \p Tokens, 0 or more, is about to be sent by this gateway.
+  /// To be called once for each request.
   auto record(const workspace_name &Workspace, double Tokens, time_point Now)
       -> void;
   /// Adds this gateway's own rates to the demands of \p Message.
