Fair shares: count known outcomes, yield only where it helps

- Requests in flight or held counted as not served, so a workspace or kind that began to send, or whose callers left early, passed for one that is hardly served.
A request now counts at its first output, at its end without one, or 1 s after its objective, so that prompts stuck at an engine still count before their deadline.
A caller that leaves within the objective does not count.
- A less urgent prompt waits for a more urgent kind that is served less only if no target that it could be sent to has room for that kind.
Refusals for the share of a workspace do not count in that comparison.
- The last examination of a prompt that waits for a kind sends it if it can still be in time, instead of refusing it.
- Retry-After follows the averages: 2 s * ln(rate / level) for the workspace, 20 s * ln(lead / 0.03) for a kind that is ahead, at most 75 s.
- IsInRequests, Arrived and ArrivedTokens were never read; they are gone.

--- a/libs/serving/include/serving/fair_share.h
+++ b/libs/serving/include/serving/fair_share.h
@@ -16,12 +16,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace limpetbridge::serving {
 
-/// What a workspace uses per second over all gateways, in the unit of its
-/// quota.
+/// Tokens of the prompts of a workspace per second, over all gateways.
 using fleet_rate = std::function<double(const workspace_name &, time_point)>;
 
 /// Rate of a workspace, and how much of what is offered comes from it.
@@ -53,21 +53,45 @@
   std::string Route; ///< Its kind.
   service_name Service;
   std::int64_t ObjectiveMs = 0; ///< Of the route.
+  std::size_t Rank = 0;         ///< Of its prefill at the targets.
 };
 
 /// How a request is treated while its target has no room for all.
 enum class fair_standing : std::uint8_t {
   Within, ///< Its workspace uses at most its fair share.
   Above,  ///< Its workspace uses more, so its requests yield.
-  Ahead,  ///< A more urgent kind of the service is served less often.
   Owed    ///< Its workspace or kind is served far less often than others.
 };
 
+/// What became of a request.
+enum class fair_outcome : std::uint8_t {
+  Served,     ///< Its first output came.
+  NotServed,  ///< It ended without one.
+  AboveShare, ///< Refused as its workspace is above its share, for which no
+              ///< less urgent kind has to yield.
+  Left ///< Its caller left, or its own key or prompt was the cause. Counts
+       ///< as not served only if its objective had passed.
+};
+
+/// A kind of requests that less urgent ones may have to yield to.
+struct urgent_kind {
+  std::int64_t ObjectiveMs = 0;
+  std::size_t Rank = 0; ///< Of the prefill of its last request.
+};
+
 struct fair_position {
   fair_standing Standing = fair_standing::Within;
-  bool IsKindOwed = false;   ///< Owed as its kind is.
+  bool IsKindOwed = false; ///< Owed as its kind is.
+  /// More urgent kinds of the service that are served less often. It yields to
+  /// them where its targets have no room for them. None for one that is owed.
+  std::vector<urgent_kind> Behind;
   double RatePerSecond = 0;  ///< Tokens of the workspace.
   double LevelPerSecond = 0; ///< Fair share of each workspace that wants more.
+  /// Time until the workspace is back at its level if it sends nothing, and
+  /// until none of Behind is served less often if all are served alike, s. 0 if
+  /// that is so now; infinite if the level is 0.
+  double ShareReturnSeconds = 0;
+  double KindReturnSeconds = 0;
 };
 
 /// Rates of the workspaces, and how often requests are served.
@@ -75,13 +99,18 @@
 public:
   /// Takes the workspaces of the configuration in force.
   auto configure(const configuration &Configuration) -> void;
-  /// A request arrived that asks for \p Tokens.
-  auto recordArrival(const fair_group &Group, double Tokens, time_point Now)
+  /// The request \p Number arrived, which asks for \p Tokens. It counts in no
+  /// part that is served until its outcome is known or it is far beyond
+  /// \p Objective, the time at which its first output is due.
+  auto recordArrival(request_number Number, const fair_group &Group,
+                     double Tokens, time_point Objective, time_point Now)
       -> void;
   /// It was sent or refused. \param InTime sent so as to meet its objective.
   auto recordDecision(double Tokens, bool InTime, time_point Now) -> void;
-  /// It got its first output.
-  auto recordServed(const fair_group &Group, time_point Now) -> void;
+  /// Only the first outcome of a request counts. Ignored for requests that were
+  /// not recorded.
+  auto recordOutcome(request_number Number, fair_outcome Outcome,
+                     time_point Now) -> void;
   /// Whether the request yields. \param FleetRate may be empty: this gateway's
   /// own rates are used then. Looks at all workspaces at most twice a second.
   [[nodiscard]] auto positionOf(const fair_group &Group,
@@ -97,37 +126,52 @@
 
 private:
   struct outcomes {
-    decaying_sum Arrived;
+    decaying_sum Known; ///< Requests whose outcome is known.
     decaying_sum Served;
 
-    /// Part that was served; 1 while too few have arrived.
+    /// Part that was served; 1 while too few outcomes are known.
     [[nodiscard]] auto servedPart(time_point Now) const -> double;
   };
   struct workspace_record {
-    bool IsInRequests = false; ///< Its unit is requests.
     decaying_sum Tokens;
     outcomes Outcomes;
   };
   struct kind_record {
     service_name Service;
-    std::int64_t ObjectiveMs = 0;
+    urgent_kind Kind;
     outcomes Outcomes;
+    /// The same without those refused for the share of their workspace.
+    outcomes WithinShares;
+  };
+  struct awaited_request {
+    fair_group Group;
+    time_point Objective;
+    bool IsCounted = false; ///< As not served yet.
   };
 
   [[nodiscard]] auto rateOf(const workspace_name &Workspace,
                             const fleet_rate &FleetRate, time_point Now) const
       -> double;
-  [[nodiscard]] auto isAhead(const kind_record &Kind, time_point Now) const
-      -> bool;
+  /// Applies \p Update to the outcomes that the request counts in.
+  template <typename update>
+  auto forOutcomes(const fair_group &Group, bool IsAboveShare, update Update)
+      -> void;
+  /// Counts the requests that are far beyond their objective.
+  auto countOverdue(time_point Now) -> void;
+  auto updateLevel(const fleet_rate &FleetRate, time_point Now) -> void;
+  /// Sets what \p Position says of more urgent kinds than \p Kind.
+  auto compareKinds(const kind_record &Kind, fair_position &Position,
+                    time_point Now) const -> void;
 
   std::map<workspace_name, workspace_record> Workspaces;
   std::map<std::string, kind_record> Kinds; ///< By route.
   outcomes All;
-  decaying_sum Arrived;       ///< Requests.
-  decaying_sum ArrivedTokens; ///< Of them.
-  decaying_sum Offered;       ///< Tokens of all requests.
-  decaying_sum InTime;        ///< Of those that were sent in time.
-  double Level = 0;           ///< As of LevelAt.
+  std::map<request_number, awaited_request> Awaited; ///< Without an outcome.
+  /// Those that do not count yet, by objective.
+  std::set<std::pair<time_point, request_number>> Uncounted;
+  decaying_sum Offered; ///< Tokens of all requests.
+  decaying_sum InTime;  ///< Of those that were sent in time.
+  double Level = 0;     ///< As of LevelAt.
   time_point LevelAt;
 };
 
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -119,10 +119,9 @@
   /// never did.
   time_point PacedSince;
   std::int64_t PacedMs = -1; ///< How long it waited; below 0: not at all.
-  /// Fair shares: counts in the rate of its workspace; has no first output yet;
-  /// waits as others are served less.
+  /// Fair shares: counts in the rate of its workspace; waits as others are
+  /// served less.
   bool IsShared = false;
-  bool AwaitsOutcome = false;
   bool IsHeld = false;
   time_point HeldSince;    ///< Of the first such wait; the epoch: none.
   bool AwaitsView = false; ///< It waits for a current view of the targets.
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -259,8 +259,6 @@
                    const pick_request &PickRequest, pick &Pick) -> bool;
 /// Dispatches requests that wait so again. \param All not only a few of them.
 auto dispatchHeld(const gateway_step &Step, bool All) -> void;
-/// Records that the request got its first output.
-auto noteServed(const gateway_step &Step, request_state &Request) -> void;
 
 // gateway_speed.cpp
 /// Learns the speed of targets from the pace of their streams.
--- a/libs/serving/src/fair_share.cpp
+++ b/libs/serving/src/fair_share.cpp
@@ -14,8 +14,12 @@
 /// Time over which outcomes are averaged, s: several objectives of the least
 /// urgent kinds.
 constexpr double OutcomeSeconds = 20;
-/// Requests that have to have arrived before a part of them says anything.
-constexpr double MinArrived = 4;
+/// Outcomes that have to be known before a part of them says anything.
+constexpr double MinKnown = 4;
+/// A request without a first output counts as not served from this time after
+/// its objective on. Those that are sent late get theirs earlier as a rule;
+/// those that starve at the engines must not wait for their deadlines to count.
+constexpr duration OverdueTime = seconds(1);
 /// No workspace or kind may be served less than a quarter as often as all; it
 /// is owed from a little above that on.
 constexpr double OwedPart = 0.35;
@@ -69,8 +73,8 @@
 }
 
 auto fair_share::outcomes::servedPart(time_point Now) const -> double {
-  const double Count = Arrived.at(OutcomeSeconds, Now);
-  return Count < MinArrived ? 1 : Served.at(OutcomeSeconds, Now) / Count;
+  const double Count = Known.at(OutcomeSeconds, Now);
+  return Count < MinKnown ? 1 : Served.at(OutcomeSeconds, Now) / Count;
 }
 
 auto fair_share::configure(const configuration &Configuration) -> void {
@@ -79,7 +83,7 @@
     return !Specs.contains(Workspace.first);
   });
   for (const auto &[Name, Spec] : Specs)
-    Workspaces[Name].IsInRequests = Spec.Unit == quota_unit::Requests;
+    Workspaces.try_emplace(Name);
   std::erase_if(Kinds, [&](const auto &Kind) {
     return std::none_of(
         Configuration.Routes.begin(), Configuration.Routes.end(),
@@ -87,21 +91,18 @@
   });
 }
 
-auto fair_share::recordArrival(const fair_group &Group, double Tokens,
+auto fair_share::recordArrival(request_number Number, const fair_group &Group,
+                               double Tokens, time_point Objective,
                                time_point Now) -> void {
-  Arrived.add(1, RateSeconds, Now);
-  ArrivedTokens.add(Tokens, RateSeconds, Now);
-  All.Arrived.add(1, OutcomeSeconds, Now);
   auto &Kind = Kinds[Group.Route];
   Kind.Service = Group.Service;
-  Kind.ObjectiveMs = Group.ObjectiveMs;
-  Kind.Outcomes.Arrived.add(1, OutcomeSeconds, Now);
+  Kind.Kind = {Group.ObjectiveMs, Group.Rank};
+  if (Awaited.emplace(Number, awaited_request{Group, Objective}).second)
+    Uncounted.emplace(Objective, Number);
   // Its workspace may have been removed since the request arrived.
-  const auto Found = Workspaces.find(Group.Workspace);
-  if (Found == Workspaces.end())
-    return;
-  Found->second.Tokens.add(Tokens, RateSeconds, Now);
-  Found->second.Outcomes.Arrived.add(1, OutcomeSeconds, Now);
+  if (const auto Found = Workspaces.find(Group.Workspace);
+      Found != Workspaces.end())
+    Found->second.Tokens.add(Tokens, RateSeconds, Now);
 }
 
 auto fair_share::recordDecision(double Tokens, bool IsInTime, time_point Now)
@@ -111,13 +112,48 @@
     InTime.add(Tokens, RateSeconds, Now);
 }
 
-auto fair_share::recordServed(const fair_group &Group, time_point Now) -> void {
-  All.Served.add(1, OutcomeSeconds, Now);
-  if (const auto Kind = Kinds.find(Group.Route); Kind != Kinds.end())
-    Kind->second.Outcomes.Served.add(1, OutcomeSeconds, Now);
+template <typename update>
+auto fair_share::forOutcomes(const fair_group &Group, bool IsAboveShare,
+                             update Update) -> void {
+  Update(All);
+  if (const auto Kind = Kinds.find(Group.Route); Kind != Kinds.end()) {
+    Update(Kind->second.Outcomes);
+    if (!IsAboveShare)
+      Update(Kind->second.WithinShares);
+  }
   if (const auto Found = Workspaces.find(Group.Workspace);
       Found != Workspaces.end())
-    Found->second.Outcomes.Served.add(1, OutcomeSeconds, Now);
+    Update(Found->second.Outcomes);
+}
+
+auto fair_share::countOverdue(time_point Now) -> void {
+  while (!Uncounted.empty() && Uncounted.begin()->first + OverdueTime <= Now) {
+    auto &Request = Awaited.at(Uncounted.begin()->second);
+    Request.IsCounted = true;
+    forOutcomes(Request.Group, false, [&](outcomes &Outcomes) {
+      Outcomes.Known.add(1, OutcomeSeconds, Now);
+    });
+    Uncounted.erase(Uncounted.begin());
+  }
+}
+
+auto fair_share::recordOutcome(request_number Number, fair_outcome Outcome,
+                               time_point Now) -> void {
+  const auto Found = Awaited.find(Number);
+  if (Found == Awaited.end())
+    return;
+  const auto Request = std::move(Found->second);
+  Awaited.erase(Found);
+  Uncounted.erase({Request.Objective, Number});
+  if (Outcome == fair_outcome::Left && Now < Request.Objective)
+    return;
+  forOutcomes(Request.Group, Outcome == fair_outcome::AboveShare,
+              [&](outcomes &Outcomes) {
+                if (!Request.IsCounted)
+                  Outcomes.Known.add(1, OutcomeSeconds, Now);
+                if (Outcome == fair_outcome::Served)
+                  Outcomes.Served.add(1, OutcomeSeconds, Now);
+              });
 }
 
 auto fair_share::rateOf(const workspace_name &Workspace,
@@ -139,54 +175,72 @@
   return RateSeconds * rateOf(Workspace, FleetRate, Now);
 }
 
-auto fair_share::isAhead(const kind_record &Kind, time_point Now) const
-    -> bool {
-  const double Part = Kind.Outcomes.servedPart(Now);
-  return std::any_of(Kinds.begin(), Kinds.end(), [&](const auto &Other) {
-    const auto &MoreUrgent = Other.second;
-    return MoreUrgent.Service == Kind.Service &&
-           MoreUrgent.ObjectiveMs < Kind.ObjectiveMs &&
-           MoreUrgent.Outcomes.servedPart(Now) < Part - AheadPart;
-  });
+auto fair_share::compareKinds(const kind_record &Kind, fair_position &Position,
+                              time_point Now) const -> void {
+  const double Part = Kind.WithinShares.servedPart(Now);
+  for (const auto &[Route, Other] : Kinds) {
+    if (Other.Service != Kind.Service ||
+        Other.Kind.ObjectiveMs >= Kind.Kind.ObjectiveMs)
+      continue;
+    const double Difference = Part - Other.WithinShares.servedPart(Now);
+    if (Difference <= AheadPart)
+      continue;
+    Position.Behind.push_back(Other.Kind);
+    Position.KindReturnSeconds =
+        std::max(Position.KindReturnSeconds,
+                 OutcomeSeconds * std::log(Difference / AheadPart));
+  }
+}
+
+auto fair_share::updateLevel(const fleet_rate &FleetRate, time_point Now)
+    -> void {
+  LevelAt = Now;
+  std::vector<offered_rate> InFleet;
+  std::vector<offered_rate> Here;
+  InFleet.reserve(Workspaces.size());
+  Here.reserve(Workspaces.size());
+  for (const auto &[Name, Record] : Workspaces) {
+    const double Rate = rateOf(Name, FleetRate, Now);
+    InFleet.push_back({Rate, Rate});
+    Here.push_back({Rate, Record.Tokens.at(RateSeconds, Now)});
+  }
+  const double Sum = Offered.at(RateSeconds, Now);
+  const double Part =
+      Sum > 0 ? std::max(MinPart, InTime.at(RateSeconds, Now) / Sum) : 1;
+  // What this gateway sends may come mainly from the large workspaces, or from
+  // small ones only. Neither is a reason to limit the small ones.
+  Level = std::max(fairLevel(std::move(InFleet), Part),
+                   fairLevel(std::move(Here), Part));
 }
 
 auto fair_share::positionOf(const fair_group &Group,
                             const fleet_rate &FleetRate, time_point Now)
     -> fair_position {
-  if (Now - LevelAt >= LevelInterval) {
-    LevelAt = Now;
-    std::vector<offered_rate> InFleet;
-    std::vector<offered_rate> Here;
-    InFleet.reserve(Workspaces.size());
-    Here.reserve(Workspaces.size());
-    for (const auto &[Name, Record] : Workspaces) {
-      const double Rate = rateOf(Name, FleetRate, Now);
-      InFleet.push_back({Rate, Rate});
-      Here.push_back({Rate, Record.Tokens.at(RateSeconds, Now)});
-    }
-    const double All = Offered.at(RateSeconds, Now);
-    const double Part =
-        All > 0 ? std::max(MinPart, InTime.at(RateSeconds, Now) / All) : 1;
-    // What this gateway sends may come mainly from the large workspaces, or
-    // from small ones only. Neither is a reason to limit the small ones.
-    Level = std::max(fairLevel(std::move(InFleet), Part),
-                     fairLevel(std::move(Here), Part));
-  }
+  countOverdue(Now);
+  if (Now - LevelAt >= LevelInterval)
+    updateLevel(FleetRate, Now);
   fair_position Position;
   Position.LevelPerSecond = Level;
   Position.RatePerSecond = rateOf(Group.Workspace, FleetRate, Now);
+  if (Position.RatePerSecond > Level)
+    Position.ShareReturnSeconds =
+        RateSeconds * std::log(Position.RatePerSecond / Level);
   const double OwedBelow = OwedPart * All.servedPart(Now);
   const auto Kind = Kinds.find(Group.Route);
   const auto Workspace = Workspaces.find(Group.Workspace);
+  // All outcomes count here: also refusals for shares must not leave a kind
+  // with less than a quarter.
   Position.IsKindOwed =
       Kind != Kinds.end() && Kind->second.Outcomes.servedPart(Now) < OwedBelow;
   if (Position.IsKindOwed ||
       (Workspace != Workspaces.end() &&
-       Workspace->second.Outcomes.servedPart(Now) < OwedBelow))
+       Workspace->second.Outcomes.servedPart(Now) < OwedBelow)) {
     Position.Standing = fair_standing::Owed;
-  else if (Kind != Kinds.end() && isAhead(Kind->second, Now))
-    Position.Standing = fair_standing::Ahead;
-  else if (Position.RatePerSecond >= LevelTolerance * Level)
+    return Position;
+  }
+  if (Kind != Kinds.end())
+    compareKinds(Kind->second, Position, Now);
+  if (Position.RatePerSecond >= LevelTolerance * Level)
     Position.Standing = fair_standing::Above;
   return Position;
 }
--- a/libs/serving/src/gateway_fairness.cpp
+++ b/libs/serving/src/gateway_fairness.cpp
@@ -32,13 +32,13 @@
 /// callers are spread.
 constexpr std::int64_t MinRetryAfterMs = 150;
 constexpr std::int64_t ReturnSpreadMs = 200;
-/// A workspace is back at its fair share within this time, in which rates are
-/// averaged, ms.
-constexpr double RateWindowMs = 2000;
+/// The same at most, ms. Reports of other gateways may hold any number; a kind
+/// that is ahead of one that is never served is so for 70 s.
+constexpr double MaxRetryAfterMs = 75'000;
 
 auto groupOf(const request_state &Request) -> fair_group {
   return {*Request.Workspace, Request.Route.Name, Request.Service,
-          Request.Route.TargetLatencyMs};
+          Request.Route.TargetLatencyMs, rankOf(Request.Route.Priority)};
 }
 
 /// Rates of workspaces over all gateways, as far as this one has heard of them.
@@ -57,12 +57,17 @@
          Call.Prompt.MaxOutputTokens;
 }
 
-/// Time left in the objective for the first output.
+/// When the first output is due.
+auto objectiveOf(const request_state &Request) -> time_point {
+  return std::min(Request.FirstOutputDeadline,
+                  Request.Call.Arrived +
+                      milliseconds(Request.Route.TargetLatencyMs));
+}
+
+/// Time left until then.
 auto leftMs(const request_state &Request, time_point Now) -> double {
-  const auto Objective = std::min(
-      Request.FirstOutputDeadline,
-      Request.Call.Arrived + milliseconds(Request.Route.TargetLatencyMs));
-  return std::chrono::duration<double, std::milli>(Objective - Now).count();
+  return std::chrono::duration<double, std::milli>(objectiveOf(Request) - Now)
+      .count();
 }
 
 /// Expected time to the first output at a target without other prompts.
@@ -112,26 +117,89 @@
       Waited ? toMilliseconds(Step.Now - Request.HeldSince) : -1, End});
 }
 
+/// Whether and why a request yields.
+struct claim {
+  fair_position Position;
+  bool IsAbove = false; ///< To other workspaces.
+  bool IsAhead = false; ///< To a more urgent kind.
+
+  [[nodiscard]] auto yields() const -> bool { return IsAbove || IsAhead; }
+  [[nodiscard]] auto reason() const -> const char * {
+    return IsAhead && !IsAbove ? "a more urgent kind is served less often"
+                               : "the workspace is above its fair share";
+  }
+};
+
+/// True if a prompt of \p Kind would find a queue or no slot at the target that
+/// endangers its objective. Its own prefill, which is not known, has the rest.
+auto lacksRoomFor(const urgent_kind &Kind, const target_entry &Entry,
+                  const pick_request &PickRequest) -> bool {
+  const auto Candidate = assessTarget(Entry, PickRequest);
+  if (Candidate.Exclusion != exclusion::None || Candidate.Pick.NeedsAdapter ||
+      Candidate.BackoffMs > 0)
+    return true;
+  const auto &Parts = Candidate.Expected;
+  const double BeforeMs =
+      Parts.sumMs() - Parts.Slowness * Parts.PrefillMs + Candidate.SlotWaitMs;
+  return BeforeMs > RoomPart * static_cast<double>(Kind.ObjectiveMs);
+}
+
+/// True if no target that the request could be sent to has room for one of the
+/// more urgent kinds that are served less often. Elsewhere they gain nothing if
+/// it waits.
+auto isAhead(const gateway_state &State, const fair_position &Position,
+             const pick_request &PickRequest) -> bool {
+  const auto &Targets = State.Book.all();
+  return std::any_of(
+      Position.Behind.begin(), Position.Behind.end(), [&](const auto &Kind) {
+        auto Urgent = PickRequest;
+        Urgent.Rank = Kind.Rank;
+        return std::all_of(Targets.begin(), Targets.end(),
+                           [&](const auto &Target) {
+                             return lacksRoomFor(Kind, Target.second, Urgent);
+                           });
+      });
+}
+
+auto claimOf(const gateway_step &Step, request_number Number,
+             const pick_request &PickRequest) -> claim {
+  auto &State = Step.State;
+  claim Claim;
+  Claim.Position = State.Fairness.positionOf(groupOf(State.Requests.at(Number)),
+                                             fleetRate(State), Step.Now);
+  Claim.IsAbove = Claim.Position.Standing == fair_standing::Above &&
+                  !isWithinShare(Number, Claim.Position);
+  Claim.IsAhead = isAhead(State, Claim.Position, PickRequest);
+  return Claim;
+}
+
 /// \param ExpectedMs expected time to the first output, beyond which the caller
 /// has to return.
 auto refuseForShare(const gateway_step &Step, request_number Number,
-                    const fair_position &Position, double ExpectedMs,
-                    std::string Reason) -> void {
+                    const claim &Claim, double ExpectedMs, std::string Reason)
+    -> void {
+  constexpr double MsPerSecond = 1000;
   auto &State = Step.State;
   const auto &Request = State.Requests.at(Number);
+  const auto &Position = Claim.Position;
   const double QueueMs =
       ExpectedMs -
       RoomPart * static_cast<double>(Request.Route.TargetLatencyMs);
-  const double ShareMs = Position.RatePerSecond > 0
-                             ? RateWindowMs * (1 - Position.LevelPerSecond /
-                                                       Position.RatePerSecond)
-                             : 0;
-  // Reports of other gateways may hold any number.
+  const double ReturnSeconds =
+      std::max(Position.ShareReturnSeconds,
+               Claim.IsAhead ? Position.KindReturnSeconds : 0);
   const auto RetryAfterMs = static_cast<std::int64_t>(
-      std::clamp(std::max(QueueMs, ShareMs),
-                 static_cast<double>(MinRetryAfterMs), 30 * RateWindowMs));
+      std::clamp(std::max(QueueMs, MsPerSecond * ReturnSeconds),
+                 static_cast<double>(MinRetryAfterMs), MaxRetryAfterMs));
   std::uniform_int_distribution<std::int64_t> Spread(0, ReturnSpreadMs);
   State.Fairness.recordDecision(tokensOf(Request.Call), false, Step.Now);
+  // One that yields no longer, but has waited, did so for its share: those that
+  // wait for a kind are sent before they are late.
+  State.Fairness.recordOutcome(Number,
+                               Claim.IsAhead && !Claim.IsAbove
+                                   ? fair_outcome::NotServed
+                                   : fair_outcome::AboveShare,
+                               Step.Now);
   record(Step, Request, fair_end::Refused);
   refuseRequest(Step, Number, result_code::FairShareExceeded,
                 RetryAfterMs + Spread(State.Random), std::move(Reason));
@@ -143,16 +211,15 @@
   const auto Found = State.Requests.find(Number);
   if (Found == State.Requests.end())
     return;
-  const auto &Request = Found->second;
-  const auto Pick = pickTarget(State.Book, makePickRequest(Step, Request));
-  const auto Position =
-      State.Fairness.positionOf(groupOf(Request), fleetRate(State), Step.Now);
-  refuseForShare(Step, Number, Position, Pick ? Pick->ExpectedMs : 0,
+  const auto PickRequest = makePickRequest(Step, Found->second);
+  const auto Pick = pickTarget(State.Book, PickRequest);
+  refuseForShare(Step, Number, claimOf(Step, Number, PickRequest),
+                 Pick ? Pick->ExpectedMs : 0,
                  "too many requests wait beyond their fair shares");
 }
 
 auto holdRequest(const gateway_step &Step, request_number Number,
-                 const fair_position &Position, const pick &Pick) -> void {
+                 const claim &Claim, const pick &Pick) -> void {
   auto &State = Step.State;
   auto &Request = State.Requests.at(Number);
   Request.IsHeld = true;
@@ -169,11 +236,9 @@
         {"target", Pick.Target.Text},
         {"expected_ms", Print(Pick.ExpectedMs)},
         {"left_ms", Print(leftMs(Request, Step.Now))},
-        {"cause", Position.Standing == fair_standing::Ahead
-                      ? "a more urgent kind is served less often"
-                      : "the workspace is above its fair share"},
-        {"rate_per_s", Print(Position.RatePerSecond)},
-        {"fair_rate_per_s", Print(Position.LevelPerSecond)},
+        {"cause", Claim.reason()},
+        {"rate_per_s", Print(Claim.Position.RatePerSecond)},
+        {"fair_rate_per_s", Print(Claim.Position.LevelPerSecond)},
         {"waiting", std::to_string(State.HeldRequests.size())}};
     addWorkspace(Fields, Request);
     addLogEntry(Step, log_level::Info, "request_held", std::move(Fields));
@@ -229,9 +294,9 @@
   if (!isShared(State, Request, Pick))
     return false;
   if (!std::exchange(Request.IsShared, true)) {
-    Request.AwaitsOutcome = true;
     const auto Tokens = tokensOf(Request.Call);
-    State.Fairness.recordArrival(groupOf(Request), Tokens, Step.Now);
+    State.Fairness.recordArrival(Number, groupOf(Request), Tokens,
+                                 objectiveOf(Request), Step.Now);
     State.Account.record(*Request.Workspace, Tokens, Step.Now);
   }
   const double LeftMs = leftMs(Request, Step.Now);
@@ -252,28 +317,20 @@
     sendShared(Step, Request, false, false);
     return false;
   }
-  auto Position =
-      State.Fairness.positionOf(groupOf(Request), fleetRate(State), Step.Now);
-  if (Position.Standing == fair_standing::Above &&
-      isWithinShare(Number, Position))
-    Position.Standing = fair_standing::Within;
-  const bool IsLast =
-      Position.Standing == fair_standing::Ahead &&
-      LeftMs <= ExpectedTimeFactor * Pick.ExpectedMs + SendMarginMs;
-  const bool Yields = Position.Standing == fair_standing::Above ||
-                      Position.Standing == fair_standing::Ahead;
-  if ((IsLate && (Yields || WasHeld)) || IsLast) {
-    refuseForShare(Step, Number, Position, Pick.ExpectedMs,
-                   Position.Standing == fair_standing::Ahead
-                       ? "a more urgent kind is served less often"
-                       : "the workspace is above its fair share");
+  const auto Claim = claimOf(Step, Number, PickRequest);
+  const bool IsOwed = Claim.Position.Standing == fair_standing::Owed;
+  if (IsLate && (Claim.yields() || (WasHeld && !IsOwed))) {
+    refuseForShare(Step, Number, Claim, Pick.ExpectedMs, Claim.reason());
     return true;
   }
-  if (Position.Standing == fair_standing::Ahead || (Yields && !HasRoom)) {
-    holdRequest(Step, Number, Position, Pick);
+  // It is sent, rather than refused, while it can still be in time.
+  const bool IsLast =
+      LeftMs <= ExpectedTimeFactor * Pick.ExpectedMs + SendMarginMs;
+  if ((Claim.IsAhead && !IsLast) || (Claim.IsAbove && !HasRoom)) {
+    holdRequest(Step, Number, Claim, Pick);
     return true;
   }
-  if (!Position.IsKindOwed)
+  if (!Claim.Position.IsKindOwed)
     sendShared(Step, Request, IsLate, false);
   else
     sendShared(Step, Request, !pickFirst(Step, Request, PickRequest, Pick),
@@ -303,9 +360,4 @@
   }
 }
 
-auto noteServed(const gateway_step &Step, request_state &Request) -> void {
-  if (std::exchange(Request.AwaitsOutcome, false) && Request.Workspace)
-    Step.State.Fairness.recordServed(groupOf(Request), Step.Now);
-}
-
 } // namespace limpetbridge::serving
--- a/libs/serving/src/gateway_refusals.cpp
+++ b/libs/serving/src/gateway_refusals.cpp
@@ -33,6 +33,16 @@
          Code == result_code::FairShareExceeded;
 }
 
+/// What the refusal says about how often others are served. Nothing if the
+/// cause is the request's own key or prompt.
+auto outcomeOf(result_code Code) -> fair_outcome {
+  constexpr std::uint16_t FirstServerError = 500;
+  return describe(Code).HttpStatus < FirstServerError ||
+                 Code == result_code::PromptQuarantined
+             ? fair_outcome::Left
+             : fair_outcome::NotServed;
+}
+
 } // namespace
 
 auto refuseRequest(const gateway_step &Step, request_number Number,
@@ -48,6 +58,7 @@
   }
   Step.Effects.push_back(refuse_request{Number, Code, RetryAfterMs});
   Step.State.HeldRequests.erase(Number);
+  Step.State.Fairness.recordOutcome(Number, outcomeOf(Code), Step.Now);
   log_fields Fields = {{"code", std::string(describe(Code).Name)},
                        {"reason", std::move(Reason)},
                        {"retry_after_ms", std::to_string(RetryAfterMs)}};
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -331,7 +331,8 @@
     return;
   auto &Request = Found->second;
   Request.FirstOutputMs = toMilliseconds(Step.Now - Request.SentAt);
-  noteServed(Step, Request);
+  Step.State.Fairness.recordOutcome(Event.Number, fair_outcome::Served,
+                                    Step.Now);
   auto *Entry = Step.State.Book.find(Request.CurrentTarget);
   if (Entry != nullptr && Request.ExpectedFirstOutputMs >= MinCalibrationMs) {
     const double TookMs =
@@ -387,6 +388,8 @@
   const bool Repeatable = isRepeatable(Request.Route);
   switch (Event.End) {
   case attempt_end::Answered:
+    Step.State.Fairness.recordOutcome(Event.Number, fair_outcome::Served,
+                                      Step.Now);
     Step.State.Requests.erase(Found);
     return;
   case attempt_end::NotSent:
@@ -407,6 +410,8 @@
     if (Repeatable && mayRetry(Step, Request, true))
       return dispatchRequest(Step, Event.Number);
     Step.Effects.push_back(relay_failure{Event.Number});
+    Step.State.Fairness.recordOutcome(Event.Number, fair_outcome::NotServed,
+                                      Step.Now);
     Step.State.Requests.erase(Found);
     return;
   case attempt_end::Unknown:
@@ -436,6 +441,7 @@
   releaseTarget(Step, Request, false);
   releaseOther(Step, Request);
   Step.State.HeldRequests.erase(Event.Number);
+  Step.State.Fairness.recordOutcome(Event.Number, fair_outcome::Left, Step.Now);
   Step.State.Requests.erase(Found);
 }
 
--- a/libs/serving/tests/fair_share_test.cpp
+++ b/libs/serving/tests/fair_share_test.cpp
@@ -23,6 +23,12 @@
   CPPUNIT_TEST(dispatch_heldCallerLeaves_isForgotten);
   CPPUNIT_TEST(dispatch_owedKind_isBookedInFirstRank);
   CPPUNIT_TEST(dispatch_repeatOfUnsent_isNotHeld);
+  CPPUNIT_TEST(dispatch_nothingKnownOfWorkspace_isNotOwed);
+  CPPUNIT_TEST(dispatch_starvedBeyondObjective_isOwed);
+  CPPUNIT_TEST(dispatch_urgentRefusedForShare_lessUrgentIsSent);
+  CPPUNIT_TEST(dispatch_urgentServedLess_yieldsAtItsTargetsOnly);
+  CPPUNIT_TEST(dispatch_lateAndAhead_returnsWhenKindsAreLevel);
+  CPPUNIT_TEST(dispatch_farAboveShare_returnsWhenBackAtLevel);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,18 +150,15 @@
     const auto PendingMs = [&](std::size_t Rank) {
       return Harness.State.Book.find(target_name("e1"))->load().pendingMs(Rank);
     };
-    auto Configuration = makeConfiguration(3, {{"small", {"small"}}});
-    for (auto &Route : Configuration.Routes) {
-      Route.TargetLatencyMs = 500;
-      Route.Priority = Route.Name == "/plan/" ? 2 : 0;
-    }
-    Harness.dispatch(configuration_read{Configuration});
+    useKinds(500);
     fair_group Group = group("small", 500);
     for (int I = 0; I < 40; ++I) {
       Group.Route = I < 20 ? "/plan/" : "/chat/";
-      Harness.State.Fairness.recordArrival(Group, 1, Harness.Now);
-      if (I >= 20)
-        Harness.State.Fairness.recordServed(Group, Harness.Now);
+      Harness.State.Fairness.recordArrival(1000 + I, Group, 1, Harness.Now,
+                                           Harness.Now);
+      Harness.State.Fairness.recordOutcome(
+          1000 + I, I < 20 ? fair_outcome::NotServed : fair_outcome::Served,
+          Harness.Now);
     }
     for (request_number I = 1; I <= 6; ++I)
       sends(I, "small");
@@ -183,6 +186,91 @@
                          Harness.onlyEffect<send_attempt>().Number);
   }
 
+  /// A workspace that begins to send, or whose callers leave early, must not
+  /// pass for one that is hardly served.
+  auto dispatch_nothingKnownOfWorkspace_isNotOwed() -> void {
+    for (const bool Leaves : {false, true}) {
+      startServed();
+      for (request_number I = 11; I <= 15; ++I) {
+        CPPUNIT_ASSERT(sends(I, "large"));
+        if (Leaves)
+          Harness.dispatch(caller_left{I});
+      }
+      for (request_number I = 21; I <= 26; ++I)
+        sends(I, "small");
+      CPPUNIT_ASSERT(!sends(29, "large"));
+      CPPUNIT_ASSERT(Harness.onlyEffect<refuse_request>().Code ==
+                     result_code::FairShareExceeded);
+    }
+  }
+
+  /// Requests that are stuck at an engine must count before their deadline.
+  auto dispatch_starvedBeyondObjective_isOwed() -> void {
+    startServed();
+    for (request_number I = 11; I <= 16; ++I)
+      sends(I, "large");
+    Harness.Now += milliseconds(1700);
+    sends(21, "small");
+    CPPUNIT_ASSERT(sends(29, "large"));
+  }
+
+  /// What a workspace is refused for its share says nothing about the kind.
+  auto dispatch_urgentRefusedForShare_lessUrgentIsSent() -> void {
+    startServed();
+    for (request_number I = 11; I <= 16; ++I)
+      sends(I, "small");
+    std::size_t Refused = 0;
+    for (const request_number I : {21, 24, 29, 32, 37, 45})
+      Refused += sends(I, "large") ? 0 : 1;
+    CPPUNIT_ASSERT(Refused >= 4);
+    Harness.Key = "small";
+    Harness.receiveRequest(50, "/plan/x", "a", 4000);
+    CPPUNIT_ASSERT_EQUAL(request_number{50},
+                         Harness.onlyEffect<send_attempt>().Number);
+  }
+
+  /// Urgent prompts gain nothing if others wait whose targets have room, nor if
+  /// one that could be in time is refused after its wait.
+  auto dispatch_urgentServedLess_yieldsAtItsTargetsOnly() -> void {
+    startUrgentBehind();
+    Harness.receiveRequest(30, "/plan/x", "a", 4000);
+    CPPUNIT_ASSERT_EQUAL(request_number{30},
+                         Harness.onlyEffect<send_attempt>().Number);
+    Harness.receiveRequest(31, "/plan/x", "b", 4000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Harness.State.HeldRequests.size());
+    for (int Ms = 0; Ms < 8000 && Harness.State.HeldRequests.size() > 0;
+         Ms += 100) {
+      Harness.receiveRequest(1000 + Ms, "/chat/x", "b", 400);
+      Harness.Now += milliseconds(100);
+      Harness.dispatch(tick{});
+    }
+    CPPUNIT_ASSERT_EQUAL(request_number{31},
+                         Harness.onlyEffect<send_attempt>().Number);
+  }
+
+  /// The urgent kind was served half as often: 20 s * ln(0.5 / 0.03).
+  auto dispatch_lateAndAhead_returnsWhenKindsAreLevel() -> void {
+    startUrgentBehind();
+    for (request_number I = 41; I <= 64; ++I)
+      Harness.receiveRequest(I, "/chat/x", "b", 16'000);
+    Harness.receiveRequest(70, "/plan/x", "b", 4000);
+    const auto RetryAfterMs = Harness.onlyEffect<refuse_request>().RetryAfterMs;
+    CPPUNIT_ASSERT(RetryAfterMs >= 56'000 && RetryAfterMs <= 56'500);
+  }
+
+  /// Its rate is five times its level: 2 s * ln(5).
+  auto dispatch_farAboveShare_returnsWhenBackAtLevel() -> void {
+    contend();
+    for (request_number I = 11; I <= 40; ++I) {
+      sends(I, "small");
+      Harness.dispatch(caller_left{I});
+    }
+    Harness.Now += milliseconds(600);
+    CPPUNIT_ASSERT(!sends(45, "large"));
+    const auto RetryAfterMs = Harness.onlyEffect<refuse_request>().RetryAfterMs;
+    CPPUNIT_ASSERT(RetryAfterMs >= 3200 && RetryAfterMs <= 3800);
+  }
+
 private:
   static auto group(const char *Workspace, std::int64_t ObjectiveMs)
       -> fair_group {
@@ -200,6 +288,44 @@
     Harness.addTarget("e1", "models", {"a"});
   }
 
+  /// Urgent prompts to /chat/, others to /plan/ with the given objective.
+  auto useKinds(std::uint32_t PlanMs) -> void {
+    auto Configuration =
+        makeConfiguration(3, {{"small", {"small"}}, {"large", {"large"}}});
+    for (auto &Route : Configuration.Routes) {
+      Route.TargetLatencyMs = Route.Name == "/plan/" ? PlanMs : 500;
+      Route.Priority = Route.Name == "/plan/" ? 2 : 0;
+      Route.TimeoutMs = Route.FirstOutputTimeoutMs = 12'000;
+    }
+    Harness.dispatch(configuration_read{Configuration});
+  }
+
+  /// "large" uses most, and ten urgent prompts of "small" were served, which
+  /// left e1 and e2 idle.
+  auto startServed() -> void {
+    start({"small", "large"});
+    useKinds(8000);
+    report();
+    Harness.addTarget("e2", "models", {"b"});
+    Harness.Key = "small";
+    for (request_number I = 1; I <= 10; ++I) {
+      Harness.receiveRequest(I, "/chat/x", "b", 100);
+      Harness.dispatch(first_output{I});
+    }
+  }
+
+  /// Half of the urgent prompts failed, and e2 has no room for more in time.
+  auto startUrgentBehind() -> void {
+    startServed();
+    Harness.addTarget("e3", "models", {"c"});
+    for (request_number I = 11; I <= 20; ++I) {
+      Harness.receiveRequest(I, "/chat/x", "c");
+      Harness.endAttempt(I, attempt_end::Failed);
+    }
+    for (request_number I = 21; I <= 26; ++I)
+      Harness.receiveRequest(I, "/chat/x", "b", 4000);
+  }
+
   /// Another gateway reports that "large" uses most.
   auto report() -> void {
     quota_message Message;
