--- a/libs/serving/tests/configuration_history_test.cpp
+++ b/libs/serving/tests/configuration_history_test.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(offer_copiedOnesAreWrittenAgain_changesNothing);
   CPPUNIT_TEST(offer_freshGateway_takesTheLostChangeOfAnother);
   CPPUNIT_TEST(offer_supersededOneOfAnOlderCopy_isNotTaken);
+  CPPUNIT_TEST(offer_missedOneBetweenTwoRestores_isNotTaken);
   CPPUNIT_TEST(offer_anyRestores_neverGoesBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -139,6 +140,19 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{71}, History.inForce().Hash);
   }
 
+  /// Guards against taking the copy of a configuration that was superseded for
+  /// a new one because its version had been assigned before the first restore.
+  auto offer_missedOneBetweenTwoRestores_isNotTaken() -> void {
+    loseChange();
+    // Version 8 was written again, with hash 81, which was not read here.
+    CPPUNIT_ASSERT(History.offer(9, {2, 12, 10, 90, 0}));
+    History.startEra();
+    CPPUNIT_ASSERT(!History.offer(8, {3, 11, 11, 81, 0}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{90}, History.inForce().Hash);
+    // A version of the latest era with another text is a new one.
+    CPPUNIT_ASSERT(History.offer(9, {3, 12, 12, 91, 0}));
+  }
+
   /// Guards against a change that the copy lacks being undone, at a gateway
   /// that reads the copy or follows another one.
   auto offer_anyRestores_neverGoesBack() -> void {
