Store eras: a configuration of an earlier copy is not taken for a new one

Cause: a row of the copy with a lower version was taken for a new one if its version was known with another text, whenever that text was read. After two restores the row may have been written between them, missed here and superseded. The same history also let a gateway follow an earlier configuration of another one, as versions without a generation were compared across eras.

Change, in configuration_history: - a known text counts only if the store had it in the era in which the configuration in force was read, or later; - a row above the first version of any era whose store had lost the configuration in force is newer (LostVersion); gateways note lists without a configuration for this (configuration_missing); - after a rise every row that was written in this era gets the era as its generation; a repeated version gets a lower bound instead of the current era; versions are compared if the store had both in one era.

The property's model had the same fault and took 0 for "not listed"; it uses an optional now and reports empty lists.

--- a/libs/serving/include/serving/configuration_history.h
+++ b/libs/serving/include/serving/configuration_history.h
@@ -8,7 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <utility>
+#include <limits>
 
 namespace limpetbridge::serving {
 
@@ -46,6 +46,10 @@
   [[nodiscard]] auto offer(std::uint64_t Version,
                            const configuration_source &Source) -> bool;
 
+  /// The store has no configuration.
+  /// \param FirstVersion as of a configuration that is read.
+  auto noteMissing(std::uint64_t FirstVersion) -> void;
+
   [[nodiscard]] auto inForce() const -> const configuration_mark & {
     return InForce;
   }
@@ -56,17 +60,34 @@
 private:
   /// Contents that are remembered: copies are some seconds old.
   static constexpr std::size_t MaxContents = 64;
+  static constexpr auto NotLost = std::numeric_limits<std::uint64_t>::max();
 
   /// The same for a row that the store may have had before it was restored.
   [[nodiscard]] auto replaces(std::uint64_t Version,
                               const configuration_source &Source) const -> bool;
-  auto remember(std::uint64_t Version, std::uint64_t Hash) -> void;
+  auto remember(std::uint64_t Version, const configuration_source &Source)
+      -> void;
+
+  /// A configuration that was read.
+  struct content {
+    std::uint64_t Version = 0;
+    std::uint64_t Hash = 0;
+    /// In which the store had it last; 0 if only other gateways had it.
+    std::uint64_t Era = 0;
+  };
 
   configuration_mark InForce;
+  /// In which the store or another gateway had the configuration in force.
+  std::uint64_t InForceEra = 0;
+  /// In which the store had the configuration in force; 0 if it is not known.
+  std::uint64_t InForceStoredEra = 0;
+  /// Least first version of the eras whose store had lost the configuration in
+  /// force. Rows with a higher version were written after it.
+  std::uint64_t LostVersion = NotLost;
+  bool Restored = false;   ///< The store was restored since the start.
   bool Rose = false;       ///< The store has been restored, as far as known.
   bool StoreHasIt = false; ///< The store's row is the configuration in force.
-  /// Version and hash of the configurations that were read, the latest last.
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> Contents;
+  std::deque<content> Contents; ///< The latest last.
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -186,6 +186,11 @@
   configuration_source Source = {};
 };
 
+/// The table of the operators was listed and has no configuration.
+struct configuration_missing {
+  std::uint64_t FirstVersion = 0; ///< As of configuration_source.
+};
+
 /// An answer of the store, or of a gateway that reads it, named another era
 /// than the one that was known.
 struct store_era_changed {
@@ -377,17 +382,16 @@
   std::optional<time_point> ConfigurationKnownAt = std::nullopt;
 };
 
-using gateway_event =
-    std::variant<request_arrived, first_output, answer_begun, hedge_due,
-                 output_continued, target_checked, crash_report,
-                 quarantine_lifted, target_notice, connection_rested,
-                 connection_lost, attempt_ended, caller_left, deadline_passed,
-                 configuration_read, store_era_changed, configuration_confirmed,
-                 target_updated, target_lost, row_unreadable,
-                 store_reachability_changed, targets_listed, instances_listed,
-                 load_answered, holdings_report, gateway_digest, prefill_notice,
-                 targets_read, targets_read_failed, peer_answered, stop_began,
-                 quota_report, machine_resumed, stop_deadline_passed, tick>;
+using gateway_event = std::variant<
+    request_arrived, first_output, answer_begun, hedge_due, output_continued,
+    target_checked, crash_report, quarantine_lifted, target_notice,
+    connection_rested, connection_lost, attempt_ended, caller_left,
+    deadline_passed, configuration_read, configuration_missing,
+    store_era_changed, configuration_confirmed, target_updated, target_lost,
+    row_unreadable, store_reachability_changed, targets_listed,
+    instances_listed, load_answered, holdings_report, gateway_digest,
+    prefill_notice, targets_read, targets_read_failed, peer_answered,
+    stop_began, quota_report, machine_resumed, stop_deadline_passed, tick>;
 
 } // namespace limpetbridge::serving
 
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -369,6 +369,8 @@
 
 // gateway_era.cpp
 auto handle(const gateway_step &Step, const store_era_changed &Event) -> void;
+auto handle(const gateway_step &Step, const configuration_missing &Event)
+    -> void;
 /// Takes the versions of another gateway's digest only if they belong to the
 /// era that is known here, and looks for a later one that it names.
 auto recordPeerEra(const gateway_step &Step, gateway_state::peer_status &Status)
--- a/libs/serving/src/gateway_era.cpp
+++ b/libs/serving/src/gateway_era.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+auto handle(const gateway_step &Step, const configuration_missing &Event)
+    -> void {
+  Step.State.ConfigurationHistory.noteMissing(Event.FirstVersion);
+}
+
 auto handle(const gateway_step &Step, const store_era_changed &Event) -> void {
   auto &State = Step.State;
   if (Event.Era <= State.StoreEra)
--- a/libs/serving/tests/configuration_history_test.cpp
+++ b/libs/serving/tests/configuration_history_test.cpp
@@ -22,7 +22,7 @@
 struct reader {
   configuration_history History;
   std::uint64_t Era = 1;
-  std::uint64_t FirstVersion = 0;
+  std::optional<std::uint64_t> FirstVersion;
   std::uint64_t ReadVersion = 0;
 };
 
@@ -52,16 +52,18 @@
   auto read(reader &Reader) const -> void {
     if (Reader.Era != Era) {
       Reader.History.startEra();
-      Reader.FirstVersion = 0;
+      Reader.FirstVersion.reset();
     }
-    if (Reader.FirstVersion == 0)
+    if (!Reader.FirstVersion) // The list of an empty copy has version 0.
       Reader.FirstVersion = Version;
     Reader.Era = Era;
     Reader.ReadVersion = Version;
-    if (Current)
+    if (!Current)
+      Reader.History.noteMissing(*Reader.FirstVersion);
+    else
       (void)Reader.History.offer(
           Current->Version,
-          {Era, Current->Row, Reader.FirstVersion, Current->Hash, 0});
+          {Era, Current->Row, *Reader.FirstVersion, Current->Hash, 0});
   }
 };
 
@@ -75,6 +77,7 @@
   CPPUNIT_TEST(offer_freshGateway_takesTheLostChangeOfAnother);
   CPPUNIT_TEST(offer_supersededOneOfAnOlderCopy_isNotTaken);
   CPPUNIT_TEST(offer_missedOneBetweenTwoRestores_isNotTaken);
+  CPPUNIT_TEST(offer_writtenBetweenTwoRestores_isTaken);
   CPPUNIT_TEST(offer_anyRestores_neverGoesBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +156,15 @@
     CPPUNIT_ASSERT(History.offer(9, {3, 12, 12, 91, 0}));
   }
 
+  /// Guards against keeping a lost configuration in force after the operator
+  /// has written another one, which reaches this gateway in a later copy.
+  auto offer_writtenBetweenTwoRestores_isTaken() -> void {
+    loseChange();
+    CPPUNIT_ASSERT(!History.offer(7, {2, 10, 10, 70, 0}));
+    History.startEra();
+    CPPUNIT_ASSERT(History.offer(5, {3, 11, 13, 51, 0}));
+  }
+
   /// Guards against a change that the copy lacks being undone, at a gateway
   /// that reads the copy or follows another one.
   auto offer_anyRestores_neverGoesBack() -> void {
--- a/libs/serving/tests/store_era_test.cpp
+++ b/libs/serving/tests/store_era_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(rise_rowMissingInTheCopy_targetHasTheGracePeriod);
   CPPUNIT_TEST(rise_secondOneWhileRowsAreMissing_graceBeginsAnew);
   CPPUNIT_TEST(rise_readsOfTheCopy_doNotConfirmTheConfiguration);
+  CPPUNIT_TEST(rise_emptyCopy_laterRowIsTaken);
   CPPUNIT_TEST(rise_digestOfTheOldEra_isNotFollowed);
   CPPUNIT_TEST(rise_viewOfTheOldEra_isNotOffered);
   CPPUNIT_TEST(digest_laterEra_storeIsReadAtOnce);
@@ -77,6 +78,16 @@
     CPPUNIT_ASSERT(Gateway.Now == Gateway.State.ConfigurationKnownAt);
   }
 
+  /// Guards against taking a row for that of a copy that has none.
+  auto rise_emptyCopy_laterRowIsTaken() -> void {
+    rise(5);
+    Gateway.dispatch(configuration_missing{});
+    rise(6);
+    Gateway.dispatch(configuration_read{makeConfiguration(1, {{"w", {"k"}}}),
+                                        {6, 3, 4, 10, 0}});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Gateway.State.Configuration.Version);
+  }
+
   auto rise_digestOfTheOldEra_isNotFollowed() -> void {
     hear(4, 9);
     CPPUNIT_ASSERT(queries() > 0);
