Orders: tests of late orders of an earlier lifetime of the target

An order without an answer may be carried out seconds later. The model of an engine also answers orders that are in effect already without counting them, and refuses adapters of models that it does not have, as workers do.

--- a/libs/serving/tests/order_plan_test.cpp
+++ b/libs/serving/tests/order_plan_test.cpp
@@ -32,10 +32,19 @@
   order_step CurrentOrder;
 
   auto accept(const order_step &Step, std::uint64_t Sequence) -> bool {
-    if (Report.Busy || Sequence != Report.Sequence)
+    auto &Models = Report.Holdings.Models;
+    const auto Held = Models.find(Step.Model);
+    const bool IsOfAdapter = !Step.Adapter.empty();
+    if (Report.Busy || Sequence != Report.Sequence ||
+        (IsOfAdapter && Held == Models.end()))
       return false;
+    const bool IsHeld =
+        Held != Models.end() &&
+        (!IsOfAdapter || Held->second.Adapters.contains(Step.Adapter));
+    if (IsHeld ==
+        (Step.Kind == step_kind::Load || Step.Kind == step_kind::LoadAdapter))
+      return true; // It is as ordered already.
     ++Report.Sequence;
-    auto &Models = Report.Holdings.Models;
     if (Step.Kind == step_kind::LoadAdapter)
       Models[Step.Model].Adapters.insert(Step.Adapter);
     else if (Step.Kind == step_kind::UnloadAdapter)
@@ -55,6 +64,21 @@
     Report.Busy = false;
   }
 
+  /// Carries out \p Step at once if it is an order.
+  auto carryOut(const order_step &Step) -> void {
+    if (Step.Kind < step_kind::Load)
+      return;
+    (void)accept(Step, Report.Sequence);
+    finish();
+  }
+
+  /// An order that is left unanswered; it may be carried out later.
+  auto expect(const order_step & /*Step*/, std::uint64_t /*Sequence*/) -> void {
+  }
+
+  /// Starts anew with nothing loaded.
+  auto restart() -> void { Report = {}; }
+
   [[nodiscard]] auto usedMb(const engine_spec &Engine) const -> double {
     double Used = 0;
     for (const auto &[Model, Loaded] : Report.Holdings.Models)
@@ -81,6 +105,8 @@
   CPPUNIT_TEST(nextStep_fullAdapterSlots_unloadsLeastRecentlyUsed);
   CPPUNIT_TEST(nextStep_adapterUnloading_waitsForItsSlot);
   CPPUNIT_TEST(nextStep_lateAndLostOrders_neverOvercommit);
+  CPPUNIT_TEST(nextStep_lateOrderOfAnEarlierLifetime_fitsWhenItArrives);
+  CPPUNIT_TEST(nextStep_lateOrdersAndRestarts_neverOvercommit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +210,59 @@
     CPPUNIT_ASSERT(Passed);
   }
 
+  /// Guards against filling the memory up to the sequence number at which an
+  /// order that an earlier lifetime of the target left unanswered is accepted.
+  auto nextStep_lateOrderOfAnEarlierLifetime_fitsWhenItArrives() -> void {
+    engine_model Target;
+    const order_step Late{step_kind::Load, model_name("d"), {}};
+    Target.expect(Late, 3);
+    for (const auto *Name : {"a", "b", "c"})
+      Target.carryOut(
+          nextStep(Engine, Target.Report, {model_name(Name), "", {}}, {}));
+    (void)Target.accept(Late, 3);
+    CPPUNIT_ASSERT(Target.usedMb(Engine) <= MemoryMb);
+    // The model itself may be loaded: the late order changes nothing then.
+    Target.Report.Holdings.Models.erase(model_name("d"));
+    CPPUNIT_ASSERT(
+        nextStep(Engine, Target.Report, {model_name("d"), "", {}}, {}).Kind ==
+        step_kind::Load);
+  }
+
+  /// The same for any orders. The target starts again now and then, empty and
+  /// with the sequence number 0; what it has left unanswered stays on its way.
+  auto nextStep_lateOrdersAndRestarts_neverOvercommit() -> void {
+    const auto &Spec = Engine;
+    const bool Passed = rc::check("also after restarts", [&Spec] {
+      engine_model Target;
+      std::vector<std::pair<order_step, std::uint64_t>> Late;
+      for (int I = 0; I < 150; ++I) {
+        load_job Job;
+        Job.Model = model_name(std::string(1, *rc::gen::inRange('a', 'f')));
+        if (*rc::gen::inRange(0, 4) == 0)
+          Job.Adapter = std::string(1, *rc::gen::inRange('u', 'z'));
+        for (const auto &[Model, Loaded] : Target.Report.Holdings.Models)
+          if (Model != Job.Model && *rc::gen::inRange(0, 2) == 0)
+            Job.Victims.push_back(Model);
+        const auto Step = nextStep(Spec, Target.Report, Job, {});
+        const auto Sequence = Target.Report.Sequence;
+        if (*rc::gen::inRange(0, 3) > 0) {
+          Target.carryOut(Step);
+        } else if (Step.Kind >= step_kind::Load) {
+          Late.emplace_back(Step, Sequence);
+          Target.expect(Step, Sequence);
+        }
+        for (const auto &[Order, At] : Late)
+          if (*rc::gen::inRange(0, 3) == 0 && Target.accept(Order, At))
+            Target.finish();
+        if (*rc::gen::inRange(0, 12) == 0)
+          Target.restart();
+        RC_ASSERT(Target.usedMb(Spec) <= MemoryMb);
+        RC_ASSERT(Target.adapters() <= AdapterSlots);
+      }
+    });
+    CPPUNIT_ASSERT(Passed);
+  }
+
 private:
   auto loadModels(std::initializer_list<const char *> Models) -> void {
     for (const auto *Model : Models)
