Orders: no state in which a late order of an earlier lifetime overloads

Cause: nextStep relied on the sequence alone to make a late order harmless. A target that starts again under its id counts from 0 again, so an order that its earlier lifetime left unanswered fits once more when the same sequence is reached, whatever is loaded then.

Change: a controller keeps the orders without an answer for 14 s (12 s is the longest delay of late orders, 1 s the time-out of the call, 1 s spare) and hands those of the target to nextStep. A step is Impossible if the open orders that would be accepted after it, one after the other, load more than fits, or if it would itself take part in that after a restart. load_impossible logs their number. The gateway treats it as any failed load that was not ordered.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -17,6 +17,10 @@
 /// The target is on the same machine.
 constexpr duration ReportTimeout = milliseconds(500);
 constexpr duration OrderTimeout = milliseconds(1000);
+/// Time after which an order without an answer is not carried out any more:
+/// 12 s, the longest delay of late orders, from the end of its call, and 1 s
+/// more as the target has another clock.
+constexpr duration OpenOrderTime = OrderTimeout + seconds(13);
 /// Time without a report after which a target that was loading is given up.
 constexpr duration TargetLostTime = milliseconds(600);
 /// Delays between reports while an order is executed: an adapter takes some
@@ -357,6 +361,25 @@
       static_cast<std::size_t>(std::max(1.0, PermitsPerWindow)));
 }
 
+auto controller_node::keepOpenOrder(const target_name &Target, open_order Order,
+                                    time_point SentAt) -> void {
+  // The same order is sent again while it has no answer.
+  std::erase_if(OpenOrders, [&](const kept_order &Kept) {
+    return Kept.ExpiresAt <= SentAt ||
+           (Kept.Target == Target && Kept.Order == Order);
+  });
+  OpenOrders.push_back({Target, std::move(Order), SentAt + OpenOrderTime});
+}
+
+auto controller_node::openOrders(const target_name &Target) const
+    -> std::vector<open_order> {
+  std::vector<open_order> Open;
+  for (const auto &Kept : OpenOrders)
+    if (Kept.Target == Target && Kept.ExpiresAt > process_clock::now())
+      Open.push_back(Kept.Order);
+  return Open;
+}
+
 auto controller_node::sendOrder(const job_state &Job, const order_step &Step,
                                 std::uint64_t Sequence)
     -> awaitable<order_end> {
@@ -369,14 +392,16 @@
   Facts.Holder = instance_name(Settings.Name);
   Facts.FencingToken = FencingToken;
   const auto Request = Hooks.BuildOrderRequest(Facts);
+  const auto SentAt = process_clock::now();
   // A connection of its own: a late second copy of a report must not be taken
   // for the answer to an order.
   const net::asio::any_io_executor Executor = Context.get_executor();
-  const auto Response =
-      co_await net::fetch(Executor, Settings.ControllerTarget, Request,
-                          process_clock::now() + OrderTimeout);
+  const auto Response = co_await net::fetch(Executor, Settings.ControllerTarget,
+                                            Request, SentAt + OrderTimeout);
   const auto Outcome = Response ? Hooks.ParseOrderStatus(Response->Head.Status)
                                 : order_end::Unknown;
+  if (Outcome == order_end::Unknown)
+    keepOpenOrder(Job.Target, {Step, Sequence}, SentAt);
   Metrics.count("orders", nameOf(Step.Kind));
   if (Outcome != order_end::Accepted)
     Metrics.count("orders_not_accepted", nameOf(Step.Kind));
@@ -411,7 +436,7 @@
     LastUsed[{Job->Job.Model, Job->Job.Adapter}] = process_clock::now();
   auto LastReportAt = process_clock::now();
   while (!Job->Done && process_clock::now() < Deadline) {
-    const auto Report = co_await readReport(Queue);
+    auto Report = co_await readReport(Queue);
     // It may have crashed on the load.
     if (!Report && Job->LoadOrdered &&
         process_clock::now() - LastReportAt >= TargetLostTime)
@@ -421,6 +446,7 @@
       continue;
     }
     LastReportAt = process_clock::now();
+    Report->OpenOrders = openOrders(Job->Target);
     const auto Step = nextStep(*findEngine(), *Report, Job->Job, LastUsed);
     if (Step.Kind == step_kind::Held && !Report->Leaves)
       co_return true;
@@ -430,6 +456,7 @@
            {"adapter", Job->Job.Adapter},
            {"sequence", std::to_string(Report->Sequence)},
            {"leaves", Report->Leaves ? "true" : "false"},
+           {"open_orders", std::to_string(Report->OpenOrders.size())},
            {"held", std::to_string(Report->Holdings.Models.size())}});
       co_return false;
     }
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -85,6 +85,12 @@
   auto runJob(job_queue &Queue, job Job) -> net::awaitable<bool>;
   auto readReport(job_queue &Queue)
       -> net::awaitable<std::optional<serving::engine_report>>;
+  /// Records that an order has got no answer.
+  auto keepOpenOrder(const target_name &Target, serving::open_order Order,
+                     time_point SentAt) -> void;
+  /// Orders to \p Target that may still be carried out.
+  [[nodiscard]] auto openOrders(const target_name &Target) const
+      -> std::vector<serving::open_order>;
   /// Sends the order of \p Step; the target refuses it if its sequence is not
   /// \p Sequence.
   auto sendOrder(const job_state &Job, const serving::order_step &Step,
@@ -120,6 +126,13 @@
   std::uint64_t FencingToken = 0;   ///< 0: not registered, sends no orders.
   job_queue Models;
   job_queue Adapters;
+  /// An order without an answer.
+  struct kept_order {
+    target_name Target;
+    serving::open_order Order;
+    time_point ExpiresAt; ///< It is not carried out from then on.
+  };
+  std::vector<kept_order> OpenOrders;
   serving::holdings_report Published;   ///< Last sent to the gateways.
   std::set<model_name> UnloadingModels; ///< Hidden from the gateways.
   std::set<serving::adapter_key> UnloadingAdapters; ///< The same.
--- a/libs/serving/src/order_plan.cpp
+++ b/libs/serving/src/order_plan.cpp
@@ -110,6 +110,78 @@
   return {step_kind::Unload, *Victim, {}};
 }
 
+/// State of the engine once \p Step has been carried out.
+auto reportAfter(engine_report Report, const order_step &Step)
+    -> engine_report {
+  ++Report.Sequence;
+  auto &Models = Report.Holdings.Models;
+  const adapter_key Key(Step.Model, Step.Adapter);
+  if (Step.Kind == step_kind::Load) {
+    Models[Step.Model];
+  } else if (Step.Kind == step_kind::Unload) {
+    Models.erase(Step.Model);
+  } else if (Step.Kind == step_kind::LoadAdapter) {
+    Models[Step.Model].Adapters.insert(Step.Adapter);
+    Report.UnloadingAdapters.erase(Key);
+  } else {
+    // It stays until the requests that use it end.
+    Report.UnloadingAdapters.insert(Key);
+  }
+  return Report;
+}
+
+auto hasAdapter(const engine_report &Report, const order_step &Step) -> bool {
+  const auto Loaded = Report.Holdings.Models.find(Step.Model);
+  return Loaded != Report.Holdings.Models.end() &&
+         Loaded->second.Adapters.contains(Step.Adapter);
+}
+
+/// True if the order \p Step would change the state of the engine.
+auto hasEffect(const engine_report &Report, const order_step &Step) -> bool {
+  const bool HasModel = Report.Holdings.Models.contains(Step.Model);
+  if (Step.Kind == step_kind::Load || Step.Kind == step_kind::Unload)
+    return HasModel == (Step.Kind == step_kind::Unload);
+  if (Step.Kind == step_kind::UnloadAdapter)
+    return hasAdapter(Report, Step);
+  return HasModel &&
+         (!hasAdapter(Report, Step) ||
+          Report.UnloadingAdapters.contains({Step.Model, Step.Adapter}));
+}
+
+auto fits(const engine_spec &Engine, const engine_report &Report,
+          const order_step &Step) -> bool {
+  if (Step.Kind == step_kind::Load)
+    return freeMb(Engine, Report) >= weightsMb(Engine, Step.Model);
+  return Step.Kind != step_kind::LoadAdapter || hasAdapter(Report, Step) ||
+         (adapterCount(Report) < Engine.AdapterSlots &&
+          freeMb(Engine, Report) >= adapterMb(Engine, Step.Model));
+}
+
+/// True if the engine, in the state of \p Report, may carry out open orders,
+/// one after the other, that load more than fits.
+auto mayBeOverloaded(const engine_spec &Engine, const engine_report &Report)
+    -> bool {
+  return std::any_of(
+      Report.OpenOrders.begin(), Report.OpenOrders.end(),
+      [&](const open_order &Open) {
+        return Open.Sequence == Report.Sequence &&
+               hasEffect(Report, Open.Step) &&
+               (!fits(Engine, Report, Open.Step) ||
+                mayBeOverloaded(Engine, reportAfter(Report, Open.Step)));
+      });
+}
+
+/// True if \p Step may lead to an overload: here, by open orders that follow
+/// it, or after a restart, if it gets no answer and is carried out then.
+auto isUnsafe(const engine_spec &Engine, const engine_report &Report,
+              const order_step &Step) -> bool {
+  engine_report Restarted;
+  Restarted.OpenOrders = Report.OpenOrders;
+  Restarted.OpenOrders.push_back({Step, Report.Sequence});
+  return mayBeOverloaded(Engine, reportAfter(Report, Step)) ||
+         mayBeOverloaded(Engine, Restarted);
+}
+
 } // namespace
 
 auto nameOf(step_kind Kind) -> std::string_view {
@@ -135,8 +207,14 @@
 auto nextStep(const engine_spec &Engine, const engine_report &Report,
               const load_job &Job,
               const std::map<adapter_key, time_point> &LastUsed) -> order_step {
-  return Job.Adapter.empty() ? planModel(Engine, Report, Job)
-                             : planAdapter(Engine, Report, Job, LastUsed);
+  auto Step = Job.Adapter.empty() ? planModel(Engine, Report, Job)
+                                  : planAdapter(Engine, Report, Job, LastUsed);
+  const bool IsOrder = Step.Kind != step_kind::Held &&
+                       Step.Kind != step_kind::Impossible &&
+                       Step.Kind != step_kind::Wait;
+  if (IsOrder && isUnsafe(Engine, Report, Step))
+    return {step_kind::Impossible, Job.Model, Job.Adapter};
+  return Step;
 }
 
 } // namespace limpetbridge::serving
--- a/libs/serving/tests/order_plan_test.cpp
+++ b/libs/serving/tests/order_plan_test.cpp
@@ -73,11 +73,16 @@
   }
 
   /// An order that is left unanswered; it may be carried out later.
-  auto expect(const order_step & /*Step*/, std::uint64_t /*Sequence*/) -> void {
+  auto expect(const order_step &Step, std::uint64_t Sequence) -> void {
+    Report.OpenOrders.push_back({Step, Sequence});
   }
 
   /// Starts anew with nothing loaded.
-  auto restart() -> void { Report = {}; }
+  auto restart() -> void {
+    auto OpenOrders = std::move(Report.OpenOrders);
+    Report = {};
+    Report.OpenOrders = std::move(OpenOrders);
+  }
 
   [[nodiscard]] auto usedMb(const engine_spec &Engine) const -> double {
     double Used = 0;
