--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -123,8 +123,9 @@
   /// served less.
   bool IsShared = false;
   bool IsHeld = false;
-  time_point HeldSince;    ///< Of the first such wait; the epoch: none.
-  bool AwaitsView = false; ///< It waits for a current view of the targets.
+  bool IsHeldForKind = false; ///< Only for a more urgent kind.
+  time_point HeldSince;       ///< Of the first such wait; the epoch: none.
+  bool AwaitsView = false;    ///< It waits for a current view of the targets.
   /// It waits until the configuration is known to be recent.
   bool AwaitsConfiguration = false;
   /// What the request was charged with in a quota, or waits for; not set if
--- a/libs/serving/include/serving/quota_members.h
+++ b/libs/serving/include/serving/quota_members.h
@@ -106,7 +106,7 @@
   [[nodiscard]] auto counts(const quota_member &Member, time_point Now) const
       -> bool;
   [[nodiscard]] auto mayStart(time_point Now) const -> bool;
-  [[nodiscard]] auto areLoansSettled() const -> bool;
+  [[nodiscard]] auto areLoansSettled(time_point Now) const -> bool;
   [[nodiscard]] auto hashNames() const -> std::uint64_t;
   auto updateReported(std::uint32_t Own, time_point Now) -> void;
   auto updateOwnership(std::uint32_t Contacts, time_point Now) -> void;
@@ -122,6 +122,7 @@
   std::optional<time_point> BaseSince;
   ownership Ownership = ownership::None;
   std::uint64_t NamesHash = 0; ///< Of the gateways that count here.
+  time_point NamesSince;       ///< When these last changed.
   std::uint32_t Own = 1;       ///< Gateways that count here.
   std::uint32_t Count = 1;     ///< The same, or more if others count more.
   std::uint32_t Reported = 1;  ///< Of Own; all loans in force fit to it.
--- a/libs/serving/src/fair_share.cpp
+++ b/libs/serving/src/fair_share.cpp
@@ -74,7 +74,10 @@
 
 auto fair_share::outcomes::servedPart(time_point Now) const -> double {
   const double Count = Known.at(OutcomeSeconds, Now);
-  return Count < MinKnown ? 1 : Served.at(OutcomeSeconds, Now) / Count;
+  // One that was overdue when it was served has decayed less there.
+  return Count < MinKnown
+             ? 1
+             : std::min(1.0, Served.at(OutcomeSeconds, Now) / Count);
 }
 
 auto fair_share::configure(const configuration &Configuration) -> void {
--- a/libs/serving/src/gateway_fairness.cpp
+++ b/libs/serving/src/gateway_fairness.cpp
@@ -122,11 +122,13 @@
   fair_position Position;
   bool IsAbove = false; ///< To other workspaces.
   bool IsAhead = false; ///< To a more urgent kind.
+  /// Only the kind is the cause, also if it has waited and does not yield now.
+  bool IsForKind = false;
 
   [[nodiscard]] auto yields() const -> bool { return IsAbove || IsAhead; }
   [[nodiscard]] auto reason() const -> const char * {
-    return IsAhead && !IsAbove ? "a more urgent kind is served less often"
-                               : "the workspace is above its fair share";
+    return IsForKind ? "a more urgent kind is served less often"
+                     : "the workspace is above its fair share";
   }
 };
 
@@ -170,6 +172,8 @@
   Claim.IsAbove = Claim.Position.Standing == fair_standing::Above &&
                   !isWithinShare(Number, Claim.Position);
   Claim.IsAhead = isAhead(State, Claim.Position, PickRequest);
+  Claim.IsForKind =
+      Claim.yields() ? !Claim.IsAbove : State.Requests.at(Number).IsHeldForKind;
   return Claim;
 }
 
@@ -185,20 +189,23 @@
   const double QueueMs =
       ExpectedMs -
       RoomPart * static_cast<double>(Request.Route.TargetLatencyMs);
-  const double ReturnSeconds =
-      std::max(Position.ShareReturnSeconds,
-               Claim.IsAhead ? Position.KindReturnSeconds : 0);
+  // A kind that is ahead is only refused what would be late, so after its
+  // objective it may try again.
+  const double ReturnSeconds = std::max(
+      Position.ShareReturnSeconds,
+      Claim.IsAhead
+          ? std::min(Position.KindReturnSeconds,
+                     static_cast<double>(Request.Route.TargetLatencyMs) /
+                         MsPerSecond)
+          : 0);
   const auto RetryAfterMs = static_cast<std::int64_t>(
       std::clamp(std::max(QueueMs, MsPerSecond * ReturnSeconds),
                  static_cast<double>(MinRetryAfterMs), MaxRetryAfterMs));
   std::uniform_int_distribution<std::int64_t> Spread(0, ReturnSpreadMs);
   State.Fairness.recordDecision(tokensOf(Request.Call), false, Step.Now);
-  // One that yields no longer, but has waited, did so for its share: those that
-  // wait for a kind are sent before they are late.
   State.Fairness.recordOutcome(Number,
-                               Claim.IsAhead && !Claim.IsAbove
-                                   ? fair_outcome::NotServed
-                                   : fair_outcome::AboveShare,
+                               Claim.IsForKind ? fair_outcome::NotServed
+                                               : fair_outcome::AboveShare,
                                Step.Now);
   record(Step, Request, fair_end::Refused);
   refuseRequest(Step, Number, result_code::FairShareExceeded,
@@ -223,6 +230,7 @@
   auto &State = Step.State;
   auto &Request = State.Requests.at(Number);
   Request.IsHeld = true;
+  Request.IsHeldForKind = Claim.IsForKind;
   const auto Surplus = State.HeldRequests.hold(
       Number, groupOf(Request), tokensOf(Request.Call),
       State.Fairness.recentUse(*Request.Workspace, fleetRate(State), Step.Now));
--- a/libs/serving/src/gateway_refusals.cpp
+++ b/libs/serving/src/gateway_refusals.cpp
@@ -49,6 +49,7 @@
                    result_code Code, std::int64_t RetryAfterMs,
                    std::string Reason) -> void {
   const auto Found = Step.State.Requests.find(Number);
+  const auto Outcome = outcomeOf(Code);
   // Once an attempt may have run, no refusal may claim that the request did
   // not run.
   if (Found != Step.State.Requests.end() && Found->second.MayHaveRun &&
@@ -58,7 +59,7 @@
   }
   Step.Effects.push_back(refuse_request{Number, Code, RetryAfterMs});
   Step.State.HeldRequests.erase(Number);
-  Step.State.Fairness.recordOutcome(Number, outcomeOf(Code), Step.Now);
+  Step.State.Fairness.recordOutcome(Number, Outcome, Step.Now);
   log_fields Fields = {{"code", std::string(describe(Code).Name)},
                        {"reason", std::move(Reason)},
                        {"retry_after_ms", std::to_string(RetryAfterMs)}};
--- a/libs/serving/src/quota_members.cpp
+++ b/libs/serving/src/quota_members.cpp
@@ -27,6 +27,9 @@
 constexpr int StartTerms = 3;
 constexpr std::size_t MaxForgotten = 10000;
 constexpr duration UpdateInterval = milliseconds(20);
+/// The time between two reports: one that has just been listed is heard by
+/// then.
+constexpr duration SettlingTime = milliseconds(500);
 
 } // namespace
 
@@ -175,7 +178,10 @@
       Highest = std::max(Highest, Member.Members);
     ++Next;
   }
-  NamesHash = hashNames();
+  if (const auto Hash = hashNames(); Hash != NamesHash) {
+    NamesHash = Hash;
+    NamesSince = Now;
+  }
   Own = static_cast<std::uint32_t>(Members.size()) + 1;
   Count = std::max(Own, Highest);
   updateReported(Own, Now);
@@ -218,10 +224,11 @@
 
 /// Whether nothing that an earlier process of this gateway lent is in use. All
 /// others have to count the same gateways, so that a borrower that is unknown
-/// here is noticed. One that knows no other waits, since others may be about to
-/// be listed.
-auto quota_members::areLoansSettled() const -> bool {
-  return !Members.empty() && Own == Count &&
+/// here is noticed. The names have to be the same for a while: the first two of
+/// a fleet that starts would begin alone, and count the others only one term
+/// after the other.
+auto quota_members::areLoansSettled(time_point Now) const -> bool {
+  return !Members.empty() && Own == Count && Now - NamesSince >= SettlingTime &&
          std::all_of(Members.begin(), Members.end(), [&](const auto &Entry) {
            return Entry.second.Settled == NamesHash;
          });
@@ -231,7 +238,7 @@
   // Loans of an earlier process of this gateway end within a term.
   const auto Term = termFor(Count);
   if (!StartedAt || !ListedAt ||
-      (Now - *StartedAt <= Term && !areLoansSettled()))
+      (Now - *StartedAt <= Term && !areLoansSettled(Now)))
     return false;
   // One that is not in contact may not know this gateway.
   return std::all_of(Members.begin(), Members.end(), [&](const auto &Entry) {
