--- a/testing/emulator/tests/head_request_test.cpp
+++ b/testing/emulator/tests/head_request_test.cpp
@@ -86,7 +86,7 @@
                  " HTTP/1.1\r\nHost: h\r\n"
                  "X-Limpetbridge-Attempt-Id: 7\r\n" +
                  Fields + "\r\n");
-    const auto Head = Caller.readUntil(End);
+    auto Head = Caller.readUntil(End);
     CPPUNIT_ASSERT_MESSAGE(Head, Head.ends_with(End));
     CPPUNIT_ASSERT(process_clock::now() - Began < milliseconds(500));
     Caller.write("GET /none/ HTTP/1.1\r\nHost: h\r\n\r\n");
