--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,126 +1,89 @@
-/// Prompts with many small parts. The gateways must stay within the memory of
-/// their machines.
+/// The store comes back from an older copy, then the process of a controller is
+/// restarted. No order may bear a lower generation number than an earlier one.
 #include "../stand_ins_2/engine.h"
 
 using namespace stand_ins;
 
 namespace {
 
-constexpr int Engines = 12;
-constexpr int SecondsLong = 75;
-/// Of the site: requests with a prompt a second, all callers together.
-constexpr int PerSecond = 40;
-constexpr int Callers = 80;
-
-/// A prompt of \p Parts parts of one token each, within max_header_bytes.
-auto prefixText(std::uint32_t First, int Parts) -> std::string {
-  std::string Text;
-  char Part[24];
-  for (int I = 0; I < Parts; ++I) {
-    std::snprintf(Part, sizeof(Part), "%s%x:1", I == 0 ? "" : ",",
-                  First + static_cast<std::uint32_t>(I));
-    Text += Part;
-  }
-  return Text;
-}
+/// Age of the copy; "some seconds".
+constexpr int CopyAgeMs = 6000;
+constexpr int AwayMs = 500;
+constexpr int RestartDelayMs = 500;
 
 auto play(const std::string &CaseFolder) -> int {
   record_file Record(CaseFolder + "/record.txt");
   temporary_folder Folder;
   auto &Store = *new store;
   Store.put("op", "config", engineConfiguration(3));
-  for (int I = 1; I <= Engines; ++I) {
-    auto *Engine = new engine(Store, Record, "i-" + std::to_string(7000 + I),
-                              "wheelwise", 220000, 70000);
-    Engine->hold({"ma", "mb", "mc"});
-    Engine->Events = 20;
-    Engine->EventGapMs = 75;
-    Engine->beat();
+  // Four workers, of which the first one has a controller here.
+  std::vector<engine *> Engines;
+  for (int I = 1; I <= 4; ++I) {
+    Engines.push_back(new engine(Store, Record, "i-" + std::to_string(7000 + I),
+                                 "wheelwise", 220000, 70000));
+    Engines.back()->beat();
   }
-  gateway_place Places[2];
-  std::vector<std::unique_ptr<process>> Gateways;
-  for (int I = 0; I < 2; ++I)
-    Places[I].Name = "frontend-nashua-" + std::to_string(I + 1);
-  for (int I = 0; I < 2; ++I) {
-    Gateways.push_back(std::make_unique<process>(
-        "gateway-" + std::to_string(I + 1), Folder.Path,
-        Places[I].settings(Store.address(), addressOf(Places[0].Peers) + "," +
-                                                addressOf(Places[1].Peers))));
-    Gateways.back()->start();
+  auto &Worker = *Engines.front();
+  gateway_place Place;
+  Place.Name = "frontend-nashua-1";
+  process Gateway("gateway", Folder.Path,
+                  Place.settings(Store.address(), addressOf(Place.Peers)));
+  process Controller("controller", Folder.Path,
+                     controllerSettings("side-nashua-1", Worker.address(),
+                                        "wheelwise", Store.address()));
+  Gateway.start();
+  Controller.start();
+  if (!Place.awaitReady())
+    return NotRun;
+  sleepMs(3000);
+  const auto Restart = [&](const char *Why) {
+    Controller.kill(SIGKILL);
+    sleepMs(RestartDelayMs);
+    Controller.start();
+    Record.note(std::string("restart  the controller's process, ") + Why);
+    sleepMs(1000);
+  };
+
+  Store.takeCopy();
+  Record.note("store    version " + std::to_string(Store.version()) +
+              " is in the copy");
+  const auto CopiedAt = nowMs();
+  sleepMs(3500);
+  Restart("for the first time");
+  // Four models, of which three fit: each of these makes another one yield.
+  if (ask(Record, Place.Callers, "md") != 200)
+    return NotRun;
+  sleepMs(std::max<std::int64_t>(0, CopiedAt + CopyAgeMs - nowMs()));
+  Record.note("store    version " + std::to_string(Store.version()));
+  if (hasTrouble()) {
+    Store.setAway(true);
+    sleepMs(AwayMs);
+    Store.restore();
+    Record.note("trouble  the store is back from the copy, version " +
+                std::to_string(Store.version()) + ", era 2");
+    // What the operator and the workers wrote is written again.
+    Store.put("op", "config", engineConfiguration(3));
+    for (auto *Engine : Engines)
+      Engine->beat();
   }
-  for (const auto &Place : Places)
-    if (!Place.awaitReady())
+  Restart("for the second time");
+  Record.note("store    version " + std::to_string(Store.version()));
+  sleepMs(1500); // A model that was just loaded does not yield.
+  for (const char *Model : {"ma", "mb", "mc", "md"})
+    if (ask(Record, Place.Callers, Model) != 200)
       return NotRun;
-  sleepMs(1000);
-  std::atomic<std::uint32_t> Next = 0x10000000;
-  std::atomic<int> Sent = 0;
-  std::atomic<int> Served = 0;
-  std::atomic<int> Failed = 0;
-  std::atomic<bool> Ends = false;
-  const int Parts = hasTrouble() ? 1300 : 3;
-  std::vector<std::thread> Threads;
-  for (int Caller = 0; Caller < Callers; ++Caller)
-    Threads.emplace_back([&, Caller] {
-      const auto &Place = Places[Caller % 2];
-      sleepMs(Caller * 1000 / PerSecond);
-      while (!Ends) {
-        const auto Began = nowMs();
-        char Id[32];
-        std::snprintf(Id, sizeof(Id), "9c41d07b%08x", ++Sent);
-        connection Connection;
-        if (Connection.connect(Place.Callers)) {
-          const int Tokens = hasTrouble() ? Parts : 1460;
-          Connection.write(
-              "POST /ask/2f HTTP/1.1\r\nHost: models.example\r\n"
-              "X-Limpetbridge-Attempt-Id: " +
-              std::string(Id) +
-              "\r\nX-Limpetbridge-Model: ma\r\n"
-              "X-Limpetbridge-Token-Usage: " +
-              std::to_string(Tokens) + ",25\r\nX-Limpetbridge-Prompt-Prefix: " +
-              (hasTrouble() ? prefixText(Next.fetch_add(Parts), Parts)
-                            : "5c1e07a2:800,91bd3f06:410,e4402b7d:250") +
-              "\r\nX-Limpetbridge-Deadline-Ms: 12000\r\n"
-              "Content-Length: 2\r\n\r\n{}");
-          const auto Answer = Connection.readMessage(13'000);
-          if (Answer && Answer->status() == 200)
-            ++Served;
-          else if (++Failed < 30)
-            Record.note("answered " + std::string(Id) + ": " +
-                        (Answer ? Answer->First : "nothing"));
-        }
-        const auto Period = 1000 * Callers / PerSecond;
-        sleepMs(std::max<std::int64_t>(0, Began + Period - nowMs()));
-      }
-    });
-  int Over = 0;
-  for (int Second = 1; Second <= SecondsLong && Over == 0; ++Second) {
-    sleepMs(1000);
-    std::string Text;
-    for (std::size_t I = 0; I < Gateways.size(); ++I) {
-      const auto Kb = Gateways[I]->memoryKb("VmRSS");
-      Text += "  " + Places[I].Name + " " + std::to_string(Kb / 1024) + " MB";
-      if (Kb <= 1024L * Places[I].MemoryMb && Gateways[I]->isRunning())
-        continue;
-      ++Over;
-      Gateways[I]->kill(SIGKILL);
-      Record.note("platform " + Places[I].Name + " takes " +
-                  std::to_string(Kb / 1024) + " of " +
-                  std::to_string(Places[I].MemoryMb) + " MB and is killed");
-    }
-    if (Second % 5 == 0 || Over > 0)
-      Record.note("sent " + std::to_string(Sent) + ", served " +
-                  std::to_string(Served) + Text);
+
+  std::uint64_t Highest = 0;
+  int Lower = 0;
+  for (const auto &Order : Worker.orders()) {
+    if (Order.FencingToken < Highest)
+      ++Lower;
+    Highest = std::max(Highest, Order.FencingToken);
   }
-  Ends = true;
-  for (auto &Thread : Threads)
-    Thread.join();
-  Record.note("requests without a success: " + std::to_string(Failed));
-  Record.note("processes over the memory of their machine (260 MB), which the "
-              "platform kills: " +
-              std::to_string(Over));
-  if (Served == 0)
-    return NotRun;
-  return Over > 0 ? Broken : Held;
+  Record.note("orders with a lower generation number after a higher one: " +
+              std::to_string(Lower) + " of " +
+              std::to_string(Worker.orders().size()));
+  return Lower > 0 ? Broken : Held;
 }
 
 } // namespace
--- a/review/stand_ins_2/engine.h
+++ b/review/stand_ins_2/engine.h
@@ -39,6 +39,7 @@
   /// Of its streams.
   std::atomic<int> Events = 5;
   std::atomic<int> EventGapMs = 5;
+  std::atomic<int> Runs = 0; ///< Streams that it has begun.
 
   [[nodiscard]] auto address() const -> std::string {
     return Listener.address();
@@ -284,6 +285,7 @@
                        RequestId +
                        "\r\nX-Limpetbridge-Response-Signature: 3e1b.07\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n";
+    ++Runs;
     for (int Number = 1; Number <= Events; ++Number) {
       const auto Event = "id: " + std::to_string(Number) + "\ndata: " + Name +
                          " " + std::to_string(Number) + "\n\n";
