--- a/review/stand_ins_2/engine.h
+++ b/review/stand_ins_2/engine.h
@@ -20,7 +20,8 @@
   };
 
   engine(store &EngineStore, record_file &EngineRecord, std::string EngineId,
-         std::string EngineService, double EngineWeightsMb, double EngineModelMb)
+         std::string EngineService, double EngineWeightsMb,
+         double EngineModelMb)
       : Store(EngineStore), Record(EngineRecord), Id(std::move(EngineId)),
         Service(std::move(EngineService)), WeightsMb(EngineWeightsMb),
         ModelMb(EngineModelMb), Born(bornNow()),
@@ -120,11 +121,16 @@
     for (const auto &[Name, Adapters] : Models)
       List.push_back(
           {{"name", Name}, {"version", 1}, {"adapters", json(Adapters)}});
-    return {{"stage", "colocated"}, {"models", List},
-            {"busy", Busy},         {"sequence", Sequence},
-            {"born", Born},         {"queued_requests", 0},
-            {"active_requests", 0}, {"kv_cache_used", 0},
-            {"kv_cache_total", 233436}, {"handles", 0}};
+    return {{"stage", "colocated"},
+            {"models", List},
+            {"busy", Busy},
+            {"sequence", Sequence},
+            {"born", Born},
+            {"queued_requests", 0},
+            {"active_requests", 0},
+            {"kv_cache_used", 0},
+            {"kv_cache_total", 233436},
+            {"handles", 0}};
   }
   [[nodiscard]] auto rowText() const -> std::string {
     auto Row = reportJson();
@@ -153,8 +159,8 @@
       if (const auto Expected =
               Request->field("X-Limpetbridge-Expected-Instance");
           !Expected.empty() && Expected != Id) {
-        Connection.write(answerText(421, "", "X-Limpetbridge-Instance-Id: " +
-                                                 Id + "\r\n"));
+        Connection.write(
+            answerText(421, "", "X-Limpetbridge-Instance-Id: " + Id + "\r\n"));
         continue;
       }
       if (Request->target() == "/report") {
@@ -220,18 +226,17 @@
     int Status = 0;
     {
       const std::lock_guard Lock(Mutex);
-      const auto Text = Order.value("operation", "") + " " +
-                        Order.value("model", "") + " " +
-                        Order.value("adapter", "") + " at sequence " +
-                        std::to_string(Order.value("precondition", 0)) +
-                        ", holder " + Order.value("holder", "") +
-                        ", fencing token " +
-                        std::to_string(Order.value("fencing_token", 0));
+      const auto Text =
+          Order.value("operation", "") + " " + Order.value("model", "") + " " +
+          Order.value("adapter", "") + " at sequence " +
+          std::to_string(Order.value("precondition", 0)) + ", holder " +
+          Order.value("holder", "") + ", fencing token " +
+          std::to_string(Order.value("fencing_token", 0));
       Orders.push_back({Order.value("holder", ""),
                         Order.value("fencing_token", std::uint64_t{0})});
-      const bool IsModelLoad = Order.value("operation", "") ==
-                                   "model_loading" &&
-                               Order.value("adapter", "").empty();
+      const bool IsModelLoad =
+          Order.value("operation", "") == "model_loading" &&
+          Order.value("adapter", "").empty();
       if (IsModelLoad)
         Delay = std::exchange(DelayMs, 0);
       if (Delay == 0)
@@ -276,10 +281,10 @@
                 Found->second.contains(Name.substr(Slash + 1)));
     }
     if (!IsHeld)
-      return Connection.write(answerText(
-          421, "",
-          "X-Limpetbridge-Attempt-Id: " + RequestId +
-              "\r\nX-Limpetbridge-Instance-Id: " + Id + "\r\n"));
+      return Connection.write(
+          answerText(421, "",
+                     "X-Limpetbridge-Attempt-Id: " + RequestId +
+                         "\r\nX-Limpetbridge-Instance-Id: " + Id + "\r\n"));
     std::string Text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                        "X-Limpetbridge-Attempt-Id: " +
                        RequestId +
@@ -390,7 +395,8 @@
       return Status;
     const auto Wait =
         Answer ? std::atof(Answer->field("Retry-After").c_str()) : 0.0;
-    sleepMs(std::max<std::int64_t>(200, static_cast<std::int64_t>(1000 * Wait)));
+    sleepMs(
+        std::max<std::int64_t>(200, static_cast<std::int64_t>(1000 * Wait)));
   }
   return Status;
 }
--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -132,8 +132,8 @@
   auto write(const std::string &Bytes) -> bool {
     std::size_t Sent = 0;
     while (Sent < Bytes.size()) {
-      const auto Count = ::send(Fd, Bytes.data() + Sent, Bytes.size() - Sent,
-                                MSG_NOSIGNAL);
+      const auto Count =
+          ::send(Fd, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
       if (Count <= 0)
         return false;
       Sent += static_cast<std::size_t>(Count);
@@ -439,12 +439,11 @@
     }
     if (!Target.starts_with("/rows-feed"))
       return {404, json::object()};
-    const auto After = std::strtoull(parameter(Target, "after").c_str(),
-                                     nullptr, 10);
-    const auto Until =
-        std::chrono::steady_clock::now() +
-        std::chrono::milliseconds(
-            std::atoll(parameter(Target, "wait_time_ms").c_str()));
+    const auto After =
+        std::strtoull(parameter(Target, "after").c_str(), nullptr, 10);
+    const auto Until = std::chrono::steady_clock::now() +
+                       std::chrono::milliseconds(std::atoll(
+                           parameter(Target, "wait_time_ms").c_str()));
     const auto EraBefore = Era;
     for (;;) {
       if (Away)
@@ -618,7 +617,8 @@
                                const std::string &Service,
                                const std::string &Store) -> std::string {
   return "[instance]\nrole = controller\nname = " + Name +
-         "\ndata_centre = nashua\naddress = 127.0.0.1\n[controller]\ntarget = " +
+         "\ndata_centre = nashua\naddress = 127.0.0.1\n[controller]\ntarget "
+         "= " +
          Target + "\n[target]\nservice = " + Service +
          "\n[link]\naddress = " + addressOf(freePort()) +
          "\n[metrics]\naddress = " + addressOf(freePort()) +
