--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -247,25 +247,38 @@
   return ntohs(Address.sin_port);
 }
 
-inline auto openListener() -> int {
+/// \param Port 0 for any that is free.
+inline auto openListener(std::uint16_t Port = 0) -> int {
   const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int One = 1;
   setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) != 0 ||
-      listen(Fd, 512) != 0)
-    return -1;
-  return Fd;
+  if (bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0 &&
+      listen(Fd, 512) == 0)
+    return Fd;
+  ::close(Fd);
+  return -1;
 }
 
-/// A port that nobody uses, for a process that is started with it.
+/// A port that nobody uses, for a process that is started with it. It is below
+/// the range from which the system takes ports, so that nobody gets it before.
 inline auto freePort() -> std::uint16_t {
-  const int Fd = openListener();
-  const auto Port = portOf(Fd);
-  ::close(Fd);
-  return Port;
+  constexpr std::uint32_t FirstPort = 15'000;
+  constexpr std::uint32_t PortCount = 16'000;
+  static std::atomic<std::uint32_t> Next =
+      static_cast<std::uint32_t>(getpid()) * 127U;
+  for (;;) {
+    const auto Port =
+        static_cast<std::uint16_t>(FirstPort + ++Next % PortCount);
+    const int Fd = openListener(Port);
+    if (Fd < 0)
+      continue;
+    ::close(Fd);
+    return Port;
+  }
 }
 
 inline auto addressOf(std::uint16_t Port) -> std::string {
@@ -277,8 +290,8 @@
 class server {
 public:
   using handler = std::function<void(connection &)>;
-  explicit server(handler Handler)
-      : Fd(openListener()), Port(portOf(Fd)), Handle(std::move(Handler)) {
+  explicit server(handler Handler, std::uint16_t AtPort = 0)
+      : Fd(openListener(AtPort)), Port(portOf(Fd)), Handle(std::move(Handler)) {
     std::thread([this] {
       for (;;) {
         const int Accepted = accept4(Fd, nullptr, nullptr, SOCK_CLOEXEC);
@@ -647,10 +660,7 @@
 };
 
 /// Ends the case at once: the threads of its stand-ins still serve.
-[[noreturn]] inline auto finish(int Code) -> void {
-  std::fflush(nullptr);
-  _exit(Code);
-}
+[[noreturn]] inline auto finish(int Code) -> void { _exit(Code); }
 
 /// Exit codes of a case.
 constexpr int Held = 0;
