--- a/review/stand_ins_2/engine.h
+++ b/review/stand_ins_2/engine.h
@@ -27,11 +27,14 @@
         ModelMb(EngineModelMb), Born(bornNow()),
         Listener([this](connection &Connection) { serve(Connection); }) {
     std::thread([this] {
+      // Heartbeats of several workers don't fall together.
+      sleepMs(static_cast<std::int64_t>(std::hash<std::string>()(Id) %
+                                        HeartbeatMs));
       for (;;) {
         sleepMs(HeartbeatMs);
         const std::lock_guard Lock(Mutex);
-        if (IsUp && Beats)
-          Store.put("servers", Id, rowText());
+        if (IsUp && Beats && describedJson() != Described)
+          writeRow();
       }
     }).detach();
   }
@@ -40,6 +43,7 @@
   /// Of its streams.
   std::atomic<int> Events = 5;
   std::atomic<int> EventGapMs = 5;
+  std::atomic<int> FirstEventMs = 0;
   std::atomic<int> Runs = 0; ///< Streams that it has begun.
 
   [[nodiscard]] auto address() const -> std::string {
@@ -54,7 +58,12 @@
   auto beat() -> void {
     const std::lock_guard Lock(Mutex);
     Beats = true;
-    Store.put("servers", Id, rowText());
+    writeRow();
+  }
+  /// What it wrote is written again with its next heartbeat.
+  auto writeAgain() -> void {
+    const std::lock_guard Lock(Mutex);
+    Described = json();
   }
   /// The next load order gets no answer and is carried out this much later.
   auto delayNextOrder(std::int64_t Milliseconds) -> void {
@@ -75,7 +84,7 @@
     const std::lock_guard Lock(Mutex);
     IsUp = true;
     Born = bornNow();
-    Store.put("servers", Id, rowText());
+    writeRow();
   }
   [[nodiscard]] auto orders() -> std::vector<seen_order> {
     const std::lock_guard Lock(Mutex);
@@ -143,6 +152,16 @@
     Row["cold_remaining_ms"] = 0;
     return Row.dump();
   }
+  /// What the entry changes by: all but the sequence.
+  [[nodiscard]] auto describedJson() const -> json {
+    auto Json = reportJson();
+    Json.erase("sequence");
+    return Json;
+  }
+  auto writeRow() -> void {
+    Described = describedJson();
+    Store.put("servers", Id, rowText());
+  }
   [[nodiscard]] auto usedMb() const -> double {
     return ModelMb * static_cast<double>(Models.size());
   }
@@ -215,7 +234,7 @@
         return;
       Models[Model];
       Busy = false;
-      Store.put("servers", Id, rowText());
+      writeRow();
     }).detach();
     return 202;
   }
@@ -291,6 +310,7 @@
                        "\r\nX-Limpetbridge-Response-Signature: 3e1b.07\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n";
     ++Runs;
+    sleepMs(FirstEventMs);
     for (int Number = 1; Number <= Events; ++Number) {
       const auto Event = "id: " + std::to_string(Number) + "\ndata: " + Name +
                          " " + std::to_string(Number) + "\n\n";
@@ -317,6 +337,7 @@
   bool Busy = false;
   bool IsUp = true;
   bool Beats = false;
+  json Described; ///< As it was written last.
   std::int64_t DelayMs = 0;
   int DelayedOrders = 0;
   int Overloads = 0;
@@ -326,13 +347,14 @@
 };
 
 /// The configuration of the cases with engines.
-inline auto engineConfiguration(std::uint64_t Version) -> std::string {
+inline auto engineConfiguration(std::uint64_t Version, int CacheTokens = 233436)
+    -> std::string {
   json Models = json::array();
   for (const char *Name : {"ma", "mb", "mc", "md"})
     Models.push_back({{"name", Name},
                       {"weights_size_mb", 70000.0},
                       {"load_time_s", 0.3},
-                      {"adapters", 4},
+                      {"adapters", 31},
                       {"adapter_size_mb", 12.0}});
   return json{{"version", Version},
               {"routes",
@@ -354,7 +376,7 @@
                  {"connection_limit", 360},
                  {"inference_engine",
                   {{"slots", 64},
-                   {"kv_cache_tokens", 233436},
+                   {"kv_cache_tokens", CacheTokens},
                    {"weights_size_mb", 220000.0},
                    {"adapter_slot_count", 5},
                    {"loads_per_s", 1.4},
