Fencing tokens: rise also when the store returns from an older copy

Targets that check tokens refuse such orders.

Cause: the token was the version of the controller's row. Versions go back with the store's era and are given out again; the new process knows neither the era nor the token of its predecessor. All lower orders come after the last start, so no process went on with an old token, and the era shows that no registration of before was carried out late.

The token is made of (era, version), era first. Each registration is a write, so a later one has a higher position whatever was restored in between; no process has to remember anything. Without eras tokens are as before. Positions that do not fit are refused, not wrapped.

One read more at each start of a controller.

--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -7,6 +7,7 @@
 #include "net/asio.h"
 #include "net/http_message.h"
 #include "serving/configuration.h"
+#include "serving/fencing_token.h"
 #include "serving/gateway_events.h"
 #include "serving/order_plan.h"
 
@@ -52,8 +53,9 @@
   /// \p Status is that of the target's response.
   std::function<order_end(std::uint16_t Status)> ParseOrderStatus;
   /// Writes the record of this instance to the store.
-  /// \returns its fencing token.
-  std::function<net::awaitable<std::uint64_t>(serving::instance_record)>
+  /// \returns the position of the record in the history of the store.
+  std::function<net::awaitable<serving::store_position>(
+      serving::instance_record)>
       RegisterInstance;
   /// Watches the configuration and calls the function with each version that is
   /// read, and where it was read.
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -199,9 +199,14 @@
   Self.Role = instance_role::Controller;
   Self.Address = Settings.LinkAddress;
   Self.TargetAddress = Settings.ControllerTarget;
-  FencingToken = co_await Hooks.RegisterInstance(Self);
-  log(log_level::Info, "holder_confirmed",
-      {{"fencing_token", std::to_string(FencingToken)}});
+  const auto Position = co_await Hooks.RegisterInstance(Self);
+  const auto Token = makeFencingToken(Position);
+  FencingToken = Token.value_or(0);
+  log(Token ? log_level::Info : log_level::Error,
+      Token ? "holder_confirmed" : "fencing_token_out_of_range",
+      {{"fencing_token", std::to_string(FencingToken)},
+       {"era", std::to_string(Position.Era)},
+       {"version", std::to_string(Position.Version)}});
 }
 
 auto controller_node::findEngine() const -> const engine_spec * {
--- a/testing/emulator/src/store_emulator.cpp
+++ b/testing/emulator/src/store_emulator.cpp
@@ -123,8 +123,10 @@
     -> json {
   json List = json::array();
   const auto From = Query.contains("from") ? Query.at("from") : "";
+  const auto To = Query.find("to");
   for (const auto &[Name, Row] : Rows)
-    if (Name.first == Query.at("table") && Name.second >= From && !Row.Deleted)
+    if (Name.first == Query.at("table") && Name.second >= From &&
+        (To == Query.end() || Name.second < To->second) && !Row.Deleted)
       List.push_back(rowJson(Name, Row));
   return {{"rows", List},
           {"has_more", false},
--- a/testing/emulator/tests/store_restore_test.cpp
+++ b/testing/emulator/tests/store_restore_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(restore_gatewayWithoutStore_followsTheOthers);
   CPPUNIT_TEST(restore_ownRows_areWrittenAgain);
   CPPUNIT_TEST(restore_windowOfLoads_isWrittenAgain);
+  CPPUNIT_TEST(restore_controllerStartsAgain_fencingTokenRises);
   CPPUNIT_TEST(restore_targetMissingInTheCopy_isServedOn);
   CPPUNIT_TEST(restore_waitsStayOpen_isNoticedInTime);
   CPPUNIT_TEST(restore_underRequests_allAreServed);
@@ -124,25 +125,10 @@
   /// Guards against more loads from the weight store than it allows, by
   /// controllers that do not know of each other's.
   auto restore_windowOfLoads_isWrittenAgain() -> void {
-    Fleet->ChangeConfiguration = [](nlohmann::json &Document) {
-      Document["version"] = 20;
-    };
-    Fleet->publishConfiguration();
-    auto &Engine = Fleet->addWorker("e1", "models");
-    Fleet->Outside.call([&] {
-      Engine.Behaviour = behaviour::Stream;
-      return 0;
-    });
-    Fleet->publish("e1");
+    addEngine();
     Fleet->startController("e1");
     onStore([](store_emulator &Store) { Store.takeCopy(); });
-    CPPUNIT_ASSERT(eventually([&] {
-      return Fleet
-                 ->send("/chat/x", "prompt",
-                        {{"X-Limpetbridge-Model", "b"},
-                         {"X-Limpetbridge-Token-Usage", "100,20"}})
-                 .Head.Status == 200;
-    }));
+    CPPUNIT_ASSERT(eventually([&] { return isModelServed("b"); }));
     std::uint64_t Before = 0;
     std::uint64_t After = 0;
     onStore([&](store_emulator &Store) {
@@ -161,6 +147,41 @@
         seconds(2)));
   }
 
+  /// Guards against a lower fencing token after a higher one: versions of the
+  /// store are given out again after a restore, and a controller that starts
+  /// then knows nothing of its predecessor.
+  auto restore_controllerStartsAgain_fencingTokenRises() -> void {
+    auto &Engine = addEngine();
+    std::uint64_t Highest = 0;
+    int Writes = 20; // Fewer versions are given out each time.
+    for (const auto *Model : {"a", "b", "c"}) {
+      onStore([&](store_emulator &Store) {
+        Store.takeCopy();
+        for (int I = 0; I < Writes; ++I)
+          Store.put("other", "row", "");
+      });
+      Writes -= 10;
+      Fleet->startController("e1");
+      CPPUNIT_ASSERT(eventually([&] { return isModelServed(Model); }));
+      std::uint64_t Token = 0;
+      onStore([&](store_emulator &) {
+        Token = Engine.Orders.back().at("fencing_token").get<std::uint64_t>();
+      });
+      CPPUNIT_ASSERT_MESSAGE(Model + std::to_string(Token) + " after " +
+                                 std::to_string(Highest),
+                             Token > Highest);
+      Highest = Token;
+      // Its end and the restore come together, so nobody writes its row again.
+      onStore([](store_emulator &Store) { Store.Faults.Down = true; });
+      Fleet->stopController();
+      onStore([](store_emulator &Store) {
+        Store.Faults.Down = false;
+        Store.restore();
+      });
+      Fleet->publish("e1");
+    }
+  }
+
   auto restore_targetMissingInTheCopy_isServedOn() -> void {
     onStore([](store_emulator &Store) { Store.drop("servers", "w1"); });
     onStore([](store_emulator &Store) { Store.takeCopy(); });
@@ -250,6 +271,29 @@
     CPPUNIT_ASSERT(Fleet->metric("configuration_age_ms") >= 900);
   }
 
+  /// Adds a target that holds no model and the configuration that names it.
+  auto addEngine() -> worker_emulator & {
+    Fleet->ChangeConfiguration = [](nlohmann::json &Document) {
+      Document["version"] = 20;
+    };
+    Fleet->publishConfiguration();
+    auto &Engine = Fleet->addWorker("e1", "models");
+    Fleet->Outside.call([&] {
+      Engine.Behaviour = behaviour::Stream;
+      return 0;
+    });
+    Fleet->publish("e1");
+    return Engine;
+  }
+
+  auto isModelServed(const char *Model) -> bool {
+    return Fleet
+               ->send("/chat/x", "prompt",
+                      {{"X-Limpetbridge-Model", Model},
+                       {"X-Limpetbridge-Token-Usage", "100,20"}})
+               .Head.Status == 200;
+  }
+
   auto isRegistered(const char *Name) -> bool {
     std::uint64_t Version = 0;
     onStore([&](store_emulator &Store) {
