Orders: a controller knows whether a predecessor's late orders may do harm

Cause: the orders without an answer are known to one process. Its successor fills the target up to the very sequence that such an order waits for.

A predecessor's orders do no harm in the incarnation for which they were given. So no order is given in another one until 14 s after the start of the process; a row in the store (handovers) names the incarnation. It stays true while the target is in it, so neither late writes nor an older copy of the store make it wrong, and any number of kills is covered. Where late orders may stand at every sequence since the start of the target, only as many orders are given as fit whatever they load. An order counts as open from its sending, so both queues see each other's calls.

--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -9,11 +9,13 @@
 #include "serving/configuration.h"
 #include "serving/fencing_token.h"
 #include "serving/gateway_events.h"
+#include "serving/open_orders.h"
 #include "serving/order_plan.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace limpetbridge {
@@ -52,10 +54,18 @@
   std::function<net::http_request(const order_facts &)> BuildOrderRequest;
   /// \p Status is that of the target's response.
   std::function<order_end(std::uint16_t Status)> ParseOrderStatus;
-  /// Writes the record of this instance to the store.
+  /// Reads what a process of the same name has left in the store; waits until
+  /// the store answers. \returns none if there was no such process.
+  std::function<net::awaitable<std::optional<serving::order_handover>>(
+      instance_name)>
+      ReadHandover;
+  /// Writes what this controller leaves to its successor. \returns true if the
+  /// store has confirmed it.
+  std::function<net::awaitable<bool>(serving::order_handover)> WriteHandover;
+  /// Writes the record of this instance and its handover to the store.
   /// \returns the position of the record in the history of the store.
   std::function<net::awaitable<serving::store_position>(
-      serving::instance_record)>
+      serving::instance_record, serving::order_handover)>
       RegisterInstance;
   /// Watches the configuration and calls the function with each version that is
   /// read, and where it was read.
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -17,10 +17,8 @@
 /// The target is on the same machine.
 constexpr duration ReportTimeout = milliseconds(500);
 constexpr duration OrderTimeout = milliseconds(1000);
-/// Time after which an order without an answer is not carried out any more:
-/// 12 s, the longest delay of late orders, from the end of its call, and 1 s
-/// more as the target has another clock.
-constexpr duration OpenOrderTime = OrderTimeout + seconds(13);
+/// Delay before another attempt to write the handover.
+constexpr duration HandoverRetryDelay = seconds(1);
 /// Time without a report after which a target that was loading is given up.
 constexpr duration TargetLostTime = milliseconds(600);
 /// Delays between reports while an order is executed: an adapter takes some
@@ -199,14 +197,24 @@
   Self.Role = instance_role::Controller;
   Self.Address = Settings.LinkAddress;
   Self.TargetAddress = Settings.ControllerTarget;
-  const auto Position = co_await Hooks.RegisterInstance(Self);
+  const auto Predecessor = co_await Hooks.ReadHandover(Self.Name);
+  OpenOrders.takeOver(Predecessor, StartedAt);
+  WrittenHandover = Predecessor.value_or(order_handover{});
+  // Not published: no gateway has subscribed yet.
+  if (const auto Report = co_await fetchReport(Models)) {
+    OpenOrders.observe(*Report);
+    WrittenHandover = OpenOrders.handover(*Report, process_clock::now());
+  }
+  const auto Position = co_await Hooks.RegisterInstance(Self, WrittenHandover);
   const auto Token = makeFencingToken(Position);
   FencingToken = Token.value_or(0);
   log(Token ? log_level::Info : log_level::Error,
       Token ? "holder_confirmed" : "fencing_token_out_of_range",
       {{"fencing_token", std::to_string(FencingToken)},
        {"era", std::to_string(Position.Era)},
-       {"version", std::to_string(Position.Version)}});
+       {"version", std::to_string(Position.Version)},
+       {"predecessor", Predecessor ? "true" : "false"},
+       {"settled_incarnation", std::to_string(WrittenHandover.Incarnation)}});
 }
 
 auto controller_node::findEngine() const -> const engine_spec * {
@@ -308,7 +316,7 @@
   Queue.Running = false;
 }
 
-auto controller_node::readReport(job_queue &Queue)
+auto controller_node::fetchReport(job_queue &Queue)
     -> awaitable<std::optional<engine_report>> {
   const auto Request = Hooks.BuildReportRequest();
   const auto Response = co_await Queue.Client.fetch(
@@ -321,15 +329,23 @@
         {{"error", toString(Report.error())}});
     co_return std::nullopt;
   }
+  co_return std::move(Report.value());
+}
+
+auto controller_node::readReport(job_queue &Queue)
+    -> awaitable<std::optional<engine_report>> {
+  auto Report = co_await fetchReport(Queue);
+  if (!Report)
+    co_return std::nullopt;
   std::erase_if(UnloadingAdapters, [&](const adapter_key &Adapter) {
-    const auto Held = Report.value().Holdings.Models.find(Adapter.first);
-    return Report.value().Incarnation != Published.Incarnation ||
-           Held == Report.value().Holdings.Models.end() ||
+    const auto Held = Report->Holdings.Models.find(Adapter.first);
+    return Report->Incarnation != Published.Incarnation ||
+           Held == Report->Holdings.Models.end() ||
            !Held->second.Adapters.contains(Adapter.second);
   });
-  Report.value().UnloadingAdapters = UnloadingAdapters;
-  publishHoldings(Report.value());
-  co_return Report.value();
+  Report->UnloadingAdapters = UnloadingAdapters;
+  publishHoldings(*Report);
+  co_return Report;
 }
 
 auto controller_node::publishHoldings(const engine_report &Report) -> void {
@@ -366,38 +382,40 @@
       static_cast<std::size_t>(std::max(1.0, PermitsPerWindow)));
 }
 
-auto controller_node::keepOpenOrder(const target_name &Target, open_order Order,
-                                    time_point SentAt) -> void {
-  // The same order is sent again while it has no answer.
-  std::erase_if(OpenOrders, [&](const kept_order &Kept) {
-    return Kept.ExpiresAt <= SentAt ||
-           (Kept.Target == Target && Kept.Order == Order);
-  });
-  OpenOrders.push_back({Target, std::move(Order), SentAt + OpenOrderTime});
+auto controller_node::updateHandover(const engine_report &Report) -> void {
+  const auto Now = process_clock::now();
+  const auto Handover = OpenOrders.handover(Report, Now);
+  if (Handover == WrittenHandover || Now < NextHandoverAt)
+    return;
+  NextHandoverAt = NoDeadline;
+  net::spawn(Context.get_executor(), writeHandover(Handover));
 }
 
-auto controller_node::openOrders(const target_name &Target) const
-    -> std::vector<open_order> {
-  std::vector<open_order> Open;
-  for (const auto &Kept : OpenOrders)
-    if (Kept.Target == Target && Kept.ExpiresAt > process_clock::now())
-      Open.push_back(Kept.Order);
-  return Open;
+auto controller_node::writeHandover(order_handover Handover)
+    -> awaitable<void> {
+  const bool Written = co_await Hooks.WriteHandover(Handover);
+  if (Written)
+    WrittenHandover = Handover;
+  NextHandoverAt =
+      process_clock::now() + (Written ? duration::zero() : HandoverRetryDelay);
 }
 
 auto controller_node::sendOrder(const job_state &Job, const order_step &Step,
-                                std::uint64_t Sequence)
+                                const engine_report &Report)
     -> awaitable<order_end> {
   order_facts Facts;
   Facts.Kind = Step.Kind;
   Facts.Target = Job.Target;
   Facts.Model = Step.Model;
   Facts.Adapter = Step.Adapter;
-  Facts.Sequence = Sequence;
+  Facts.Sequence = Report.Sequence;
   Facts.Holder = instance_name(Settings.Name);
   Facts.FencingToken = FencingToken;
   const auto Request = Hooks.BuildOrderRequest(Facts);
   const auto SentAt = process_clock::now();
+  // From now on: the other queue may plan an order before this call ends.
+  const auto Number = OpenOrders.add(Job.Target, Report.Incarnation,
+                                     {Step, Report.Sequence}, SentAt);
   // A connection of its own: a late second copy of a report must not be taken
   // for the answer to an order.
   const net::asio::any_io_executor Executor = Context.get_executor();
@@ -405,8 +423,7 @@
                                             Request, SentAt + OrderTimeout);
   const auto Outcome = Response ? Hooks.ParseOrderStatus(Response->Head.Status)
                                 : order_end::Unknown;
-  if (Outcome == order_end::Unknown)
-    keepOpenOrder(Job.Target, {Step, Sequence}, SentAt);
+  OpenOrders.settle(Number, Outcome != order_end::Unknown);
   Metrics.count("orders", nameOf(Step.Kind));
   if (Outcome != order_end::Accepted)
     Metrics.count("orders_not_accepted", nameOf(Step.Kind));
@@ -415,7 +432,7 @@
        {"target", Job.Target.Text},
        {"model", Step.Model.Text},
        {"adapter", Step.Adapter},
-       {"sequence", std::to_string(Sequence)},
+       {"sequence", std::to_string(Facts.Sequence)},
        {"status", std::to_string(Response ? Response->Head.Status : 0)}});
   co_return Outcome;
 }
@@ -451,10 +468,23 @@
       continue;
     }
     LastReportAt = process_clock::now();
-    Report->OpenOrders = openOrders(Job->Target);
+    OpenOrders.observe(*Report);
+    updateHandover(*Report);
+    Report->OpenOrders = OpenOrders.list(Job->Target, LastReportAt);
     const auto Step = nextStep(*findEngine(), *Report, Job->Job, LastUsed);
     if (Step.Kind == step_kind::Held && !Report->Leaves)
       co_return true;
+    if (isOrder(Step.Kind) &&
+        !OpenOrders.mayOrder(*findEngine(), *Report, LastReportAt)) {
+      Metrics.count("loads_held_back", ForAdapter ? "adapter" : "model");
+      log(log_level::Info, "load_held_back",
+          {{"model", Job->Job.Model.Text},
+           {"adapter", Job->Job.Adapter},
+           {"incarnation", std::to_string(Report->Incarnation)},
+           {"sequence", std::to_string(Report->Sequence)},
+           {"reason", "orders of the controller before may be open"}});
+      co_return false;
+    }
     if (Step.Kind == step_kind::Impossible || Report->Leaves) {
       log(log_level::Warning, "load_impossible",
           {{"model", Job->Job.Model.Text},
@@ -487,7 +517,7 @@
     if (Job->Done) // The process stops.
       co_return false;
     Job->OrderSent = true;
-    const auto Outcome = co_await sendOrder(*Job, Step, Report->Sequence);
+    const auto Outcome = co_await sendOrder(*Job, Step, *Report);
     if (Outcome == order_end::WrongTarget)
       co_return false;
     const bool IsLoad =
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -83,18 +83,19 @@
   auto serveGateway(connection Connection) -> net::awaitable<void>;
   auto runJobs(job_queue &Queue) -> net::awaitable<void>;
   auto runJob(job_queue &Queue, job Job) -> net::awaitable<bool>;
+  auto fetchReport(job_queue &Queue)
+      -> net::awaitable<std::optional<serving::engine_report>>;
+  /// The same, and tells the gateways what the target holds.
   auto readReport(job_queue &Queue)
       -> net::awaitable<std::optional<serving::engine_report>>;
-  /// Records that an order has got no answer.
-  auto keepOpenOrder(const target_name &Target, serving::open_order Order,
-                     time_point SentAt) -> void;
-  /// Orders to \p Target that may still be carried out.
-  [[nodiscard]] auto openOrders(const target_name &Target) const
-      -> std::vector<serving::open_order>;
+  /// Writes what to leave to a successor to the store if that has changed.
+  auto updateHandover(const serving::engine_report &Report) -> void;
+  auto writeHandover(serving::order_handover Handover) -> net::awaitable<void>;
   /// Sends the order of \p Step; the target refuses it if its sequence is not
-  /// \p Sequence.
+  /// that of \p Report.
   auto sendOrder(const job_state &Job, const serving::order_step &Step,
-                 std::uint64_t Sequence) -> net::awaitable<order_end>;
+                 const serving::engine_report &Report)
+      -> net::awaitable<order_end>;
   /// Removes what \p Step unloads from the holdings that gateways receive, so
   /// that no more requests for it arrive.
   auto recordUnloadOrder(const serving::order_step &Step,
@@ -126,13 +127,11 @@
   std::uint64_t FencingToken = 0;   ///< 0: not registered, sends no orders.
   job_queue Models;
   job_queue Adapters;
-  /// An order without an answer.
-  struct kept_order {
-    target_name Target;
-    serving::open_order Order;
-    time_point ExpiresAt; ///< It is not carried out from then on.
-  };
-  std::vector<kept_order> OpenOrders;
+  const time_point StartedAt = process_clock::now();
+  serving::open_orders OpenOrders;
+  serving::order_handover WrittenHandover; ///< As the store has it.
+  time_point NextHandoverAt; ///< No earlier write of one; NoDeadline: one is
+                             ///< in progress.
   serving::holdings_report Published;   ///< Last sent to the gateways.
   std::set<model_name> UnloadingModels; ///< Hidden from the gateways.
   std::set<serving::adapter_key> UnloadingAdapters; ///< The same.
--- a/libs/serving/include/serving/order_plan.h
+++ b/libs/serving/include/serving/order_plan.h
@@ -70,6 +70,8 @@
 };
 
 [[nodiscard]] auto nameOf(step_kind Kind) -> std::string_view;
+/// True if a step of this kind is an order to the engine.
+[[nodiscard]] auto isOrder(step_kind Kind) -> bool;
 
 /// Plans the next step of \p Job. No step brings the target to a state in which
 /// an open order would load more than fits; such a step is Impossible.
--- a/libs/serving/src/order_plan.cpp
+++ b/libs/serving/src/order_plan.cpp
@@ -204,15 +204,17 @@
   return "wait";
 }
 
+auto isOrder(step_kind Kind) -> bool {
+  return Kind != step_kind::Held && Kind != step_kind::Impossible &&
+         Kind != step_kind::Wait;
+}
+
 auto nextStep(const engine_spec &Engine, const engine_report &Report,
               const load_job &Job,
               const std::map<adapter_key, time_point> &LastUsed) -> order_step {
   auto Step = Job.Adapter.empty() ? planModel(Engine, Report, Job)
                                   : planAdapter(Engine, Report, Job, LastUsed);
-  const bool IsOrder = Step.Kind != step_kind::Held &&
-                       Step.Kind != step_kind::Impossible &&
-                       Step.Kind != step_kind::Wait;
-  if (IsOrder && isUnsafe(Engine, Report, Step))
+  if (isOrder(Step.Kind) && isUnsafe(Engine, Report, Step))
     return {step_kind::Impossible, Job.Model, Job.Adapter};
   return Step;
 }
--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -99,6 +99,9 @@
 
   /// Resets every connection and accepts no more.
   auto crash() -> void;
+  /// Starts again at once under the same id: with nothing loaded, and with a
+  /// sequence that begins anew.
+  auto startAgain() -> void;
 
 private:
   auto serve(std::shared_ptr<net::caller_connection> Connection)
@@ -131,6 +134,7 @@
   std::string Id;
   std::string Service;
   std::uint64_t Sequence = 0;
+  std::uint64_t Born = 1'000;
   bool Busy = false;
   std::unique_ptr<net::listener> Listener;
   std::set<std::shared_ptr<net::caller_connection>> Connections;
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -13,7 +13,6 @@
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 constexpr int Events = 6;
 constexpr int CutAt = 3;
-constexpr std::uint64_t Born = 1000;
 /// Ends an endless answer that no peer closes, so that a failing test ends.
 constexpr std::size_t MaxEndlessBytes = std::size_t{1} << 30U;
 /// Size of one write of an endless answer.
@@ -66,6 +65,13 @@
   OnCrash();
 }
 
+auto worker_emulator::startAgain() -> void {
+  Models.clear();
+  Sequence = 0;
+  Busy = false;
+  ++Born;
+}
+
 auto worker_emulator::hasCrashPart(const net::http_request &Request) const
     -> bool {
   std::istringstream Parts(std::string(
--- a/testing/emulator/tests/controller_path_test.cpp
+++ b/testing/emulator/tests/controller_path_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(load_targetCrashesOnIt_isCharged);
   CPPUNIT_TEST(metrics_afterOrders_countThem);
   CPPUNIT_TEST(restart_fencingToken_rises);
+  CPPUNIT_TEST(restart_targetRunsOn_ordersAtOnce);
+  CPPUNIT_TEST(restart_targetStartsAgain_waitsForOrdersOfThePredecessor);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +97,36 @@
     CPPUNIT_ASSERT(After > Before);
   }
 
+  auto restart_targetRunsOn_ordersAtOnce() -> void {
+    CPPUNIT_ASSERT(served("b"));
+    Fleet->startController("e1");
+    CPPUNIT_ASSERT(served("c"));
+  }
+
+  /// Guards against an overload by an order that a controller has left
+  /// unanswered: its successor does not know it, and the target, which has
+  /// started again under its id, accepts it at a sequence of the past.
+  auto restart_targetStartsAgain_waitsForOrdersOfThePredecessor() -> void {
+    CPPUNIT_ASSERT(served("b"));
+    Fleet->stopController();
+    const auto Before = Fleet->Outside.call([&] {
+      Engine->startAgain();
+      return Engine->Orders.size();
+    });
+    Fleet->publish("e1");
+    Fleet->startController("e1");
+    for (int I = 0; I < 20; ++I, usleep(100'000))
+      Fleet->send("/chat/x", "prompt",
+                  {{"X-Limpetbridge-Model", "c"},
+                   {"X-Limpetbridge-Token-Usage", "100,20"}});
+    CPPUNIT_ASSERT_EQUAL(
+        Before, Fleet->Outside.call([&] { return Engine->Orders.size(); }));
+    const auto Page =
+        Fleet->get(Fleet->Controller->metricsAddress(), "/metrics");
+    CPPUNIT_ASSERT(Page && Page->Body.find("loads_held_back{kind=\"model\"}") !=
+                               std::string::npos);
+  }
+
 private:
   /// Sends until the model is served; controllers are found by then.
   auto served(const std::string &Model) -> bool {
