Crashes: what gateways know of them outlives all of them

Cause: the ledger of crashes is in the gateways' memory alone and restored from other gateways only. Evidence: with the rows of the store not read, the new test loses 4 requests more after the restart, with them none; a single gateway that is restarted learned it from the others before as well.

Each gateway writes what it knows of suspects to a row of its own when it has seen a crash or a clearing, and reads all rows at its start, before it sends a prompt. So crashes add up over any number of lives, from the first one on. If the store does not answer for 1.5 s, prompts are sent without it. Rows are written again when the store returns from an older copy, and some seconds after another gateway has cleared what they name.

--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -11,9 +11,12 @@
 #include "serving/protocol.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace limpetbridge {
 
@@ -44,6 +47,12 @@
   std::function<std::uint64_t()> TargetsVersion;
 };
 
+/// What a gateway has left in the store of crashes of targets.
+struct stored_crashes {
+  std::string Bytes;      ///< As WriteCrashes received them.
+  std::int64_t AgeMs = 0; ///< Since they were written.
+};
+
 /// Hooks of the adapter.
 struct gateway_hooks {
   std::function<result<serving::call>(const net::http_request &, time_point)>
@@ -63,6 +72,13 @@
       std::function<bool()> ReadsTargets,
       std::function<const serving::configuration_history *()> ReadHistory)>
       Watch;
+  /// Reads what all gateways have left of crashes. \returns none if the store
+  /// did not answer. Empty: nothing is kept in a store.
+  std::function<net::awaitable<std::optional<std::vector<stored_crashes>>>()>
+      ReadCrashes;
+  /// Replaces what this gateway has left of them, at most MaxStoredBytes.
+  /// \returns true if the store has confirmed it.
+  std::function<net::awaitable<bool>(std::string Bytes)> WriteCrashes;
   /// The platform says that targets serve several requests on one connection,
   /// so that connections are kept whatever the setting says.
   bool TargetsKeepConnections = false;
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -68,6 +68,7 @@
   auto execute(const serving::read_configuration &Effect) -> void;
   auto execute(const serving::check_target &Effect) -> void;
   auto execute(const serving::send_crash_report &Effect) -> void;
+  auto execute(const serving::store_crashes &Effect) -> void;
   auto execute(const serving::send_digest &Effect) -> void;
   auto execute(const serving::send_prefill_notice &Effect) -> void;
   auto execute(const serving::send_quota_reports &Effect) -> void;
@@ -108,6 +109,10 @@
   auto requestLoad(serving::request_load Effect) -> net::awaitable<void>;
   /// Connects to a target and dispatches what came of it.
   auto checkTarget(serving::check_target Check) -> net::awaitable<void>;
+  /// Reads what gateways have left in the store of crashes, until it answers.
+  auto readCrashRows() -> net::awaitable<void>;
+  /// Writes what is known of crashes until nothing new has come meanwhile.
+  auto writeCrashRow() -> net::awaitable<void>;
   /// Sends a query to another gateway and dispatches the outcome.
   auto queryPeer(serving::query_peer Query) -> net::awaitable<void>;
   /// Reads what an answer says of the peer's view; the query was sent at
@@ -181,6 +186,8 @@
   std::vector<std::shared_ptr<net::asio::steady_timer>> WaitingQueries;
   std::set<workspace_name> CountedWorkspaces; ///< With a counter of their own.
   target_connections TargetConnections;
+  bool CrashesChanged = false; ///< Since the last write began.
+  bool WritingCrashes = false; ///< writeCrashRow runs.
   /// Of the machine, since it started; as of the last call of hasBeenSuspended.
   std::optional<duration> SuspendedTime;
   serving::target_paces Paces; ///< Of streams, since the last tick.
--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -123,6 +123,11 @@
   [[nodiscard]] auto report(const suspect &Suspect, time_point Now) const
       -> suspect_report;
 
+  /// What is known of all suspects, at most \p MaxCharges charges: of those
+  /// with the most crashes first, then the latest.
+  [[nodiscard]] auto snapshot(std::size_t MaxCharges, time_point Now) const
+      -> std::vector<suspect_report>;
+
   /// Decides on a request with \p Suspects.
   [[nodiscard]] auto decide(const std::vector<suspect> &Suspects,
                             const quarantine_policy &Policy,
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -123,9 +123,10 @@
   /// served less.
   bool IsShared = false;
   bool IsHeld = false;
-  bool IsHeldForKind = false; ///< Only for a more urgent kind.
-  time_point HeldSince;       ///< Of the first such wait; the epoch: none.
-  bool AwaitsView = false;    ///< It waits for a current view of the targets.
+  bool IsHeldForKind = false;   ///< Only for a more urgent kind.
+  time_point HeldSince;         ///< Of the first such wait; the epoch: none.
+  bool AwaitsCrashRows = false; ///< It waits for what the store has of crashes.
+  bool AwaitsView = false;      ///< It waits for a current view of the targets.
   /// It waits until the configuration is known to be recent.
   bool AwaitsConfiguration = false;
   /// What the request was charged with in a quota, or waits for; not set if
@@ -211,6 +212,13 @@
     bool IsChecked = false; ///< A check of the target is in progress.
   };
   std::map<target_name, possible_crash> PossibleCrashes;
+  /// Prompts are not sent before, unless the rows are read; the epoch if they
+  /// need not be awaited.
+  time_point CrashRowsAwaitedUntil;
+  /// The own row is to be written then, as another gateway has cleared what it
+  /// may name; NoDeadline if it need not be.
+  time_point CrashRowDueAt = NoDeadline;
+  time_point CrashesStoredAt;  ///< When the own row was last to be written.
   suspect LastReportedSuspect; ///< The next periodic report begins after it.
   /// State of another gateway according to its last digest.
   struct peer_status {
--- a/libs/serving/include/serving/gateway_effects.h
+++ b/libs/serving/include/serving/gateway_effects.h
@@ -116,6 +116,10 @@
   crash_report Report;
 };
 
+/// Write what is known of requests that may crash targets to the store. Writes
+/// that come together may be one.
+struct store_crashes {};
+
 /// Send a digest to other gateways.
 struct send_digest {
   std::vector<std::string> Addresses;
@@ -196,14 +200,13 @@
   std::vector<std::pair<std::string, std::string>> Fields;
 };
 
-using gateway_effect =
-    std::variant<set_deadline, send_attempt, set_hedge_timer, cancel_attempt,
-                 record_hedge, close_connections, refuse_request, relay_failure,
-                 request_load, query_peer, read_configuration, check_target,
-                 send_crash_report, send_digest, send_prefill_notice,
-                 send_quota_reports, subscribe_to_controllers,
-                 record_attempt_times, record_key_check, record_pacing,
-                 record_fair_share, write_note>;
+using gateway_effect = std::variant<
+    set_deadline, send_attempt, set_hedge_timer, cancel_attempt, record_hedge,
+    close_connections, refuse_request, relay_failure, request_load, query_peer,
+    read_configuration, check_target, send_crash_report, store_crashes,
+    send_digest, send_prefill_notice, send_quota_reports,
+    subscribe_to_controllers, record_attempt_times, record_key_check,
+    record_pacing, record_fair_share, write_note>;
 using gateway_effects = std::vector<gateway_effect>;
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -116,6 +116,15 @@
   std::vector<suspect_report> Suspects;
 };
 
+/// Adds \p AgeMs to the ages of \p Report, which was made so long ago.
+auto addAge(crash_report &Report, std::int64_t AgeMs) -> void;
+
+/// What gateways have left in the store of requests that may crash targets,
+/// this one among them; ages as of now.
+struct crash_rows_read {
+  std::vector<crash_report> Rows;
+};
+
 /// An operator lifted a quarantine.
 struct quarantine_lifted {
   suspect Suspect;
@@ -384,9 +393,9 @@
 
 using gateway_event = std::variant<
     request_arrived, first_output, answer_begun, hedge_due, output_continued,
-    target_checked, crash_report, quarantine_lifted, target_notice,
-    connection_rested, connection_lost, attempt_ended, caller_left,
-    deadline_passed, configuration_read, configuration_missing,
+    target_checked, crash_report, crash_rows_read, quarantine_lifted,
+    target_notice, connection_rested, connection_lost, attempt_ended,
+    caller_left, deadline_passed, configuration_read, configuration_missing,
     store_era_changed, configuration_confirmed, target_updated, target_lost,
     row_unreadable, store_reachability_changed, targets_listed,
     instances_listed, load_answered, holdings_report, gateway_digest,
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -161,6 +161,29 @@
   return Report;
 }
 
+auto crash_ledger::snapshot(std::size_t MaxCharges, time_point Now) const
+    -> std::vector<suspect_report> {
+  std::vector<std::pair<suspect, const record *>> Ranked;
+  for (const auto &[Suspect, Record] : Records)
+    Ranked.emplace_back(Suspect, &Record);
+  const auto RankOf = [](const record &Record) {
+    return std::pair(Record.Charges.size(), Record.lastCrashAt());
+  };
+  std::sort(Ranked.begin(), Ranked.end(),
+            [&](const auto &Left, const auto &Right) {
+              return RankOf(*Left.second) > RankOf(*Right.second);
+            });
+  std::vector<suspect_report> Reports;
+  std::size_t Charges = 0;
+  for (const auto &[Suspect, Record] : Ranked) {
+    Charges += Record->Charges.size();
+    if (Charges > MaxCharges)
+      break;
+    Reports.push_back(report(Suspect, Now));
+  }
+  return Reports;
+}
+
 auto crash_ledger::hasBegunAnswer(const target_run &Run) const -> bool {
   return std::any_of(Records.begin(), Records.end(), [&](const auto &Known) {
     const auto Found = Known.second.Charges.find(Run);
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -172,6 +172,24 @@
 /// a gateway may have been away.
 auto sendCrashReport(const gateway_step &Step) -> void;
 
+/// Merges what another gateway knows, and applies what follows from it.
+auto mergeCrashes(const gateway_step &Step,
+                  const std::vector<suspect_report> &Reports,
+                  const std::string &Source) -> void;
+
+// gateway_crash_rows.cpp
+auto handle(const gateway_step &Step, const crash_rows_read &Event) -> void;
+/// Has the own row written to the store.
+auto storeCrashes(const gateway_step &Step) -> void;
+/// The same within some seconds. All gateways learn of a clearing at once, and
+/// their writes are spread.
+auto refreshCrashRow(const gateway_step &Step) -> void;
+/// Lets a request with a prompt wait while the rows of the store are not read;
+/// one that has waited for long is refused. \returns false if it may be sent.
+auto awaitCrashRows(const gateway_step &Step, request_number Number) -> bool;
+/// Refreshes the own row, and ends the wait for the rows when it is over.
+auto checkCrashRows(const gateway_step &Step) -> void;
+
 // gateway_workspaces.cpp
 /// Takes the keys of the configuration in force, and refuses the requests that
 /// wait with a key that was removed.
--- a/libs/serving/src/explain.cpp
+++ b/libs/serving/src/explain.cpp
@@ -45,6 +45,8 @@
     -> std::string {
   if (Request.AwaitsConfiguration)
     return "a recent configuration";
+  if (Request.AwaitsCrashRows)
+    return "what the store has of crashes";
   if (Request.AwaitsView)
     return "a current view of the targets";
   if (State.QuotaWaits.contains(ExplainedNumber))
--- a/libs/serving/src/gateway_era.cpp
+++ b/libs/serving/src/gateway_era.cpp
@@ -49,6 +49,8 @@
   for (auto &[Peer, Status] : State.PeerStatuses)
     if (Status.StoreEra < State.StoreEra)
       forgetVersions(Status);
+  if (!State.Crashes.empty())
+    storeCrashes(Step);
   // Targets that were added since the copy are missing in it until they have
   // written their rows again.
   if (State.RowGraceUntil != NoDeadline)
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -385,6 +385,7 @@
   if (Step.Now >= State.NextSubscription)
     subscribeToControllers(Step);
   expireCrashes(Step);
+  checkCrashRows(Step);
   expireConnections(Step);
   sendQuotaReports(Step);
   expireHedging(Step);
--- a/libs/serving/src/gateway_quarantine.cpp
+++ b/libs/serving/src/gateway_quarantine.cpp
@@ -217,6 +217,7 @@
   addLogEntry(Step, log_level::Info, "suspects_cleared",
               {{"suspects", suspectsText(Cleared)}, {"source", Source}});
   sendAtOnce(Step, Cleared);
+  storeCrashes(Step);
   applyChange(Step, Cleared, Before, Source);
 }
 
@@ -346,6 +347,7 @@
                {"attempts", std::to_string(Possible.Attempts.size())},
                {"suspects", suspectsText(Suspects)}});
   sendAtOnce(Step, Suspects);
+  storeCrashes(Step);
   applyChange(Step, Suspects, Before, State.Options.Self.Text);
 }
 
@@ -364,19 +366,31 @@
   recordServed(Step, Found->second);
 }
 
-auto handle(const gateway_step &Step, const crash_report &Event) -> void {
+auto mergeCrashes(const gateway_step &Step,
+                  const std::vector<suspect_report> &Reports,
+                  const std::string &Source) -> void {
   auto &State = Step.State;
-  if (Event.From == State.Options.Self)
-    return;
   std::vector<suspect> Suspects;
-  for (const auto &Report : Event.Suspects)
+  for (const auto &Report : Reports)
     Suspects.push_back(Report.Suspect);
   const auto Before = quarantinedAmong(State, Suspects);
   bool Changed = false;
-  for (const auto &Report : Event.Suspects)
+  bool Cleared = false;
+  for (const auto &Report : Reports) {
+    const bool WasCharged = !State.Crashes.crashesOf(Report.Suspect).empty();
     Changed |= State.Crashes.merge(Report, Step.Now);
+    Cleared |= WasCharged && State.Crashes.crashesOf(Report.Suspect).empty();
+  }
+  // The own row may still name what was cleared.
+  if (Cleared && State.CrashesStoredAt != time_point())
+    refreshCrashRow(Step);
   if (Changed)
-    applyChange(Step, Suspects, Before, Event.From.Text);
+    applyChange(Step, Suspects, Before, Source);
+}
+
+auto handle(const gateway_step &Step, const crash_report &Event) -> void {
+  if (Event.From != Step.State.Options.Self)
+    mergeCrashes(Step, Event.Suspects, Event.From.Text);
 }
 
 auto handle(const gateway_step &Step, const quarantine_lifted &Event) -> void {
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -166,7 +166,8 @@
                          "no time is left");
   if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
     return refuseStopping(Step, Number);
-  if (refuseIfQuarantined(Step, Number) || awaitConfirmation(Step, Number))
+  if (refuseIfQuarantined(Step, Number) || awaitCrashRows(Step, Number) ||
+      awaitConfirmation(Step, Number))
     return;
   if (!mayChooseTargets(Step.State, Step.Now))
     return awaitView(Step, Number);
--- a/libs/serving/tests/crash_fleet.h
+++ b/libs/serving/tests/crash_fleet.h
@@ -129,12 +129,25 @@
   /// Replaces a gateway by one that knows nothing but the rows of the store.
   auto restartGateway(std::size_t Index) -> void {
     Gateways[Index] = makeGateway(Index);
+    if (KeepsRows) {
+      Gateways[Index]->State.CrashRowsAwaitedUntil = Now + RowsPatience;
+      readRows(Index);
+    }
     dispatch(Index, instances_listed{Instances});
     for (const auto &[Name, Engine] : Engines)
       if (Engine->Alive)
         dispatch(Index, target_updated{Engine->Target});
   }
 
+  /// The store returns from a copy that has none of the rows.
+  auto forgetRows() -> void { Rows.clear(); }
+
+  /// The same for all of them at one moment.
+  auto restartAllGateways() -> void {
+    for (std::size_t I = 0; I < Gateways.size(); ++I)
+      restartGateway(I);
+  }
+
   auto dispatch(std::size_t Gateway, const gateway_event &Event) -> void {
     auto &Harness = *Gateways[Gateway];
     Harness.Now = Now;
@@ -160,6 +173,9 @@
   std::vector<std::uint64_t> CrashPrompt; ///< The same, of a whole prompt.
   std::set<std::string> CrashLoads;       ///< Models or adapters, the same.
   std::uint64_t EventsBeforeCrash = 0;
+  /// Gateways have a store for what they know of crashes.
+  bool KeepsRows = false;
+  bool StoreIsAway = false;
   double LossShare = 0; ///< Of the messages between gateways.
   time_point Now{seconds(1000)};
   std::vector<std::unique_ptr<gateway_harness>> Gateways;
@@ -169,6 +185,10 @@
   std::map<request_number, refuse_request> Refused;
 
 private:
+  static constexpr duration RowsPatience = milliseconds(1500);
+  static constexpr duration StoreCall = milliseconds(8);
+  static constexpr duration StoreRetry = milliseconds(300);
+
   struct entry {
     time_point At;
     std::uint64_t Order = 0;
@@ -338,6 +358,37 @@
   auto execute(std::size_t /*Gateway*/, const send_digest &Effect) -> void {
     deliver(Effect.Addresses, Effect.Digest);
   }
+  auto execute(std::size_t Gateway, const store_crashes & /*Effect*/) -> void {
+    crash_report Row;
+    Row.Suspects = Gateways[Gateway]->State.Crashes.snapshot(700, Now);
+    if (KeepsRows)
+      writeRow(Gateway, Row, Now);
+  }
+
+  auto writeRow(std::size_t Gateway, const crash_report &Row,
+                time_point WrittenAt) -> void {
+    after(StoreIsAway ? StoreRetry : StoreCall,
+          [this, Gateway, Row, WrittenAt] {
+            if (StoreIsAway)
+              return writeRow(Gateway, Row, WrittenAt);
+            if (!Rows.contains(Gateway) || Rows[Gateway].second <= WrittenAt)
+              Rows[Gateway] = {Row, WrittenAt};
+          });
+  }
+
+  auto readRows(std::size_t Gateway) -> void {
+    after(StoreIsAway ? StoreRetry : StoreCall, [this, Gateway] {
+      if (StoreIsAway)
+        return readRows(Gateway);
+      crash_rows_read Event;
+      for (const auto &[Writer, Row] : Rows) {
+        Event.Rows.push_back(Row.first);
+        addAge(Event.Rows.back(), toMilliseconds(Now - Row.second));
+      }
+      dispatch(Gateway, Event);
+    });
+  }
+
   template <typename effect>
   auto execute(std::size_t /*Gateway*/, const effect & /*Effect*/) -> void {}
 
@@ -346,6 +397,8 @@
   std::vector<instance_record> Instances;
   std::map<target_name, std::unique_ptr<engine>> Engines;
   std::map<request_number, call> Calls;
+  /// By gateway, with the times of their writes.
+  std::map<std::size_t, std::pair<crash_report, time_point>> Rows;
   std::uint64_t LastEntry = 0;
   std::uint64_t LastAttempt = 0;
   request_number LastNumber = 0;
--- a/testing/emulator/tests/crashing_prompt_test.cpp
+++ b/testing/emulator/tests/crashing_prompt_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(prompts_targetsCrashAfterOneEvent_isNotSentOn);
   CPPUNIT_TEST(prompts_targetsCrashInUnframedStreams_isNotSentOn);
   CPPUNIT_TEST(prompts_gatewayIsReplaced_isNotSentOn);
+  CPPUNIT_TEST(prompts_allGatewaysAreReplaced_isNotSentOn);
   CPPUNIT_TEST(prompts_targetsCrashForOtherReasons_areServed);
   CPPUNIT_TEST(quarantinePage_lifted_isServedByBothGateways);
   CPPUNIT_TEST_SUITE_END();
@@ -117,6 +118,23 @@
     expectFewLateRequests({SharedPart, "d1"});
   }
 
+  /// Guards against losing targets anew when no gateway is left that has seen
+  /// the crashes.
+  auto prompts_allGatewaysAreReplaced_isNotSentOn() -> void {
+    setCrashParts({"d1"});
+    sendUntilCrashes({SharedPart, "d1"});
+    const auto Before = crashingRequests();
+    Second->requestStop();
+    Fleet->stopGateway();
+    Fleet->startGateway();
+    Second = &Fleet->addGateway();
+    CPPUNIT_ASSERT(Fleet->awaitReady());
+    CPPUNIT_ASSERT(eventually([&] { return isServed({SharedPart, "b1"}); }));
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT(!isServed({SharedPart, "d1"}));
+    CPPUNIT_ASSERT_EQUAL(Before, crashingRequests());
+  }
+
   auto prompts_targetsCrashForOtherReasons_areServed() -> void {
     for (int Round = 0; Round < 4; ++Round) {
       Fleet->Outside.call([&] {
--- a/testing/emulator/tests/fleet_fixture.cpp
+++ b/testing/emulator/tests/fleet_fixture.cpp
@@ -135,6 +135,11 @@
                                            [this] { Gateway->run(); });
 }
 
+auto fleet::stopGateway() -> void {
+  Gateway->requestStop();
+  GatewayThread.reset();
+}
+
 auto fleet::addGateway() -> gateway_node & {
   auto Settings = makeSettings(Store->address(), "gateway");
   Settings.Name = "gateway-" + std::to_string(MoreGateways.size() + 2);
--- a/testing/emulator/tests/fleet_fixture.h
+++ b/testing/emulator/tests/fleet_fixture.h
@@ -99,6 +99,8 @@
   auto publish(const char *Id) -> void;
   auto publishConfiguration() -> void;
   auto startGateway() -> void;
+  /// Stops the gateway and waits for its end.
+  auto stopGateway() -> void;
   /// Starts a further gateway.
   auto addGateway() -> gateway_node &;
   /// Starts a second gateway that cannot reach the store and only knows the
