Crashes: every part of a prompt is a suspect, however many there are

Cause: suspects were the first 64 parts of a prompt; behind that the ledger held 512 suspects, which one prompt fills, and each crash took a message for every 16 of them. What was over was dropped by its place, the cause with it.

All parts are suspects now. The ledger holds as many as a head of 64 KB can name; when it is full, those with the fewest crashes go first, then the oldest, and of a crash the known ones are charged first. So what prompts have in common is not displaced by what is new in one of them. What is the same of many suspects is sent once: 13 messages instead of 82 for 1,300 parts. Whether an answer had begun is counted, and whether others explain a crash is decided by the sets of crashes that suspects have, so the time of a decision does not grow with the square of the parts.

charge_manySuspects_keepsTheQuarantined asked for at most 512 suspects: it asks for at most MaxSuspects of 59,000 now, as the bound of the ledger has changed, and new cases ask that the cause is kept beside full prompts.

--- a/apps/limpetbridge/src/serving/gateway_store.cpp
+++ b/apps/limpetbridge/src/serving/gateway_store.cpp
@@ -22,7 +22,7 @@
 constexpr duration CrashRowInterval = milliseconds(500);
 /// Largest row, and the charges that a row has at most.
 constexpr std::size_t MaxRowBytes = 60'000;
-constexpr std::size_t MaxRowCharges = 700;
+constexpr std::size_t MaxRowCharges = 6000;
 
 } // namespace
 
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -3,6 +3,7 @@
 #include "base/json_text.h"
 #include "base/message_pack_stream.h"
 #include "quota_codec.h"
+#include "serving/crash_messages.h"
 
 #include <algorithm>
 #include <array>
@@ -205,25 +206,54 @@
   Writer.writeField("t", Notice.Target.Text);
 }
 
+auto writeCharges(writer &Writer,
+                  const std::vector<suspect_report::charge> &Charges) -> void {
+  Writer.beginArray(Charges.size());
+  for (const auto &Charge : Charges) {
+    Writer.beginArray(4);
+    Writer.write(Charge.Run.Target.Text);
+    Writer.write(Charge.Run.Incarnation);
+    Writer.write(Charge.AgeMs);
+    Writer.write(Charge.AnswerBegun);
+  }
+}
+
+/// Suspects of which the same is known are written as one group, without which
+/// a crash under a long prompt would take hundreds of messages.
 auto write(writer &Writer, const crash_report &Report) -> void {
-  Writer.beginMap(3);
+  const auto Groups = groupSuspects(Report.Suspects);
+  const auto GroupCount = static_cast<std::size_t>(
+      std::count_if(Groups.begin(), Groups.end(),
+                    [](const auto &Group) { return Group.Ids.size() > 1; }));
+  Writer.beginMap(GroupCount > 0 ? 4 : 3);
   Writer.writeField("f", Report.From.Text);
+  if (GroupCount > 0) {
+    Writer.write("g");
+    Writer.beginArray(GroupCount);
+    for (const auto &Group : Groups) {
+      if (Group.Ids.size() == 1)
+        continue;
+      Writer.beginArray(5);
+      Writer.write(static_cast<std::uint32_t>(Group.Known.Suspect.Kind));
+      Writer.write(Group.Known.ServedAgeMs);
+      Writer.write(Group.Known.RefusedAgeMs);
+      writeCharges(Writer, Group.Known.Charges);
+      Writer.beginArray(Group.Ids.size());
+      for (const auto Id : Group.Ids)
+        Writer.write(Id);
+    }
+  }
   Writer.writeField(KindKey, "crashes");
   Writer.write("s");
-  Writer.beginArray(Report.Suspects.size());
-  for (const auto &Item : Report.Suspects) {
+  Writer.beginArray(Groups.size() - GroupCount);
+  for (const auto &Group : Groups) {
+    if (Group.Ids.size() > 1)
+      continue;
     Writer.beginArray(4);
-    Writer.write(toString(Item.Suspect));
-    Writer.write(Item.ServedAgeMs);
-    Writer.write(Item.RefusedAgeMs);
-    Writer.beginArray(Item.Charges.size());
-    for (const auto &Charge : Item.Charges) {
-      Writer.beginArray(4);
-      Writer.write(Charge.Run.Target.Text);
-      Writer.write(Charge.Run.Incarnation);
-      Writer.write(Charge.AgeMs);
-      Writer.write(Charge.AnswerBegun);
-    }
+    Writer.write(toString(Group.Known.Suspect));
+    Writer.write(Group.Known.ServedAgeMs);
+    Writer.write(Group.Known.RefusedAgeMs);
+    writeCharges(Writer, Group.Known.Charges);
   }
 }
 
@@ -247,6 +277,24 @@
   return Charge;
 }
 
+auto readGroup(reader &Reader, std::vector<suspect_report> &Suspects) -> void {
+  Reader.readTuple(5, [&] {
+    const auto Kind = Reader.readUnsigned();
+    suspect_report Known;
+    Known.ServedAgeMs = readAge(Reader);
+    Known.RefusedAgeMs = readAge(Reader);
+    Reader.readItems([&] { Known.Charges.push_back(readCharge(Reader)); });
+    Reader.readItems([&] {
+      Known.Suspect.Id = Reader.readUnsigned();
+      if (Kind > static_cast<std::uint64_t>(suspect_kind::Load) ||
+          Suspects.size() >= crash_ledger::MaxSuspects)
+        return; // Of a newer version, or more than can be kept.
+      Known.Suspect.Kind = static_cast<suspect_kind>(Kind);
+      Suspects.push_back(Known);
+    });
+  });
+}
+
 auto readCrashes(const fields &Fields) -> crash_report {
   crash_report Report;
   Report.From = readName<instance_name>(Fields, "f");
@@ -269,6 +317,10 @@
     });
     Report.Suspects.push_back(std::move(Known));
   });
+  if (!Fields.contains("g"))
+    return Report;
+  auto Groups = Fields.at("g");
+  Groups.readItems([&] { readGroup(Groups, Report.Suspects); });
   return Report;
 }
 
--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -109,10 +109,19 @@
 /// charges are a set, and the latest answer wins.
 class crash_ledger {
 public:
+  /// Suspects that are kept: all parts that a head of 64 KB, the longest that a
+  /// gateway reads, can name, or those of four prompts with heads of 16 KB. So
+  /// the parts of one prompt never displace each other.
+  static constexpr std::size_t MaxSuspects = std::size_t{16} * 1024;
+
   /// Charges the crash of \p Run to \p Suspect. \returns true if it was not
   /// known.
   auto charge(const suspect &Suspect, const target_run &Run,
               const crash_charge &Charge) -> bool;
+  /// Charges all of \p Suspects. Those that are known come first, so that the
+  /// others do not displace them.
+  auto chargeAll(const std::vector<suspect> &Suspects, const target_run &Run,
+                 const crash_charge &Charge) -> void;
   /// Records that a request with \p Suspect was answered beyond its begin.
   /// \returns true if crashes were charged to it until then.
   auto markServed(const suspect &Suspect, time_point At) -> bool;
@@ -146,6 +155,10 @@
   auto expire(const quarantine_policy &Policy, time_point Now) -> void;
 
   [[nodiscard]] auto empty() const -> bool { return Records.empty(); }
+  /// Up to \p Count suspects in order, from the one after \p Last on; the first
+  /// ones follow the last one.
+  [[nodiscard]] auto suspectsAfter(const suspect &Last, std::size_t Count) const
+      -> std::vector<suspect>;
   /// All known suspects, in order.
   [[nodiscard]] auto suspects() const -> std::vector<suspect>;
   /// True if \p Suspect is quarantined or on trial.
@@ -184,17 +197,24 @@
   [[nodiscard]] auto excessCrashes(const record &Record,
                                    const quarantine_policy &Policy) const
       -> std::optional<std::uint32_t>;
-  /// True if one or two suspects that are not among \p Suspects have all the
-  /// crashes of \p Suspect, of which there is one at least.
-  [[nodiscard]] auto isExplained(const suspect &Suspect,
+  /// Crashes that count against the suspect of \p Record, in order.
+  [[nodiscard]] auto countedRuns(const record &Record) const
+      -> std::vector<target_run>;
+  /// True if one or two suspects that are not among \p Suspects have all of
+  /// \p Runs, of which there is one at least.
+  [[nodiscard]] auto isExplained(const std::vector<target_run> &Runs,
                                  const std::set<suspect> &Suspects) const
       -> bool;
   /// True if an answer had begun under some suspect when \p Run crashed.
   [[nodiscard]] auto hasBegunAnswer(const target_run &Run) const -> bool;
-  /// Removes the suspect with the fewest crashes, if there are too many.
+  /// Takes note that a charge is removed.
+  auto forgetCharge(const target_run &Run, const crash_charge &Charge) -> void;
+  /// Removes suspects with the fewest crashes, if there are too many.
   auto limitSize() -> void;
 
   std::map<suspect, record> Records;
+  /// Charges under an answer that had begun, by the run that crashed.
+  std::map<target_run, std::size_t> BegunCharges;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -202,14 +202,12 @@
   /// Attempts that ended together at one target, with little or no answer. They
   /// count once the target is known to have ended.
   struct possible_crash {
-    struct attempt {
-      std::vector<suspect> Suspects;
-      bool AnswerBegun = false;
-    };
     std::uint64_t Incarnation = 0;
     time_point LastEndAt;
-    std::vector<attempt> Attempts;
-    bool IsChecked = false; ///< A check of the target is in progress.
+    std::size_t Attempts = 0;
+    std::set<suspect> Begun;   ///< Of attempts whose answer had begun.
+    std::set<suspect> Waiting; ///< Of the others.
+    bool IsChecked = false;    ///< A check of the target is in progress.
   };
   std::map<target_name, possible_crash> PossibleCrashes;
   /// Prompts are not sent before, unless the rows are read; the epoch if they
--- a/libs/serving/src/crash_ledger.cpp
+++ b/libs/serving/src/crash_ledger.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <sstream>
+#include <tuple>
 
 namespace limpetbridge::serving {
 
@@ -27,8 +28,7 @@
 constexpr duration LoadHold = seconds(10);
 constexpr int LoadHoldGrowth = 4;
 constexpr duration MaxLoadHold = seconds(120);
-/// Suspects that are kept, and the latest crashes of one of them.
-constexpr std::size_t MaxSuspects = 512;
+/// The latest crashes of one suspect that are kept.
 constexpr std::size_t MaxCharges = 8;
 /// Time after which a suspect is forgotten that was served, that has too few
 /// crashes, or that is quarantined and does not come any more.
@@ -105,22 +105,40 @@
   auto &Record = Records[Suspect];
   const auto [Known, New] = Record.Charges.emplace(Run, Charge);
   bool Changed = New;
+  if (Charge.AnswerBegun && (New || !Known->second.AnswerBegun))
+    ++BegunCharges[Run];
   if (!New) {
     // Of two times the earlier one had the shorter way.
     Known->second.At = std::min(Known->second.At, Charge.At);
     Changed |= Charge.AnswerBegun && !Known->second.AnswerBegun;
     Known->second.AnswerBegun |= Charge.AnswerBegun;
   }
-  if (Record.Charges.size() > MaxCharges)
-    Record.Charges.erase(
+  if (Record.Charges.size() > MaxCharges) {
+    const auto Oldest =
         std::min_element(Record.Charges.begin(), Record.Charges.end(),
                          [](const auto &Left, const auto &Right) {
                            return Left.second.At < Right.second.At;
-                         }));
+                         });
+    forgetCharge(Oldest->first, Oldest->second);
+    Record.Charges.erase(Oldest);
+  }
   limitSize();
   return Changed;
 }
 
+auto crash_ledger::chargeAll(const std::vector<suspect> &Suspects,
+                             const target_run &Run, const crash_charge &Charge)
+    -> void {
+  std::vector<suspect> Unknown;
+  for (const auto &Suspect : Suspects)
+    if (Records.contains(Suspect))
+      charge(Suspect, Run, Charge);
+    else
+      Unknown.push_back(Suspect);
+  for (const auto &Suspect : Unknown)
+    charge(Suspect, Run, Charge);
+}
+
 auto crash_ledger::markServed(const suspect &Suspect, time_point At) -> bool {
   const auto Found = Records.find(Suspect);
   if (Found == Records.end())
@@ -185,10 +203,14 @@
 }
 
 auto crash_ledger::hasBegunAnswer(const target_run &Run) const -> bool {
-  return std::any_of(Records.begin(), Records.end(), [&](const auto &Known) {
-    const auto Found = Known.second.Charges.find(Run);
-    return Found != Known.second.Charges.end() && Found->second.AnswerBegun;
-  });
+  return BegunCharges.contains(Run);
+}
+
+auto crash_ledger::forgetCharge(const target_run &Run,
+                                const crash_charge &Charge) -> void {
+  const auto Found = BegunCharges.find(Run);
+  if (Charge.AnswerBegun && Found != BegunCharges.end() && --Found->second == 0)
+    BegunCharges.erase(Found);
 }
 
 auto crash_ledger::isCounted(const record &Record, const target_run &Run) const
@@ -241,35 +263,37 @@
   return Runs;
 }
 
-auto crash_ledger::isExplained(const suspect &Suspect,
+auto crash_ledger::countedRuns(const record &Record) const
+    -> std::vector<target_run> {
+  std::vector<target_run> Runs;
+  for (const auto &[Run, Charge] : Record.Charges)
+    if (isCounted(Record, Run))
+      Runs.push_back(Run);
+  return Runs;
+}
+
+auto crash_ledger::isExplained(const std::vector<target_run> &Runs,
                                const std::set<suspect> &Suspects) const
     -> bool {
-  const auto OthersAt = [&](const target_run &Run) {
-    std::vector<const record *> Others;
-    for (const auto &[Other, Record] : Records)
-      if (!Suspects.contains(Other) && isCounted(Record, Run))
-        Others.push_back(&Record);
-    return Others;
-  };
-  const auto RunsWithout = [&](std::set<target_run> Runs, const record &Other) {
-    std::erase_if(Runs, [&](const auto &Run) { return isCounted(Other, Run); });
-    return Runs;
-  };
-  const auto &Known = Records.at(Suspect);
-  auto Crashes = crashesOf(Suspect);
-  std::erase_if(Crashes,
-                [&](const auto &Run) { return !isCounted(Known, Run); });
-  if (Crashes.empty())
+  if (Runs.empty())
     return false;
-  for (const auto *First : OthersAt(*Crashes.begin())) {
-    const auto Rest = RunsWithout(Crashes, *First);
-    if (Rest.empty())
-      return true;
-    for (const auto *Second : OthersAt(*Rest.begin()))
-      if (RunsWithout(Rest, *Second).empty())
-        return true;
+  // Which of the runs each other suspect has, one bit a run. Most of them are
+  // alike.
+  std::set<std::uint32_t> Others;
+  for (const auto &[Other, Record] : Records) {
+    if (Suspects.contains(Other))
+      continue;
+    std::uint32_t Mask = 0;
+    for (std::size_t I = 0; I < Runs.size(); ++I)
+      Mask |= isCounted(Record, Runs[I]) ? 1U << I : 0U;
+    Others.insert(Mask);
   }
-  return false;
+  const std::uint32_t All = (1U << Runs.size()) - 1;
+  return std::any_of(Others.begin(), Others.end(), [&](std::uint32_t First) {
+    return std::any_of(Others.begin(), Others.end(), [&](std::uint32_t Second) {
+      return (First | Second) == All;
+    });
+  });
 }
 
 auto crash_ledger::decide(const std::vector<suspect> &Suspects,
@@ -280,6 +304,8 @@
   for (const auto &Suspect : Suspects)
     if (Records.contains(Suspect))
       Known.insert(Suspect);
+  // Suspects of one prompt mostly have the same crashes.
+  std::map<std::vector<target_run>, bool> Explained;
   for (const auto &Suspect : Known) {
     const auto &Record = Records.at(Suspect);
     const auto Excess = excessCrashes(Record, Policy);
@@ -291,10 +317,17 @@
       HoldUntil = std::max(HoldUntil, Now + Policy.Hold);
     if (Now >= HoldUntil)
       Admission = admission::Trial;
-    else if (isExplained(Suspect, Known))
-      Admission = admission::OneAtATime;
+    else {
+      const auto [Found, IsNew] = Explained.emplace(countedRuns(Record), false);
+      if (IsNew)
+        Found->second = isExplained(Found->first, Known);
+      if (Found->second)
+        Admission = admission::OneAtATime;
+    }
     if (Admission > Verdict.Admission)
       Verdict = {Admission, Suspect, HoldUntil};
+    if (Verdict.Admission == admission::Refused)
+      break;
   }
   return Verdict;
 }
@@ -319,23 +352,49 @@
   std::erase_if(Records, [&](const auto &Known) {
     const auto &Record = Known.second;
     const auto LastAt = std::max(Record.lastCrashAt(), Record.RefusedAt);
-    if (!Record.isCharged())
-      return Now - std::max(LastAt, Record.ServedAt) >= ServedMemory;
-    return Now - LastAt >=
-           (excessCrashes(Record, Policy) ? QuarantineMemory : SuspicionMemory);
+    const auto UsedAt =
+        Record.isCharged() ? LastAt : std::max(LastAt, Record.ServedAt);
+    const auto Memory = !Record.isCharged()             ? ServedMemory
+                        : excessCrashes(Record, Policy) ? QuarantineMemory
+                                                        : SuspicionMemory;
+    if (Now - UsedAt < Memory)
+      return false;
+    for (const auto &[Run, Charge] : Record.Charges)
+      forgetCharge(Run, Charge);
+    return true;
   });
 }
 
 auto crash_ledger::limitSize() -> void {
   if (Records.size() <= MaxSuspects)
     return;
-  const auto Rank = [this](const record &Record) {
-    return std::pair(countCrashes(Record, true), Record.lastCrashAt());
-  };
-  Records.erase(std::min_element(
-      Records.begin(), Records.end(), [&](const auto &Left, const auto &Right) {
-        return Rank(Left.second) < Rank(Right.second);
-      }));
+  // Many at a time, as ranking them takes longer than a charge.
+  constexpr std::size_t RemovedAtATime = MaxSuspects / 8;
+  using rank = std::tuple<std::uint32_t, time_point, suspect>;
+  std::vector<rank> Ranks;
+  Ranks.reserve(Records.size());
+  for (const auto &[Suspect, Record] : Records)
+    Ranks.emplace_back(countCrashes(Record, true), Record.lastCrashAt(),
+                       Suspect);
+  std::nth_element(Ranks.begin(), Ranks.begin() + RemovedAtATime, Ranks.end());
+  for (std::size_t I = 0; I < RemovedAtATime; ++I) {
+    const auto Removed = Records.find(std::get<suspect>(Ranks[I]));
+    for (const auto &[Run, Charge] : Removed->second.Charges)
+      forgetCharge(Run, Charge);
+    Records.erase(Removed);
+  }
+}
+
+auto crash_ledger::suspectsAfter(const suspect &Last, std::size_t Count) const
+    -> std::vector<suspect> {
+  std::vector<suspect> Suspects;
+  auto Next = Records.upper_bound(Last);
+  for (std::size_t I = 0; I < std::min(Count, Records.size()); ++I, ++Next) {
+    if (Next == Records.end())
+      Next = Records.begin();
+    Suspects.push_back(Next->first);
+  }
+  return Suspects;
 }
 
 auto crash_ledger::suspects() const -> std::vector<suspect> {
--- a/libs/serving/src/gateway_quarantine.cpp
+++ b/libs/serving/src/gateway_quarantine.cpp
@@ -1,6 +1,7 @@
 /// Crashes of targets that requests cause: how they are noticed, pooled
 /// with the other gateways, and kept from the remaining targets.
 #include "details/gateway_parts.h"
+#include "serving/crash_messages.h"
 
 #include <algorithm>
 #include <set>
@@ -19,11 +20,10 @@
 /// Time within which the row of a crashed target goes; attempts that ended
 /// earlier did not end with it.
 constexpr duration RowExpiryTime = seconds(10);
-/// Attempts at one target that are noted, and parts of one prompt.
-constexpr std::size_t MaxNotedAttempts = 64;
-constexpr std::size_t MaxPartsPerPrompt = 64;
-/// Charges in one message, so that it fits into one packet.
-constexpr std::size_t MaxReportedCharges = 16;
+/// Suspects in one line of the log, and lines about the suspects of one event.
+constexpr std::size_t MaxLoggedSuspects = 16;
+/// Suspects that a periodic report has at most.
+constexpr std::size_t MaxReportedSuspects = 100;
 /// Gateways that a periodic report is sent to.
 constexpr std::size_t ReportedGateways = 3;
 /// Retry-after of a request that waits for the outcome of another one with the
@@ -39,8 +39,7 @@
   suspect Whole{suspect_kind::Prompt};
   for (const auto &Part : Call.Prompt.Parts) {
     Whole.Id = stableHash(std::to_string(Part.Id), Whole.Id);
-    if (Suspects.size() < MaxPartsPerPrompt)
-      Suspects.push_back({suspect_kind::Part, Part.Id});
+    Suspects.push_back({suspect_kind::Part, Part.Id});
   }
   if (!Suspects.empty())
     Suspects.push_back(Whole);
@@ -84,8 +83,11 @@
 
 auto suspectsText(const std::vector<suspect> &Suspects) -> std::string {
   std::string Text;
-  for (const auto &Suspect : Suspects)
-    Text += (Text.empty() ? "" : ",") + toString(Suspect);
+  const auto Count = std::min(Suspects.size(), MaxLoggedSuspects);
+  for (std::size_t I = 0; I < Count; ++I)
+    Text += (Text.empty() ? "" : ",") + toString(Suspects[I]);
+  if (Count < Suspects.size())
+    Text += " and " + std::to_string(Suspects.size() - Count) + " more";
   return Text;
 }
 
@@ -139,36 +141,25 @@
        {"source", std::move(Source)}});
 }
 
-auto sendSuspects(const gateway_step &Step,
-                  const std::vector<suspect> &Suspects,
-                  std::vector<std::string> Addresses) -> void {
+auto sendReports(const gateway_step &Step, std::vector<suspect_report> Reports,
+                 std::vector<std::string> Addresses) -> void {
   send_crash_report Effect;
   Effect.Addresses = std::move(Addresses);
   Effect.Report.From = Step.State.Options.Self;
-  for (const auto &Suspect : Suspects)
-    Effect.Report.Suspects.push_back(
-        Step.State.Crashes.report(Suspect, Step.Now));
-  if (!Effect.Addresses.empty() && !Suspects.empty())
+  Effect.Report.Suspects = std::move(Reports);
+  if (!Effect.Addresses.empty() && !Effect.Report.Suspects.empty())
     Step.Effects.push_back(std::move(Effect));
 }
 
 /// Sends \p Suspects to all gateways, in as many messages as they need.
 auto sendAtOnce(const gateway_step &Step, const std::vector<suspect> &Suspects)
     -> void {
-  const auto Addresses = gatewayAddresses(Step.State);
-  std::vector<suspect> Message;
-  std::size_t Charges = 0;
-  for (const auto &Suspect : Suspects) {
-    const auto Count =
-        Step.State.Crashes.report(Suspect, Step.Now).Charges.size();
-    if (Charges > 0 && Charges + Count > MaxReportedCharges) {
-      sendSuspects(Step, std::exchange(Message, {}), Addresses);
-      Charges = 0;
-    }
-    Message.push_back(Suspect);
-    Charges += Count;
-  }
-  sendSuspects(Step, Message, Addresses);
+  std::vector<suspect_report> Reports;
+  Reports.reserve(Suspects.size());
+  for (const auto &Suspect : Suspects)
+    Reports.push_back(Step.State.Crashes.report(Suspect, Step.Now));
+  for (auto &Message : splitReports(Reports))
+    sendReports(Step, std::move(Message), gatewayAddresses(Step.State));
 }
 
 /// Those of \p Suspects that are quarantined.
@@ -188,17 +179,21 @@
                  const std::set<suspect> &Before, const std::string &Source)
     -> void {
   const auto After = quarantinedAmong(Step.State, Suspects);
-  bool Added = false;
+  std::size_t Added = 0;
+  std::size_t Released = 0;
   for (const auto &Suspect : After)
-    if (!Before.contains(Suspect)) {
-      Added = true;
+    if (!Before.contains(Suspect) && ++Added <= MaxLoggedSuspects)
       logSuspect(Step, log_level::Warning, "suspect_quarantined", Suspect,
                  Source);
-    }
   for (const auto &Suspect : Before)
-    if (!After.contains(Suspect))
+    if (!After.contains(Suspect) && ++Released <= MaxLoggedSuspects)
       logSuspect(Step, log_level::Info, "suspect_released", Suspect, Source);
-  if (Added)
+  if (Added + Released > MaxLoggedSuspects)
+    addLogEntry(Step, log_level::Info, "suspects_changed",
+                {{"quarantined", std::to_string(Added)},
+                 {"released", std::to_string(Released)},
+                 {"source", Source}});
+  if (Added > 0)
     refuseOpenRequests(Step);
 }
 
@@ -224,18 +219,25 @@
 /// Notes what was in progress at \p Entry and ended, and checks whether the
 /// target has crashed.
 auto noteSuspects(const gateway_step &Step, const target_entry &Entry,
-                  std::vector<suspect> Suspects, bool AnswerBegun) -> void {
+                  const std::vector<suspect> &Suspects, bool AnswerBegun)
+    -> void {
   if (Entry.Target.Draining || Suspects.empty())
     return;
   const auto &Target = Entry.Target;
   auto &Possible = Step.State.PossibleCrashes[Target.Name];
   if (Possible.Incarnation != Target.Incarnation ||
-      Step.Now - Possible.LastEndAt > CommonEndSpan)
-    Possible.Attempts.clear();
+      Step.Now - Possible.LastEndAt > CommonEndSpan) {
+    Possible.Begun.clear();
+    Possible.Waiting.clear();
+    Possible.Attempts = 0;
+  }
   Possible.Incarnation = Target.Incarnation;
   Possible.LastEndAt = Step.Now;
-  if (Possible.Attempts.size() < MaxNotedAttempts)
-    Possible.Attempts.push_back({std::move(Suspects), AnswerBegun});
+  ++Possible.Attempts;
+  // What the ledger cannot hold need not be noted.
+  auto &Noted = AnswerBegun ? Possible.Begun : Possible.Waiting;
+  if (Noted.size() < crash_ledger::MaxSuspects)
+    Noted.insert(Suspects.begin(), Suspects.end());
   if (!std::exchange(Possible.IsChecked, true))
     Step.Effects.push_back(check_target{Target.Name, Target.Incarnation,
                                         Target.Address, Step.Now + CheckTime});
@@ -324,27 +326,20 @@
     return;
   const auto &Possible = Node.mapped();
   if (Possible.Incarnation != Entry.Target.Incarnation ||
-      Possible.Attempts.empty() ||
-      Step.Now - Possible.LastEndAt > RowExpiryTime)
+      Possible.Attempts == 0 || Step.Now - Possible.LastEndAt > RowExpiryTime)
     return;
   const target_run Run{Entry.Target.Name, Entry.Target.Incarnation};
-  const bool AnswerBegun =
-      std::any_of(Possible.Attempts.begin(), Possible.Attempts.end(),
-                  [](const auto &Attempt) { return Attempt.AnswerBegun; });
-  std::set<suspect> Charged;
-  for (const auto &Attempt : Possible.Attempts)
-    // Next to an answer that had begun, requests without one were waiting.
-    if (Attempt.AnswerBegun == AnswerBegun)
-      Charged.insert(Attempt.Suspects.begin(), Attempt.Suspects.end());
+  // Next to an answer that had begun, requests without one were waiting.
+  const bool AnswerBegun = !Possible.Begun.empty();
+  const auto &Charged = AnswerBegun ? Possible.Begun : Possible.Waiting;
   const std::vector<suspect> Suspects(Charged.begin(), Charged.end());
   const auto Before = quarantinedAmong(State, Suspects);
-  for (const auto &Suspect : Suspects)
-    State.Crashes.charge(Suspect, Run, {Possible.LastEndAt, AnswerBegun});
+  State.Crashes.chargeAll(Suspects, Run, {Possible.LastEndAt, AnswerBegun});
   addLogEntry(Step, log_level::Warning, "target_crashed",
               {{"target", Run.Target.Text},
                {"born", std::to_string(Run.Incarnation)},
                {"answer_begun", AnswerBegun ? "true" : "false"},
-               {"attempts", std::to_string(Possible.Attempts.size())},
+               {"attempts", std::to_string(Possible.Attempts)},
                {"suspects", suspectsText(Suspects)}});
   sendAtOnce(Step, Suspects);
   storeCrashes(Step);
@@ -371,6 +366,7 @@
                   const std::string &Source) -> void {
   auto &State = Step.State;
   std::vector<suspect> Suspects;
+  Suspects.reserve(Reports.size());
   for (const auto &Report : Reports)
     Suspects.push_back(Report.Suspect);
   const auto Before = quarantinedAmong(State, Suspects);
@@ -409,26 +405,22 @@
   auto &State = Step.State;
   if (State.Crashes.empty())
     return;
-  const auto Known = State.Crashes.suspects();
   // From where the last report ended, all of them in turn.
-  const auto First =
-      std::upper_bound(Known.begin(), Known.end(), State.LastReportedSuspect);
-  std::vector<suspect> Suspects;
-  std::size_t Charges = 0;
-  for (std::size_t I = 0; I < Known.size(); ++I) {
-    const auto Offset = static_cast<std::size_t>(First - Known.begin()) + I;
-    const auto Suspect = Known[Offset % Known.size()];
-    Charges += State.Crashes.report(Suspect, Step.Now).Charges.size();
-    if (!Suspects.empty() && Charges > MaxReportedCharges)
+  std::vector<suspect_report> Reports;
+  crash_message_size Size;
+  for (const auto &Suspect : State.Crashes.suspectsAfter(
+           State.LastReportedSuspect, MaxReportedSuspects)) {
+    auto Report = State.Crashes.report(Suspect, Step.Now);
+    if (!Size.add(Report))
       break;
-    Suspects.push_back(Suspect);
+    Reports.push_back(std::move(Report));
     State.LastReportedSuspect = Suspect;
   }
   // A few gateways at a time: what is new was sent to all of them at once.
   auto Addresses = gatewayAddresses(State);
   std::shuffle(Addresses.begin(), Addresses.end(), State.Random);
   Addresses.resize(std::min(Addresses.size(), ReportedGateways));
-  sendSuspects(Step, Suspects, std::move(Addresses));
+  sendReports(Step, std::move(Reports), std::move(Addresses));
 }
 
 } // namespace limpetbridge::serving
--- a/libs/serving/tests/crash_ledger_test.cpp
+++ b/libs/serving/tests/crash_ledger_test.cpp
@@ -37,6 +37,9 @@
   CPPUNIT_TEST(expire_refusedByAnotherGateway_isKept);
   CPPUNIT_TEST(expire_suspect_isForgotten);
   CPPUNIT_TEST(charge_manySuspects_keepsTheQuarantined);
+  CPPUNIT_TEST(charge_promptsAsLongAsAHead_keepTheCommonPart);
+  CPPUNIT_TEST(decide_longPromptsWithoutTheCause_triesOneAtATime);
+  CPPUNIT_TEST(suspectsAfter_lastSuspect_goesOnWithTheFirst);
   CPPUNIT_TEST(merge_reportOfTheOther_quarantinesAsWell);
   CPPUNIT_TEST(merge_oldCrashAfterItWasServed_staysCleared);
   CPPUNIT_TEST(merge_clockThatHasJustStarted_keepsOldCrashes);
@@ -183,14 +186,60 @@
 
   auto charge_manySuspects_keepsTheQuarantined() -> void {
     crash({Culprit}, 3);
-    for (int I = 1'000; I < 10'000; ++I)
+    for (int I = 1'000; I < 60'000; ++I)
       Ledger.charge({suspect_kind::Part, static_cast<std::uint64_t>(I)},
                     runOf(I), {Now, true});
-    CPPUNIT_ASSERT(Ledger.suspects().size() <= 512);
+    CPPUNIT_ASSERT(Ledger.suspects().size() <= crash_ledger::MaxSuspects);
     CPPUNIT_ASSERT(admissionOf({Culprit}) == admission::Refused);
     CPPUNIT_ASSERT(Ledger.crashesOf(Culprit).size() == 3);
   }
 
+  /// Guards against dropping the cause for the other parts of its prompts,
+  /// which are new each time and fill the ledger at every crash.
+  auto charge_promptsAsLongAsAHead_keepTheCommonPart() -> void {
+    for (int Crash = 0; Crash < 3; ++Crash) {
+      Now += seconds(1);
+      std::vector<suspect> Suspects;
+      for (std::uint64_t I = 1; I < crash_ledger::MaxSuspects; ++I)
+        Suspects.push_back(
+            {suspect_kind::Part,
+             0x10'0000 * static_cast<std::uint64_t>(Crash + 1) + I});
+      Suspects.push_back(Culprit);
+      Ledger.chargeAll(Suspects, runOf(Crash), {Now, true});
+    }
+    CPPUNIT_ASSERT(admissionOf({Culprit}) == admission::Refused);
+    CPPUNIT_ASSERT(Ledger.suspects().size() <= crash_ledger::MaxSuspects);
+  }
+
+  /// Guards against refusing sound prompts for parts that they share with those
+  /// that crash, before one of them was answered.
+  auto decide_longPromptsWithoutTheCause_triesOneAtATime() -> void {
+    std::vector<suspect> Shared;
+    for (std::uint64_t I = 1; I <= 700; ++I)
+      Shared.push_back({suspect_kind::Part, 0x1000 + I});
+    for (int Crash = 0; Crash < 3; ++Crash) {
+      Now += seconds(1);
+      for (const auto &Part : Shared)
+        Ledger.charge(Part, runOf(Crash), {Now, true});
+      Ledger.charge(Culprit, runOf(Crash), {Now, true});
+    }
+    CPPUNIT_ASSERT(Ledger.decide(Shared, Policy, Now).Admission ==
+                   admission::OneAtATime);
+    Shared.push_back(Culprit);
+    CPPUNIT_ASSERT(Ledger.decide(Shared, Policy, Now).Admission ==
+                   admission::Refused);
+  }
+
+  auto suspectsAfter_lastSuspect_goesOnWithTheFirst() -> void {
+    crash({Culprit}, 1);
+    crash({Other}, 1);
+    CPPUNIT_ASSERT(Ledger.suspectsAfter(Other, 1) ==
+                   std::vector<suspect>{Culprit});
+    CPPUNIT_ASSERT(Ledger.suspectsAfter(Culprit, 5) ==
+                   (std::vector<suspect>{Other, Culprit}));
+    CPPUNIT_ASSERT(crash_ledger().suspectsAfter(Culprit, 5).empty());
+  }
+
   auto merge_reportOfTheOther_quarantinesAsWell() -> void {
     crash({Culprit}, 2);
     crash_ledger Peer;
--- a/libs/serving/tests/fencing_token_test.cpp
+++ b/libs/serving/tests/fencing_token_test.cpp
@@ -24,7 +24,7 @@
   /// returns from an older copy between two starts of a controller.
   auto token_restartsAndRestoresInAnyOrder_rises() -> void {
     CPPUNIT_ASSERT(rc::check([] {
-      store_position Store{*rc::gen::inRange(0, 9), 1};
+      store_position Store{*rc::gen::inRange<std::uint64_t>(0, 9), 1};
       std::uint64_t Last = 0;
       const int Steps = *rc::gen::inRange(1, 60);
       for (int I = 0; I < Steps; ++I) {
--- a/libs/serving/tests/quarantine_test.cpp
+++ b/libs/serving/tests/quarantine_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(crashes_withOtherModelsAndFirstParts_fewEnginesAreLost);
   CPPUNIT_TEST(crashes_afterOneEvent_fewEnginesAreLost);
   CPPUNIT_TEST(crashes_firstPartIsTheCause_fewEnginesAreLost);
+  CPPUNIT_TEST(crashes_partBehindManyOthers_fewEnginesAreLost);
   CPPUNIT_TEST(crashes_sameRequestComesAgain_fewEnginesAreLost);
   CPPUNIT_TEST(crashes_firstPartIsShared_soundRequestsAreServed);
   CPPUNIT_TEST(crashes_rareFirstPart_isTriedAndServed);
@@ -113,6 +114,35 @@
     CPPUNIT_ASSERT(Fleet.Served.size() >= 36);
   }
 
+  /// Guards against a cause that is never charged, as the prompt has more parts
+  /// before it than were looked at, or that is dropped for the others.
+  auto crashes_partBehindManyOthers_fewEnginesAreLost() -> void {
+    for (const std::size_t Count : {70U, 700U, 4000U})
+      for (const bool AreShared : {true, false}) {
+        crash_fleet Fleet(2, 12);
+        Fleet.CrashParts = {Culprit};
+        const auto PartsOf = [&](std::uint64_t Request) {
+          std::vector<std::uint64_t> Parts;
+          for (std::size_t I = 0; I < Count; ++I)
+            Parts.push_back(0x10'0000 + I +
+                            (AreShared ? 0 : 0x10'0000 * Request));
+          return Parts;
+        };
+        for (std::uint64_t I = 1; I <= 12; ++I) {
+          auto Parts = PartsOf(I);
+          Fleet.send(I % 2, Parts);
+          Fleet.run(seconds(1));
+          Parts[Count - Count / 16] = Culprit;
+          Fleet.send(I % 2, Parts);
+          Fleet.run(milliseconds(1500));
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(Fleet.CrashCount) + " crashes, " +
+                                   std::to_string(Count) + " parts",
+                               Fleet.CrashCount <= 3);
+        CPPUNIT_ASSERT(Fleet.Served.size() >= 11);
+      }
+  }
+
   auto crashes_sameRequestComesAgain_fewEnginesAreLost() -> void {
     crash_fleet Fleet(4, 18);
     Fleet.CrashPrompt = {System, 0xc00, 0xc01};
--- a/testing/emulator/tests/crash_report_test.cpp
+++ b/testing/emulator/tests/crash_report_test.cpp
@@ -1,5 +1,6 @@
 #include "base/message_pack.h"
 #include "link_codec.h"
+#include "serving/crash_messages.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -15,6 +16,9 @@
   CPPUNIT_TEST_SUITE(crash_report_test);
   CPPUNIT_TEST(decode_whatWasEncoded_isTheSame);
   CPPUNIT_TEST(decode_fullMessage_fitsIntoOnePacket);
+  CPPUNIT_TEST(decode_manySuspects_areTheSame);
+  CPPUNIT_TEST(split_crashOfALongPrompt_fitsIntoFewPackets);
+  CPPUNIT_TEST(split_differentCharges_fitIntoPackets);
   CPPUNIT_TEST(decode_suspectOfAnotherKind_isSkipped);
   CPPUNIT_TEST(decode_oddAges_areClamped);
   CPPUNIT_TEST(decode_cutAnywhere_isRefused);
@@ -41,6 +45,43 @@
     CPPUNIT_ASSERT(encodeLink(makeReport(2, 8)).size() <= PacketBytes);
   }
 
+  auto decode_manySuspects_areTheSame() -> void {
+    auto Report = makeReport(40, 2);
+    for (std::size_t I = 0; I < Report.Suspects.size(); ++I) {
+      Report.Suspects[I].Suspect.Kind =
+          I % 2 == 0 ? suspect_kind::Part : suspect_kind::Load;
+      Report.Suspects[I].ServedAgeMs = I % 3 == 0 ? 5 : -1;
+    }
+    const auto Decoded = decode(encodeLink(Report));
+    crash_ledger Sent;
+    crash_ledger Received;
+    const time_point Now{seconds(1000)};
+    for (const auto &Suspect : Report.Suspects)
+      Sent.merge(Suspect, Now);
+    for (const auto &Suspect : Decoded.Suspects)
+      Received.merge(Suspect, Now);
+    CPPUNIT_ASSERT(Sent.suspects() == Received.suspects());
+    for (const auto &Suspect : Sent.suspects()) {
+      CPPUNIT_ASSERT(Sent.crashesOf(Suspect) == Received.crashesOf(Suspect));
+      CPPUNIT_ASSERT_EQUAL(Sent.report(Suspect, Now).ServedAgeMs,
+                           Received.report(Suspect, Now).ServedAgeMs);
+    }
+  }
+
+  /// Guards against messages that grow with the prompts: 1,300 parts took 82.
+  auto split_crashOfALongPrompt_fitsIntoFewPackets() -> void {
+    const auto Messages = splitReports(makeReport(1300, 1).Suspects);
+    CPPUNIT_ASSERT(Messages.size() <= 13);
+    expectPackets(Messages, 1300);
+  }
+
+  auto split_differentCharges_fitIntoPackets() -> void {
+    auto Report = makeReport(300, 4);
+    for (std::size_t I = 0; I < Report.Suspects.size(); ++I)
+      Report.Suspects[I].ServedAgeMs = static_cast<std::int64_t>(I / 2);
+    expectPackets(splitReports(Report.Suspects), 300);
+  }
+
   auto decode_suspectOfAnotherKind_isSkipped() -> void {
     auto Json = parseMessagePack(encodeLink(makeReport(2, 1))).value();
     // A kind of a later version may have other values.
@@ -69,6 +110,20 @@
   }
 
 private:
+  static auto
+  expectPackets(const std::vector<std::vector<suspect_report>> &Messages,
+                std::size_t Suspects) -> void {
+    constexpr std::size_t PacketBytes = 1400;
+    std::size_t Count = 0;
+    for (const auto &Message : Messages) {
+      Count += Message.size();
+      CPPUNIT_ASSERT(
+          encodeLink(crash_report{instance_name("g1"), Message}).size() <=
+          PacketBytes);
+    }
+    CPPUNIT_ASSERT_EQUAL(Suspects, Count);
+  }
+
   static auto makeReport(std::size_t Suspects, std::size_t Charges)
       -> crash_report {
     crash_report Report;
