--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -83,6 +83,7 @@
   auto serveGateway(connection Connection) -> net::awaitable<void>;
   auto runJobs(job_queue &Queue) -> net::awaitable<void>;
   auto runJob(job_queue &Queue, job Job) -> net::awaitable<bool>;
+  /// Reads the target's report; none if there is no answer in time.
   auto fetchReport(job_queue &Queue)
       -> net::awaitable<std::optional<serving::engine_report>>;
   /// The same, and tells the gateways what the target holds.
--- a/apps/limpetbridge/src/serving/gateway_hooks.h
+++ b/apps/limpetbridge/src/serving/gateway_hooks.h
@@ -76,8 +76,8 @@
   /// did not answer. Empty: nothing is kept in a store.
   std::function<net::awaitable<std::optional<std::vector<stored_crashes>>>()>
       ReadCrashes;
-  /// Replaces what this gateway has left of them, at most MaxStoredBytes.
-  /// \returns true if the store has confirmed it.
+  /// Replaces what this gateway has left of them; \p Bytes must fit into a row
+  /// of the store, 64 KB. \returns true if the store has confirmed it.
   std::function<net::awaitable<bool>(std::string Bytes)> WriteCrashes;
   /// The platform says that targets serve several requests on one connection,
   /// so that connections are kept whatever the setting says.
