Orders: a controller waits for late orders only if some are open

The row in the store says now whether orders are open. It is written when an order has had no answer for 100 ms, and again when it has expired, so not at all while orders are answered; only a successor that reads of open orders waits. Writes depend on the version that the process knows, so that none of a predecessor that is carried out late goes unseen or replaces a later one; a row of an earlier era of the store counts as one with open orders.

--- a/apps/limpetbridge/src/serving/controller_hooks.h
+++ b/apps/limpetbridge/src/serving/controller_hooks.h
@@ -63,8 +63,9 @@
   /// store has confirmed it.
   std::function<net::awaitable<bool>(serving::order_handover)> WriteHandover;
   /// Writes the record of this instance and its handover to the store.
-  /// \returns the position of the record in the history of the store.
-  std::function<net::awaitable<serving::store_position>(
+  /// \returns the position of the record in the history of the store; none if
+  /// the handover has changed since it was read.
+  std::function<net::awaitable<std::optional<serving::store_position>>(
       serving::instance_record, serving::order_handover)>
       RegisterInstance;
   /// Watches the configuration and calls the function with each version that is
--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -18,7 +18,7 @@
 constexpr duration ReportTimeout = milliseconds(500);
 constexpr duration OrderTimeout = milliseconds(1000);
 /// Delay before another attempt to write the handover.
-constexpr duration HandoverRetryDelay = seconds(1);
+constexpr duration HandoverRetryDelay = milliseconds(300);
 /// Time without a report after which a target that was loading is given up.
 constexpr duration TargetLostTime = milliseconds(600);
 /// Delays between reports while an order is executed: an adapter takes some
@@ -197,15 +197,18 @@
   Self.Role = instance_role::Controller;
   Self.Address = Settings.LinkAddress;
   Self.TargetAddress = Settings.ControllerTarget;
-  const auto Predecessor = co_await Hooks.ReadHandover(Self.Name);
-  OpenOrders.takeOver(Predecessor, StartedAt);
-  WrittenHandover = Predecessor.value_or(order_handover{});
-  // Not published: no gateway has subscribed yet.
-  if (const auto Report = co_await fetchReport(Models)) {
-    OpenOrders.observe(*Report);
-    WrittenHandover = OpenOrders.handover(*Report, process_clock::now());
+  std::optional<order_handover> Predecessor;
+  std::optional<store_position> Registered;
+  while (!Registered) {
+    Predecessor = co_await Hooks.ReadHandover(Self.Name);
+    OpenOrders.takeOver(Predecessor, StartedAt);
+    // Not published: no gateway has subscribed yet.
+    if (const auto Report = co_await fetchReport(Models))
+      OpenOrders.observe(*Report);
+    WrittenHandover = OpenOrders.handover(process_clock::now());
+    Registered = co_await Hooks.RegisterInstance(Self, WrittenHandover);
   }
-  const auto Position = co_await Hooks.RegisterInstance(Self, WrittenHandover);
+  const auto Position = *Registered;
   const auto Token = makeFencingToken(Position);
   FencingToken = Token.value_or(0);
   log(Token ? log_level::Info : log_level::Error,
@@ -214,7 +217,13 @@
        {"era", std::to_string(Position.Era)},
        {"version", std::to_string(Position.Version)},
        {"predecessor", Predecessor ? "true" : "false"},
-       {"settled_incarnation", std::to_string(WrittenHandover.Incarnation)}});
+       {"open_orders", WrittenHandover.HasOpenOrders ? "true" : "false"},
+       {"incarnation", std::to_string(WrittenHandover.Incarnation)}});
+  if (!WrittenHandover.HasOpenOrders)
+    co_return;
+  co_await net::sleepFor(
+      remaining(OpenOrders.predecessorsExpireAt(), process_clock::now()));
+  updateHandover();
 }
 
 auto controller_node::findEngine() const -> const engine_spec * {
@@ -382,22 +391,36 @@
       static_cast<std::size_t>(std::max(1.0, PermitsPerWindow)));
 }
 
-auto controller_node::updateHandover(const engine_report &Report) -> void {
-  const auto Now = process_clock::now();
-  const auto Handover = OpenOrders.handover(Report, Now);
-  if (Handover == WrittenHandover || Now < NextHandoverAt)
+auto controller_node::updateHandover() -> void {
+  if (WritingHandover ||
+      OpenOrders.handover(process_clock::now()) == WrittenHandover)
     return;
-  NextHandoverAt = NoDeadline;
-  net::spawn(Context.get_executor(), writeHandover(Handover));
+  WritingHandover = true;
+  net::spawn(Context.get_executor(), writeHandover());
+}
+
+auto controller_node::writeHandover() -> awaitable<void> {
+  for (;;) {
+    const auto Handover = OpenOrders.handover(process_clock::now());
+    if (Handover == WrittenHandover)
+      break;
+    const bool Written = co_await Hooks.WriteHandover(Handover);
+    Metrics.count("handovers", Written ? "written" : "write_failed");
+    if (Written)
+      WrittenHandover = Handover;
+    else
+      co_await net::sleepFor(HandoverRetryDelay);
+  }
+  WritingHandover = false;
 }
 
-auto controller_node::writeHandover(order_handover Handover)
-    -> awaitable<void> {
-  const bool Written = co_await Hooks.WriteHandover(Handover);
-  if (Written)
-    WrittenHandover = Handover;
-  NextHandoverAt =
-      process_clock::now() + (Written ? duration::zero() : HandoverRetryDelay);
+auto controller_node::watchOrder(std::uint64_t Number) -> awaitable<void> {
+  co_await net::sleepFor(AnswerTime);
+  if (!OpenOrders.isOpen(Number))
+    co_return;
+  updateHandover();
+  co_await net::sleepFor(OpenOrderTime);
+  updateHandover();
 }
 
 auto controller_node::sendOrder(const job_state &Job, const order_step &Step,
@@ -412,18 +435,20 @@
   Facts.Holder = instance_name(Settings.Name);
   Facts.FencingToken = FencingToken;
   const auto Request = Hooks.BuildOrderRequest(Facts);
+  const net::asio::any_io_executor Executor = Context.get_executor();
   const auto SentAt = process_clock::now();
   // From now on: the other queue may plan an order before this call ends.
   const auto Number = OpenOrders.add(Job.Target, Report.Incarnation,
                                      {Step, Report.Sequence}, SentAt);
+  net::spawn(Executor, watchOrder(Number));
   // A connection of its own: a late second copy of a report must not be taken
   // for the answer to an order.
-  const net::asio::any_io_executor Executor = Context.get_executor();
   const auto Response = co_await net::fetch(Executor, Settings.ControllerTarget,
                                             Request, SentAt + OrderTimeout);
   const auto Outcome = Response ? Hooks.ParseOrderStatus(Response->Head.Status)
                                 : order_end::Unknown;
   OpenOrders.settle(Number, Outcome != order_end::Unknown);
+  updateHandover();
   Metrics.count("orders", nameOf(Step.Kind));
   if (Outcome != order_end::Accepted)
     Metrics.count("orders_not_accepted", nameOf(Step.Kind));
@@ -469,7 +494,6 @@
     }
     LastReportAt = process_clock::now();
     OpenOrders.observe(*Report);
-    updateHandover(*Report);
     Report->OpenOrders = OpenOrders.list(Job->Target, LastReportAt);
     const auto Step = nextStep(*findEngine(), *Report, Job->Job, LastUsed);
     if (Step.Kind == step_kind::Held && !Report->Leaves)
--- a/apps/limpetbridge/src/serving/controller_node.h
+++ b/apps/limpetbridge/src/serving/controller_node.h
@@ -90,8 +90,11 @@
   auto readReport(job_queue &Queue)
       -> net::awaitable<std::optional<serving::engine_report>>;
   /// Writes what to leave to a successor to the store if that has changed.
-  auto updateHandover(const serving::engine_report &Report) -> void;
-  auto writeHandover(serving::order_handover Handover) -> net::awaitable<void>;
+  auto updateHandover() -> void;
+  auto writeHandover() -> net::awaitable<void>;
+  /// Updates the handover if order \p Number has no answer in time, and when it
+  /// is not carried out any more.
+  auto watchOrder(std::uint64_t Number) -> net::awaitable<void>;
   /// Sends the order of \p Step; the target refuses it if its sequence is not
   /// that of \p Report.
   auto sendOrder(const job_state &Job, const serving::order_step &Step,
@@ -131,10 +134,9 @@
   const time_point StartedAt = process_clock::now();
   serving::open_orders OpenOrders;
   serving::order_handover WrittenHandover; ///< As the store has it.
-  time_point NextHandoverAt; ///< No earlier write of one; NoDeadline: one is
-                             ///< in progress.
-  serving::holdings_report Published;   ///< Last sent to the gateways.
-  std::set<model_name> UnloadingModels; ///< Hidden from the gateways.
+  bool WritingHandover = false;            ///< writeHandover runs.
+  serving::holdings_report Published;      ///< Last sent to the gateways.
+  std::set<model_name> UnloadingModels;    ///< Hidden from the gateways.
   std::set<serving::adapter_key> UnloadingAdapters; ///< The same.
   std::map<std::string, time_point> Subscribers;    ///< Address, expiry.
   std::map<serving::adapter_key, time_point> LastUsed;
--- a/libs/serving/include/serving/open_orders.h
+++ b/libs/serving/include/serving/open_orders.h
@@ -6,8 +6,8 @@
 /// also in another incarnation, whose sequence begins anew with nothing loaded.
 /// The orders of this process are known; `order_plan` avoids states in which
 /// they do harm. Those of a predecessor are not known. They do no harm in the
-/// incarnation for which they were given, whose sequence has passed them, so
-/// until they have expired no order is given in any other one.
+/// incarnation for which they were given, whose sequence has passed them, so if
+/// there are any, no order is given in another one until they have expired.
 #ifndef LIMPETBRIDGE_SERVING_OPEN_ORDERS_H
 #define LIMPETBRIDGE_SERVING_OPEN_ORDERS_H
 
@@ -26,11 +26,17 @@
 /// 1 s more as the target has another clock.
 inline constexpr duration OpenOrderTime = seconds(14);
 
-/// What a controller leaves to its successor, in the store. It stays true while
-/// the target is in that incarnation, so an older copy of it does no harm.
+/// Time after which an order without an answer counts as one that stays open. A
+/// target on the same machine answers within some milliseconds.
+inline constexpr duration AnswerTime = milliseconds(100);
+
+/// What a controller leaves to its successor, in the store. It is written only
+/// when it changes, so not at all while orders are answered.
 struct order_handover {
-  /// All orders that may be open were given in this incarnation of the target;
-  /// 0 if that is not known of any.
+  /// Orders without an answer may be carried out yet.
+  bool HasOpenOrders = true;
+  /// All of them were given in this incarnation of the target; 0 if that is not
+  /// known of any. It stays true while the target is in that incarnation.
   std::uint64_t Incarnation = 0;
   /// At some sequence that this incarnation has passed no order is open. After
   /// a restart late orders alone do not lead beyond it.
@@ -55,6 +61,8 @@
   /// The call of order \p Number has ended. It stays open without an answer.
   auto settle(std::uint64_t Number, bool IsAnswered) -> void;
 
+  /// False once the order was answered or has expired.
+  [[nodiscard]] auto isOpen(std::uint64_t Number) const -> bool;
   /// Own orders to \p Target that may still be carried out.
   [[nodiscard]] auto list(const target_name &Target, time_point Now) const
       -> std::vector<open_order>;
@@ -65,9 +73,12 @@
   [[nodiscard]] auto mayOrder(const engine_spec &Engine,
                               const engine_report &Report, time_point Now) const
       -> bool;
-  /// What to leave to a successor when the target is in the state of \p Report.
-  [[nodiscard]] auto handover(const engine_report &Report, time_point Now) const
-      -> order_handover;
+  /// What to leave to a successor, as of the last report.
+  [[nodiscard]] auto handover(time_point Now) const -> order_handover;
+  /// Orders of predecessors are not carried out from then on.
+  [[nodiscard]] auto predecessorsExpireAt() const -> time_point {
+    return PredecessorsExpireAt;
+  }
 
 private:
   struct entry {
@@ -76,18 +87,22 @@
     std::uint64_t Incarnation = 0;
     open_order Order;
     time_point ExpiresAt;
+    /// From then on it stays open; the epoch if its call has ended.
+    time_point DueAt;
   };
 
   /// True if all orders that may be open were given in \p Incarnation.
   [[nodiscard]] auto isSettled(std::uint64_t Incarnation, time_point Now) const
       -> bool;
   /// True if no order is open at some sequence that the target has passed.
-  [[nodiscard]] auto hasGap(const engine_report &Report, time_point Now) const
-      -> bool;
+  [[nodiscard]] auto hasGap(std::uint64_t Incarnation, std::uint64_t Sequence,
+                            time_point Now) const -> bool;
 
   std::vector<entry> Entries;
   std::uint64_t LastNumber = 0;
   order_handover Inherited;
+  std::uint64_t LastIncarnation = 0; ///< Of the last report.
+  std::uint64_t LastSequence = 0;
   /// Of the first report in the inherited incarnation: predecessors have given
   /// no order for a later one.
   std::optional<std::uint64_t> InheritedSequence;
--- a/libs/serving/src/open_orders.cpp
+++ b/libs/serving/src/open_orders.cpp
@@ -22,7 +22,8 @@
 auto open_orders::takeOver(const std::optional<order_handover> &Predecessor,
                            time_point StartedAt) -> void {
   Inherited = Predecessor.value_or(order_handover{});
-  PredecessorsExpireAt = Predecessor ? StartedAt + OpenOrderTime : StartedAt;
+  const bool MayBeOpen = Predecessor && Predecessor->HasOpenOrders;
+  PredecessorsExpireAt = MayBeOpen ? StartedAt + OpenOrderTime : StartedAt;
 }
 
 auto open_orders::add(const target_name &Target, std::uint64_t Incarnation,
@@ -30,7 +31,7 @@
   std::erase_if(Entries,
                 [&](const entry &Entry) { return Entry.ExpiresAt <= SentAt; });
   Entries.push_back({++LastNumber, Target, Incarnation, std::move(Order),
-                     SentAt + OpenOrderTime});
+                     SentAt + OpenOrderTime, SentAt + AnswerTime});
   return LastNumber;
 }
 
@@ -44,6 +45,7 @@
     Entries.erase(Settled);
     return;
   }
+  Settled->DueAt = time_point();
   // The same order is sent again while it has no answer; the last one is open
   // for the longest time.
   const auto Last = *Settled;
@@ -53,6 +55,12 @@
   });
 }
 
+auto open_orders::isOpen(std::uint64_t Number) const -> bool {
+  return std::any_of(Entries.begin(), Entries.end(), [&](const entry &Entry) {
+    return Entry.Number == Number;
+  });
+}
+
 auto open_orders::list(const target_name &Target, time_point Now) const
     -> std::vector<open_order> {
   std::vector<open_order> Open;
@@ -63,6 +71,8 @@
 }
 
 auto open_orders::observe(const engine_report &Report) -> void {
+  LastIncarnation = Report.Incarnation;
+  LastSequence = Report.Sequence;
   if (Report.Incarnation == Inherited.Incarnation && !InheritedSequence)
     InheritedSequence = Report.Sequence;
 }
@@ -77,20 +87,20 @@
   });
 }
 
-auto open_orders::hasGap(const engine_report &Report, time_point Now) const
-    -> bool {
-  const bool IsInherited = Report.Incarnation == Inherited.Incarnation;
+auto open_orders::hasGap(std::uint64_t Incarnation, std::uint64_t Sequence,
+                         time_point Now) const -> bool {
+  const bool IsInherited = Incarnation == Inherited.Incarnation;
   if (IsInherited && Inherited.HasGap)
     return true;
   std::uint64_t First = 0;
   if (Now < PredecessorsExpireAt)
-    First = InheritedSequence.value_or(Report.Sequence) + 1;
+    First = InheritedSequence.value_or(Sequence) + 1;
   std::set<std::uint64_t> OpenSequences;
   for (const auto &Entry : Entries)
     if (Entry.ExpiresAt > Now && Entry.Order.Sequence >= First &&
-        Entry.Order.Sequence < Report.Sequence)
+        Entry.Order.Sequence < Sequence)
       OpenSequences.insert(Entry.Order.Sequence);
-  return First + OpenSequences.size() < Report.Sequence;
+  return First + OpenSequences.size() < Sequence;
 }
 
 auto open_orders::mayOrder(const engine_spec &Engine,
@@ -100,14 +110,21 @@
     return true;
   if (Report.Incarnation == 0 || Report.Incarnation != Inherited.Incarnation)
     return false;
-  return hasGap(Report, Now) || fitAnyOrders(Engine, Report.Sequence + 1);
+  return hasGap(Report.Incarnation, Report.Sequence, Now) ||
+         fitAnyOrders(Engine, Report.Sequence + 1);
 }
 
-auto open_orders::handover(const engine_report &Report, time_point Now) const
-    -> order_handover {
-  if (!isSettled(Report.Incarnation, Now))
-    return Inherited;
-  return {Report.Incarnation, hasGap(Report, Now)};
+auto open_orders::handover(time_point Now) const -> order_handover {
+  const bool HasOpenOrders =
+      Now < PredecessorsExpireAt ||
+      std::any_of(Entries.begin(), Entries.end(), [&](const entry &Entry) {
+        return Entry.DueAt <= Now && Entry.ExpiresAt > Now;
+      });
+  if (!HasOpenOrders)
+    return {false, 0, false};
+  if (!isSettled(LastIncarnation, Now))
+    return {true, Inherited.Incarnation, Inherited.HasGap};
+  return {true, LastIncarnation, hasGap(LastIncarnation, LastSequence, Now)};
 }
 
 } // namespace limpetbridge::serving
--- a/testing/emulator/include/emulator/worker_emulator.h
+++ b/testing/emulator/include/emulator/worker_emulator.h
@@ -83,8 +83,9 @@
   /// Ids of prompt parts, in hexadecimal. The worker crashes as it begins to
   /// answer a request with one of them, unless it is the last of its prompt.
   std::set<std::string> CrashParts;
-  bool CrashesBeforeHead = false;   ///< Nothing of the answer is written.
-  int EventsBeforeCrash = 0;        ///< Written before it crashes.
+  bool CrashesBeforeHead = false; ///< Nothing of the answer is written.
+  int EventsBeforeCrash = 0;      ///< Written before it crashes.
+  bool HangsOrders = false; ///< Orders are neither answered nor carried out.
   std::set<std::string> CrashLoads; ///< Models that it crashes on loading.
   /// Called when the worker has crashed.
   std::function<void()> OnCrash = [] {};
--- a/testing/emulator/src/worker_emulator.cpp
+++ b/testing/emulator/src/worker_emulator.cpp
@@ -163,6 +163,11 @@
   }
   if (Request.Target == "/order")
     Bytes = serializeResponse(takeOrder(Request), false);
+  if (HangsOrders && Request.Target == "/order") {
+    net::asio::steady_timer Timer(Context, seconds(5));
+    co_await Timer.async_wait(net::asio::use_awaitable);
+    co_return false;
+  }
   if (!Bytes.empty())
     co_return co_await Connection->write(std::move(Bytes));
   const auto Seen = std::make_shared<seen_request>();
@@ -186,6 +191,8 @@
     -> net::http_response {
   const auto Order = json::parse(Request.Body);
   Orders.push_back(Order);
+  if (HangsOrders)
+    return {};
   if (net::findField(Request.Fields, "X-Limpetbridge-Expected-Instance") != Id)
     return makeAnswer(421, "");
   if (Busy || Order.value("precondition", Sequence) != Sequence)
