--- a/apps/limpetbridge/src/serving/gateway_attempts.cpp
+++ b/apps/limpetbridge/src/serving/gateway_attempts.cpp
@@ -25,6 +25,7 @@
   const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
   Metrics.observe("targets_age", "send",
                   static_cast<double>(toMilliseconds(TargetsAge)));
+  observeConfigurationAge("send");
   if (!Effect.IsHedge)
     return sendCommand(Effect.Number, Effect);
   const auto Found = Requests.find(Effect.Number);
@@ -32,6 +33,12 @@
     Found->second->startHedge(Effect);
 }
 
+auto gateway_node::observeConfigurationAge(const char *Decision) -> void {
+  const auto AgeMs = configurationAgeMs(State, process_clock::now());
+  if (AgeMs >= 0)
+    Metrics.observe("configuration_age", Decision, static_cast<double>(AgeMs));
+}
+
 auto gateway_node::execute(const set_hedge_timer &Effect) -> void {
   const auto Found = Requests.find(Effect.Number);
   if (Found != Requests.end())
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -188,6 +188,7 @@
 
 auto gateway_node::execute(const refuse_request &Effect) -> void {
   Metrics.count("refusals", describe(Effect.Code).Name);
+  observeConfigurationAge("refuse");
   sendCommand(Effect.Number, Effect);
 }
 
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -135,6 +135,8 @@
   /// Digests of other gateways that have not arrived; may be off by those that
   /// are not read yet.
   [[nodiscard]] auto lostDigests() const -> std::int64_t;
+  /// Records the age of the configuration that a decision rests on.
+  auto observeConfigurationAge(const char *Decision) -> void;
   /// True if the machine has been suspended since the last call.
   auto hasBeenSuspended() -> bool;
   /// Sets what the metrics tell of quotas.
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -183,7 +183,9 @@
         std::to_string(State.ConfigurationHistory.inForce().Generation)},
        {"routes", std::to_string(State.Configuration.Routes.size())},
        {"services", std::to_string(State.Configuration.Services.size())},
-       {"workspaces", std::to_string(State.Configuration.Workspaces.size())}});
+       {"workspaces", std::to_string(State.Configuration.Workspaces.size())},
+       // The store acknowledged it no longer ago than this.
+       {"unconfirmed_ms", std::to_string(configurationAgeMs(State, Step.Now))}});
   State.Fairness.configure(State.Configuration);
   takeKeysInForce(Step);
   takeQuotaLimits(Step);
--- a/libs/serving/src/gateway_refusals.cpp
+++ b/libs/serving/src/gateway_refusals.cpp
@@ -74,6 +74,9 @@
         "left_ms", std::to_string(toMilliseconds(Request.Deadline - Step.Now)));
     Fields.emplace_back("configuration",
                         std::to_string(Step.State.Configuration.Version));
+    Fields.emplace_back(
+        "configuration_age_ms",
+        std::to_string(configurationAgeMs(Step.State, Step.Now)));
     addWorkspace(Fields, Request);
     settleCharge(Step, Number, describe(Code).Outcome != run_outcome::NotRun);
     releaseOther(Step, Found->second);
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -128,6 +128,9 @@
       {"target_sequence", std::to_string(Entry->Target.Sequence)},
       {"targets_age_ms",
        std::to_string(toMilliseconds(Step.Now - Step.State.TargetsKnownAt))},
+      {"configuration", std::to_string(Step.State.Configuration.Version)},
+      {"configuration_age_ms",
+       std::to_string(configurationAgeMs(Step.State, Step.Now))},
       {"waited_ms",
        std::to_string(toMilliseconds(Step.Now - Request.Call.Arrived))}};
   sendPrefillNotice(Step, Request, Pick);
