Tests: a gateway whose configuration is no longer confirmed, failing

Callers got 404, 401 and 429 or an old service by a configuration that had been replaced for longer than the bound of 3 s.

--- a/libs/serving/tests/gateway_fleet.h
+++ b/libs/serving/tests/gateway_fleet.h
@@ -60,6 +60,8 @@
   bool HearsDigests = true;
   /// Its call for changes of the configuration gets no answers.
   bool MissesConfiguration = false;
+  /// Nor do its further calls for the configuration.
+  bool LosesConfigurationReads = false;
   int StoreFailures = 0; ///< Calls without an answer, one after the other.
   /// Immediate queries, and their answers as they were written.
   std::vector<open_query> Immediate;
@@ -205,7 +207,7 @@
       else if (const auto *Digest = std::get_if<send_digest>(&Effect))
         send(Process, *Digest);
       else if (std::holds_alternative<read_configuration>(Effect) &&
-               Process.ReachesStore)
+               Process.ReachesStore && !Process.LosesConfigurationReads)
         NextConfigurationReads.insert(&Process);
       else if (const auto *Attempt = std::get_if<send_attempt>(&Effect))
         checkSend(Process, *Attempt);
