Configuration: decisions rest on one that was the newest within the bound

What callers saw: a gateway went on for any time by a configuration that had been replaced: 404 on routes that were added, the old service of routes that were moved, 401 and 429 by old keys and quotas.

Cause: no decision asked how old the configuration was. Its age counted for keys alone, from 4.6 s on and only until a wait of 0.4 s was over; 404 asked for nothing, deployments without workspaces for nothing at all, and config_apply_ms was in no setting. A gateway that has just woken, lacks processor time or is turned away by the store decides by what it has.

Why it works: a request is decided only by a configuration that was the newest less than nine tenths of store.configuration_bound_ms ago, by the start of the call that confirmed it. So whatever delays a version, a decision is no older than that; beyond it the request waits 0.4 s, then it gets 503 unless nobody knows better, in which case service goes on. gateway_view and gateway_revocation become one module with one rule for both kinds of knowledge. A 404 or 401 also takes that no digest names a newer version. A process that had no turn for 1 s does not count as alone for the next 10 s.

Fixtures of other parts let the configuration be an hour old, as they do not confirm it.

--- a/apps/limpetbridge/src/serving/gateway_attempts.cpp
+++ b/apps/limpetbridge/src/serving/gateway_attempts.cpp
@@ -22,7 +22,7 @@
 }
 
 auto gateway_node::execute(const send_attempt &Effect) -> void {
-  const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
+  const auto TargetsAge = process_clock::now() - State.Targets.KnownAt;
   Metrics.observe("targets_age", "send",
                   static_cast<double>(toMilliseconds(TargetsAge)));
   observeConfigurationAge("send");
--- a/apps/limpetbridge/src/serving/gateway_metrics.cpp
+++ b/apps/limpetbridge/src/serving/gateway_metrics.cpp
@@ -106,7 +106,7 @@
   Metrics.set("fair_waiting",
               static_cast<std::int64_t>(State.HeldRequests.size()));
   Metrics.set("reads_targets", State.ReadsTargets ? 1 : 0);
-  Metrics.set("targets_age_ms", toMilliseconds(Now - State.TargetsKnownAt));
+  Metrics.set("targets_age_ms", toMilliseconds(Now - State.Targets.KnownAt));
   Metrics.set("loop_delay_ms", Loop.lastDelayMs());
   constexpr double Percent = 100;
   Metrics.set("admitted_percent",
@@ -177,7 +177,7 @@
   if (Report.LongestDelayMs < NotableDelayMs && NewlyLost == 0 &&
       NewlyReplaced == 0)
     return;
-  const auto TargetsAge = process_clock::now() - State.TargetsKnownAt;
+  const auto TargetsAge = process_clock::now() - State.Targets.KnownAt;
   log(log_level::Info, "loop_lag",
       {{"delay_ms", std::to_string(Report.LongestDelayMs)},
        {"busy_ms", std::to_string(Report.BusyMs)},
--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -62,7 +62,7 @@
     const auto *Entry = State.Book.find(Target);
     const auto Now = process_clock::now();
     return Entry != nullptr && Entry->acceptsRequests(Now) &&
-           mayChooseTargets(State, Now);
+           mayDecide(State, knowledge_kind::Targets, Now);
   };
   Environment.HasValidKey = [this](request_number Number) {
     return hasValidKey(State, Number);
@@ -266,7 +266,8 @@
 auto gateway_node::isReady() const -> bool {
   const auto Now = process_clock::now();
   return !Draining && State.Configuration.Version > 0 &&
-         !hasLostView(State, Now) && !hasLostKeys(State, Now) &&
+         !mustLeaveToOthers(State, knowledge_kind::Targets, Now) &&
+         !mustLeaveToOthers(State, knowledge_kind::Configuration, Now) &&
          !signalsOverload(State);
 }
 
@@ -283,6 +284,7 @@
   State.Options.Retries = Options.Retries;
   State.Options.LostGrace = Options.LostGrace;
   State.Options.MaxViewAge = Options.MaxViewAge;
+  State.Options.MaxConfigurationAge = Options.MaxConfigurationAge;
   State.Options.Quarantine = Options.Quarantine;
   State.Options.RevocationBound = Options.RevocationBound;
   State.Options.Hedging = Options.Hedging;
--- a/apps/limpetbridge/src/serving/gateway_peers.cpp
+++ b/apps/limpetbridge/src/serving/gateway_peers.cpp
@@ -107,6 +107,7 @@
       milliseconds(std::max(std::int64_t{0}, ReadMs(WaitedField, 0)));
   const auto WrittenAt = std::min(AskedAt + Waited, process_clock::now());
   const auto ConfigurationAgeMs = ReadMs(ConfigurationAgeField, -1);
+  Event.ConfigurationKnownAgeMs = ConfigurationAgeMs;
   if (ConfigurationAgeMs >= 0 && KnowledgeSync.ConfigurationAgrees())
     Event.ConfigurationKnownAt = WrittenAt - milliseconds(ConfigurationAgeMs);
   if (!KnowledgeSync.TargetsAgree())
--- a/apps/limpetbridge/src/serving/gateway_settings.cpp
+++ b/apps/limpetbridge/src/serving/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "gateway_settings.h"
 
+#include <algorithm>
 #include <sstream>
 #include <string>
 
@@ -23,6 +24,9 @@
   Options.Retries.Window = milliseconds(Settings.RetryWindowMs);
   Options.LostGrace = milliseconds(Settings.LostGraceMs);
   Options.MaxViewAge = maxViewAge(milliseconds(Settings.LeavingBoundMs));
+  Options.MaxConfigurationAge =
+      std::min(maxConfigurationAge(milliseconds(Settings.ConfigurationBoundMs)),
+               maxViewAge(milliseconds(Settings.RevocationMs)));
   Options.Quarantine.Crashes =
       static_cast<std::uint32_t>(Settings.QuarantineCrashes);
   Options.Quarantine.Hold = milliseconds(Settings.QuarantineHoldMs);
--- a/apps/limpetbridge/src/serving/link_codec.cpp
+++ b/apps/limpetbridge/src/serving/link_codec.cpp
@@ -131,13 +131,14 @@
 }
 
 auto write(writer &Writer, const gateway_digest &Digest) -> void {
-  constexpr std::size_t FieldCount = 18;
+  constexpr std::size_t FieldCount = 19;
   const bool HasEra = Digest.StoreEra > 0;
   const bool HasGeneration = Digest.ConfigurationGeneration > 0;
   Writer.beginMap(FieldCount + (HasEra ? 1 : 0) + (HasGeneration ? 1 : 0) +
                   (Digest.Overloaded ? 1 : 0));
   Writer.writeField("a", Digest.Address);
   Writer.writeField("c", Digest.Configuration);
+  Writer.writeField("ck", Digest.ConfigurationKnownAgeMs);
   writeDemand(Writer, Digest);
   if (HasEra)
     Writer.writeField("e", Digest.StoreEra);
@@ -401,6 +402,7 @@
   Digest.TargetsReadAgeMs = readOr(Fields, "tr", -1);
   Digest.TargetsVersion = Fields.at("tv").readUnsigned();
   // Gateways of an older version do not send these.
+  Digest.ConfigurationKnownAgeMs = readOr(Fields, "ck", -1);
   Digest.TargetsKnownAgeMs = readOr(Fields, "tk", -1);
   Digest.ReadyInMs = readOr(Fields, "r", 0);
   return Digest;
--- a/libs/base/include/base/settings.h
+++ b/libs/base/include/base/settings.h
@@ -81,6 +81,7 @@
   std::int64_t StopGraceMs = 0;
   std::int64_t LostGraceMs = 0;
   std::int64_t LeavingBoundMs = 0;
+  std::int64_t ConfigurationBoundMs = 0;
   std::int64_t QuarantineCrashes = 0;
   std::int64_t QuarantineHoldMs = 0;
   std::int64_t RevocationMs = 0;
--- a/libs/base/src/settings_table.cpp
+++ b/libs/base/src/settings_table.cpp
@@ -133,6 +133,10 @@
     setting_row{"store", "leaving_bound_ms", &s::LeavingBoundMs, "2000", "ms",
                 600, 60000, "",
                 "Time after which a target that leaves gets no more requests."},
+    setting_row{"store", "configuration_bound_ms", &s::ConfigurationBoundMs,
+                "3000", "ms", 1000, 60000, "",
+                "Time after which no gateway that can reach another one "
+                "decides by an older configuration."},
     setting_row{"controller", "target", &s::ControllerTarget, "", "", 0,
                 MaxNameLength, "",
                 "ip:port of the target beside a controller."},
--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -10,6 +10,7 @@
 #include "serving/gateway_effects.h"
 #include "serving/gateway_events.h"
 #include "serving/hedging.h"
+#include "serving/knowledge_state.h"
 #include "serving/placement.h"
 #include "serving/priority_order.h"
 #include "serving/quota_shares.h"
@@ -41,6 +42,9 @@
   /// Oldest view of the targets on which requests are sent while another
   /// gateway may have a newer one.
   duration MaxViewAge = milliseconds(1600);
+  /// Oldest configuration by which requests are decided while another gateway
+  /// may have a newer one.
+  duration MaxConfigurationAge = milliseconds(2700);
   /// Least interval of the digests; see digestInterval.
   duration DigestInterval = milliseconds(100);
   quarantine_policy Quarantine;
@@ -126,9 +130,9 @@
   bool IsHeldForKind = false;   ///< Only for a more urgent kind.
   time_point HeldSince;         ///< Of the first such wait; the epoch: none.
   bool AwaitsCrashRows = false; ///< It waits for what the store has of crashes.
-  bool AwaitsView = false;      ///< It waits for a current view of the targets.
-  /// It waits until the configuration is known to be recent.
-  bool AwaitsConfiguration = false;
+  bool IsRouted = false;        ///< Route and service are decided.
+  /// It waits until this is known to be recent; not set if it does not.
+  std::optional<knowledge_kind> Awaited;
   /// What the request was charged with in a quota, or waits for; not set if
   /// there is no limit.
   struct quota_charge {
@@ -230,6 +234,7 @@
     /// As of when its rows of the targets were complete; the epoch if it has
     /// not said.
     time_point TargetsKnownAt;
+    time_point ConfigurationKnownAt;  ///< The same for its configuration.
     std::uint64_t TargetsVersion = 0; ///< Newest row that it knows.
     time_point ReadyAt; ///< When it takes any request; the past if it does.
     bool Overloaded = false; ///< For some seconds.
@@ -238,13 +243,8 @@
   /// Start of the time in which this gateway has no configuration or a peer
   /// has a newer one; NoDeadline if neither is so.
   time_point ConfigurationStaleSince = NoDeadline;
-  key_index Keys; ///< Of the configuration in force.
-  /// As of when the configuration in force was the newest, whoever read it; the
-  /// epoch if that is not known.
-  time_point ConfigurationKnownAt;
-  /// Since when that is too long ago to rely on the keys; NoDeadline if it is
-  /// not, or if there are no keys.
-  time_point KeysDoubtfulSince = NoDeadline;
+  key_index Keys;                     ///< Of the configuration in force.
+  knowledge_state ConfigurationAge;   ///< Of the configuration in force.
   std::optional<quota_shares> Quotas; ///< Set if there are quotas.
   fleet_account Account; ///< Rates of all workspaces, also without quotas.
   std::uint64_t RateReports = 0; ///< Sent without quotas.
@@ -255,30 +255,24 @@
   /// Gateways may have to be told at once what has changed about quotas.
   bool QuotasChanged = false;
   std::set<request_number> QuotaWaits; ///< Requests that wait for tokens.
-  time_point NextConfigurationQuery;
   time_point NextEraCheck; ///< Next read because a peer has seen a later era.
-  duration ConfigurationQueryInterval = duration::zero();
   /// This gateway reads the targets from the store; the others of its data
   /// centre get them from it.
   bool ReadsTargets = true;
   /// Last read of the targets from the store; the epoch if the last call
   /// failed or none was answered yet.
   time_point TargetsReadAt;
-  /// As of when the rows of the targets are known to be complete, whoever read
-  /// them; the epoch before the first read.
-  time_point TargetsKnownAt;
+  knowledge_state Targets; ///< Of the rows of the targets.
   /// That was before the last rise of the store's era.
   bool ViewIsOfOldEra = false;
-  time_point FirstViewAt; ///< When the first read or answer arrived.
-  /// Start of the time in which the view of the targets has been too old to
-  /// send requests; NoDeadline if it is not.
-  time_point ViewStaleSince = NoDeadline;
+  time_point FirstViewAt;       ///< When the first read or answer arrived.
   time_point LastPeerMessageAt; ///< Digest or answer of any gateway.
-  /// Until then no other gateway is assumed to have newer rows, as one that was
-  /// asked had none.
-  time_point PeersStaleUntil;
-  time_point NextViewQuery;
-  duration ViewAskInterval = duration::zero();
+  time_point LastTurnAt;        ///< Of the last event.
+  /// End of the last time in which this process had no turn and could not hear
+  /// of others; the epoch if there was none.
+  time_point RunningSince;
+  time_point NextKnowledgeQuery;
+  duration KnowledgeAskInterval = duration::zero();
   /// Address of the gateway that was asked for the targets and has not answered
   /// yet; empty if none was asked.
   std::string AskedReader;
@@ -316,10 +310,17 @@
 /// get none after \p LeavingBound.
 [[nodiscard]] auto maxViewAge(duration LeavingBound) -> duration;
 
+/// The oldest configuration by which requests may be decided, if one that the
+/// store has acknowledged must be in force after \p ApplyBound.
+[[nodiscard]] auto maxConfigurationAge(duration ApplyBound) -> duration;
+
 /// Longest wait of a read of the targets for changes. A view of another gateway
 /// that reads them this way is current as well.
 [[nodiscard]] auto maxTargetsWait(duration MaxViewAge) -> duration;
 
+/// The same for the configuration, which may be as old as \p MaxAge.
+[[nodiscard]] auto maxConfigurationWait(duration MaxAge) -> duration;
+
 [[nodiscard]] auto makeGatewayState(const gateway_options &Options)
     -> gateway_state;
 
@@ -333,13 +334,15 @@
 [[nodiscard]] auto targetsKnownAgeMs(const gateway_state &State, time_point Now)
     -> std::int64_t;
 
-/// False while the view of the targets is too old to send requests and another
-/// gateway may have a newer one. If no other one has, old rows are used.
-[[nodiscard]] auto mayChooseTargets(const gateway_state &State, time_point Now)
-    -> bool;
+/// False while this kind of knowledge is too old to decide requests by, and
+/// another gateway may know better. If no other one does, old knowledge is
+/// used.
+[[nodiscard]] auto mayDecide(const gateway_state &State, knowledge_kind Kind,
+                             time_point Now) -> bool;
 
-/// True if requests are refused because the view is too old.
-[[nodiscard]] auto hasLostView(const gateway_state &State, time_point Now)
+/// True if requests are refused because that has been so for some time.
+[[nodiscard]] auto mustLeaveToOthers(const gateway_state &State,
+                                     knowledge_kind Kind, time_point Now)
     -> bool;
 
 /// True if load balancers should send requests elsewhere, as this gateway has
@@ -352,11 +355,6 @@
 [[nodiscard]] auto hasValidKey(const gateway_state &State,
                                request_number Number) -> bool;
 
-/// True if requests with keys are refused because the configuration may be too
-/// old, and another gateway may have a recent one.
-[[nodiscard]] auto hasLostKeys(const gateway_state &State, time_point Now)
-    -> bool;
-
 /// Age of the configuration in force, ms; below 0 if it is not known.
 [[nodiscard]] auto configurationAgeMs(const gateway_state &State,
                                       time_point Now) -> std::int64_t;
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -313,6 +313,8 @@
   /// Age of the sender's view of the targets, whoever read them, ms; below 0 if
   /// it has none.
   std::int64_t TargetsKnownAgeMs = -1;
+  /// Age of the sender's configuration, ms; below 0 if it is not known.
+  std::int64_t ConfigurationKnownAgeMs = -1;
   std::uint64_t TargetsVersion = 0; ///< Newest row of a target that it knows.
   /// Time until the sender, or the process that replaces it, takes any request,
   /// ms; 0 while it does.
@@ -389,6 +391,9 @@
   /// As of when all changes of the configuration are known with the answer. Not
   /// set if the peer does not know, or if its rows differ from those here.
   std::optional<time_point> ConfigurationKnownAt = std::nullopt;
+  /// Age of the peer's configuration when it answered, ms; below 0 if it is not
+  /// known. Not set if there is no answer of this era of the store.
+  std::optional<std::int64_t> ConfigurationKnownAgeMs = std::nullopt;
 };
 
 using gateway_event = std::variant<
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -38,6 +38,9 @@
 /// Sends the request to a target, queues it until a model or an adapter is
 /// loaded or the targets are known, or refuses it.
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void;
+/// Decides route, workspace and service of a request that has arrived, and
+/// admits it. It waits while the configuration may be out of date.
+auto routeRequest(const gateway_step &Step, request_number Number) -> void;
 
 // gateway_quota.cpp
 auto handle(const gateway_step &Step, const quota_report &Event) -> void;
@@ -198,30 +201,42 @@
 /// workspace and priority. To be asked before each attempt.
 /// \returns true if it was refused.
 auto refuseWithoutKey(const gateway_step &Step, request_number Number) -> bool;
+/// Refuses a request whose key may have been removed longer ago than strict
+/// revocation allows. \returns false if it may be sent.
+auto refuseWithDoubtfulKey(const gateway_step &Step, request_number Number)
+    -> bool;
 /// Sends the request to targets with the most urgent priority that routes give
 /// to requests of its workspace.
 auto setFirstPriority(const gateway_step &Step, request_state &Request) -> void;
+/// False if keys may have been removed longer ago than strict revocation
+/// allows.
+auto areKeysCurrent(const gateway_state &State, time_point Now) -> bool;
 /// Names the workspace of the request in a log entry, if it has one.
 auto addWorkspace(log_fields &Fields, const request_state &Request) -> void;
 
-// gateway_revocation.cpp
+// gateway_freshness.cpp
 auto handle(const gateway_step &Step, const configuration_confirmed &Event)
     -> void;
-/// Records that the configuration in force was the newest at \p AsOf.
-auto recordConfigurationAge(const gateway_step &Step, time_point AsOf) -> void;
-/// False if the keys may have been removed longer ago than is allowed.
-auto areKeysCurrent(const gateway_state &State, time_point Now) -> bool;
-/// True if the store and other gateways are to be asked for the configuration,
-/// before it is too old.
-auto needsConfirmation(const gateway_state &State, time_point Now) -> bool;
-/// Interval until the next such query, after one that was just sent.
-auto nextQueryInterval(gateway_state &State) -> duration;
-/// Dispatches or refuses the requests that wait for a confirmation.
-auto checkConfigurationAge(const gateway_step &Step) -> void;
-/// Makes a request with a key wait for a short time if the configuration may be
-/// too old, then refuses it if revocation is strict.
-/// \returns false if it may be sent.
-auto awaitConfirmation(const gateway_step &Step, request_number Number) -> bool;
+/// Records that the rows of the targets are complete as of \p AsOf.
+auto recordView(const gateway_step &Step, time_point AsOf) -> void;
+/// Records what another gateway's answer says of its knowledge and of this
+/// one's.
+auto recordPeerKnowledge(const gateway_step &Step, const peer_answered &Event)
+    -> void;
+/// Notes that this process has a turn.
+auto noteTurn(const gateway_step &Step) -> void;
+/// Asks others if something is about to be too old, and decides on the requests
+/// that wait for it.
+auto checkKnowledge(const gateway_step &Step) -> void;
+/// Makes the request wait for a short time if this kind of knowledge is too old
+/// to decide by, then refuses it.
+/// \returns false if it may be decided.
+auto awaitKnowledge(const gateway_step &Step, request_number Number,
+                    knowledge_kind Kind) -> bool;
+/// True if no other gateway need know a newer configuration. A 4xx tells the
+/// caller not to return, so it takes that.
+auto isConfigurationCurrent(const gateway_state &State, time_point Now) -> bool;
+
 // gateway_connections.cpp
 auto handle(const gateway_step &Step, const connection_rested &Event) -> void;
 auto handle(const gateway_step &Step, const connection_lost &Event) -> void;
@@ -395,18 +410,6 @@
 auto isAhead(const gateway_state &State,
              const gateway_state::peer_status &Status) -> bool;
 
-// gateway_view.cpp
-/// Records that the rows of the targets are complete as of \p AsOf.
-auto recordView(const gateway_step &Step, time_point AsOf) -> void;
-/// Records what another gateway's answer says of its view and of this one's.
-auto recordPeerView(const gateway_step &Step, const peer_answered &Event)
-    -> void;
-/// Asks other gateways if the view is about to be too old, and dispatches or
-/// refuses the requests that wait for it.
-auto checkView(const gateway_step &Step) -> void;
-/// Makes the request wait for a current view for a short time, or refuses it.
-auto awaitView(const gateway_step &Step, request_number Number) -> void;
-
 // gateway_relay.cpp
 /// Decides whether this gateway reads the targets from the store or gets them
 /// from a gateway of its data centre, and keeps a query open at that gateway. A
@@ -418,8 +421,7 @@
 auto isConfigurationStale(const gateway_state &State) -> bool;
 
 /// Queries another gateway for configuration, targets and instances if this one
-/// cannot read the store, has an older configuration than a peer, or does not
-/// know whether its keys are still valid.
+/// cannot read the store or has an older configuration than a peer.
 auto queryPeers(const gateway_step &Step) -> void;
 
 /// Sends this gateway's load, demand and pending loads to the other gateways.
--- a/libs/serving/src/explain.cpp
+++ b/libs/serving/src/explain.cpp
@@ -43,11 +43,11 @@
 
 auto describeWait(const gateway_state &State, const request_state &Request)
     -> std::string {
-  if (Request.AwaitsConfiguration)
+  if (Request.Awaited == knowledge_kind::Configuration)
     return "a recent configuration";
   if (Request.AwaitsCrashRows)
     return "what the store has of crashes";
-  if (Request.AwaitsView)
+  if (Request.Awaited == knowledge_kind::Targets)
     return "a current view of the targets";
   if (State.QuotaWaits.contains(ExplainedNumber))
     return "tokens that other gateways may lend";
@@ -118,7 +118,7 @@
   Explanation.Model = Call.Prompt.Model;
   Explanation.Adapter = Call.Prompt.Adapter;
   Explanation.ConfigurationVersion = State.Configuration.Version;
-  Explanation.TargetsAgeMs = toMilliseconds(Now - State.TargetsKnownAt);
+  Explanation.TargetsAgeMs = toMilliseconds(Now - State.Targets.KnownAt);
   if (const auto *Route = State.Routes.find(Call.Host, Call.Path))
     Explanation.Route = Route->Name;
   auto Copy = State;
--- a/libs/serving/src/gateway_connections.cpp
+++ b/libs/serving/src/gateway_connections.cpp
@@ -96,7 +96,7 @@
   return Entry != nullptr &&
          Entry->Target.Incarnation == Request.SentIncarnation &&
          Entry->acceptsRequests(Step.Now) &&
-         mayChooseTargets(Step.State, Step.Now) &&
+         mayDecide(Step.State, knowledge_kind::Targets, Step.Now) &&
          (!Request.Call.HasPrompt ||
           (Entry->serves(Prompt.Model) &&
            hasLoaded(Entry->Target, Prompt.Model, Prompt.Adapter)));
--- a/libs/serving/src/gateway_era.cpp
+++ b/libs/serving/src/gateway_era.cpp
@@ -16,6 +16,7 @@
   Status.Configuration = {};
   Status.TargetsReadAt = time_point();
   Status.TargetsKnownAt = time_point();
+  Status.ConfigurationKnownAt = time_point();
   Status.TargetsVersion = 0;
 }
 
@@ -76,9 +77,9 @@
 
 auto targetsKnownAgeMs(const gateway_state &State, time_point Now)
     -> std::int64_t {
-  return State.TargetsKnownAt == time_point() || State.ViewIsOfOldEra
+  return State.Targets.KnownAt == time_point() || State.ViewIsOfOldEra
              ? -1
-             : toMilliseconds(Now - State.TargetsKnownAt);
+             : toMilliseconds(Now - State.Targets.KnownAt);
 }
 
 auto isAhead(const gateway_state &State,
--- a/libs/serving/src/gateway_hedging.cpp
+++ b/libs/serving/src/gateway_hedging.cpp
@@ -60,10 +60,12 @@
   const auto &State = Step.State;
   if (State.StopDeadline != NoDeadline)
     return hedge_verdict::GatewayStops;
-  if (!mayChooseTargets(State, Step.Now))
+  if (!mayDecide(State, knowledge_kind::Targets, Step.Now))
     return hedge_verdict::StaleView;
   if (!hasValidKey(State, Number) ||
-      (Request.Workspace && !areKeysCurrent(State, Step.Now)))
+      (Request.Workspace &&
+       !(areKeysCurrent(State, Step.Now) &&
+         mayDecide(State, knowledge_kind::Configuration, Step.Now))))
     return hedge_verdict::KeyInDoubt;
   if (Request.TriedSuspect || hasSuspect(Step, Request))
     return hedge_verdict::Suspect;
--- a/libs/serving/src/gateway_knowledge.cpp
+++ b/libs/serving/src/gateway_knowledge.cpp
@@ -185,7 +185,8 @@
        {"services", std::to_string(State.Configuration.Services.size())},
        {"workspaces", std::to_string(State.Configuration.Workspaces.size())},
        // The store acknowledged it no longer ago than this.
-       {"unconfirmed_ms", std::to_string(configurationAgeMs(State, Step.Now))}});
+       {"unconfirmed_ms",
+        std::to_string(configurationAgeMs(State, Step.Now))}});
   State.Fairness.configure(State.Configuration);
   takeKeysInForce(Step);
   takeQuotaLimits(Step);
@@ -332,6 +333,7 @@
             Event.DataCentre,
             ReadAt,
             std::max(ReadAt, ToTime(Event.TargetsKnownAgeMs)),
+            ToTime(Event.ConfigurationKnownAgeMs),
             Event.TargetsVersion,
             Step.Now + milliseconds(Event.ReadyInMs),
             Event.Overloaded};
@@ -352,7 +354,7 @@
   if (State.StoreReachable && State.RowGraceUntil == NoDeadline)
     State.RowGraceUntil = Step.Now + State.Options.LostGrace;
   recordView(Step, Event.AsOf == time_point() ? Step.Now : Event.AsOf);
-  checkView(Step);
+  checkKnowledge(Step);
 }
 
 auto handle(const gateway_step &Step, const targets_read_failed & /*Event*/)
@@ -371,8 +373,7 @@
   expirePeers(Step);
   chooseTargetReader(Step);
   queryPeers(Step);
-  checkConfigurationAge(Step);
-  checkView(Step);
+  checkKnowledge(Step);
   expireLoads(Step);
   refuseLateLoadWaits(Step);
   planCopies(Step);
@@ -415,6 +416,7 @@
   Digest.Overloaded = State.SelfLimit.isSustained();
   Digest.TargetsReadAgeMs = targetsReadAgeMs(State, Step.Now);
   Digest.TargetsKnownAgeMs = targetsKnownAgeMs(State, Step.Now);
+  Digest.ConfigurationKnownAgeMs = configurationAgeMs(State, Step.Now);
   Digest.TargetsVersion = State.TargetsVersion;
   Digest.ReadyInMs = toMilliseconds(readyAt(State, Step.Now) - Step.Now);
   for (const auto &[Name, Entry] : State.Book.all())
--- a/libs/serving/src/gateway_relay.cpp
+++ b/libs/serving/src/gateway_relay.cpp
@@ -70,17 +70,21 @@
   return Reader;
 }
 
-/// Addresses of the peers that can read the store or have a newer
-/// configuration.
+/// Addresses of the peers that have a newer configuration or, without any, of
+/// those that can read the store.
 auto informedPeers(const gateway_state &State) -> std::vector<std::string> {
-  std::vector<std::string> Addresses;
+  std::vector<std::string> Ahead;
+  std::vector<std::string> AtStore;
   for (const auto &[Name, Instance] : State.Instances) {
     const auto Status = State.PeerStatuses.find(Name);
-    if (Status != State.PeerStatuses.end() &&
-        (Status->second.StoreReachable || isAhead(State, Status->second)))
-      Addresses.push_back(Instance.Address);
+    if (Status == State.PeerStatuses.end())
+      continue;
+    if (isAhead(State, Status->second))
+      Ahead.push_back(Instance.Address);
+    if (Status->second.StoreReachable)
+      AtStore.push_back(Instance.Address);
   }
-  return Addresses;
+  return Ahead.empty() ? AtStore : Ahead;
 }
 
 } // namespace
@@ -126,9 +130,7 @@
 
 auto handle(const gateway_step &Step, const peer_answered &Event) -> void {
   auto &State = Step.State;
-  recordPeerView(Step, Event);
-  if (Event.ConfigurationKnownAt)
-    recordConfigurationAge(Step, *Event.ConfigurationKnownAt);
+  recordPeerKnowledge(Step, Event);
   if (!Event.Waited || Event.Address != State.AskedReader)
     return;
   State.AskedReader.clear();
@@ -164,30 +166,18 @@
   const bool Stale =
       State.ConfigurationStaleSince != NoDeadline &&
       Step.Now - State.ConfigurationStaleSince >= StaleConfigurationGrace;
-  const bool Doubtful = needsConfirmation(State, Step.Now);
-  const bool Lacks = !State.StoreReachable || Stale;
-  if (!(Lacks || Doubtful) || Step.Now < State.NextPeerQuery)
+  if ((State.StoreReachable && !Stale) || Step.Now < State.NextPeerQuery)
     return;
   auto Addresses = informedPeers(State);
-  // Without an informed peer there is probably nothing to learn.
-  const bool Seldom = Doubtful && (!Lacks || Addresses.empty());
   if (Addresses.empty() && State.Configuration.Version == 0)
     Addresses = State.Options.Seeds;
-  else if (Addresses.empty() && Doubtful)
-    Addresses = gatewayAddresses(State);
-  // A gateway that the store turns away may have got no row of another one.
-  if (Addresses.empty() && Doubtful)
-    Addresses = State.Options.Seeds;
-  if (Addresses.empty() && !Doubtful)
+  // Without an informed peer there is probably nothing to learn.
+  if (Addresses.empty())
     return;
-  State.NextPeerQuery =
-      Step.Now + (Seldom ? nextQueryInterval(State) : PeerQueryInterval);
-  if (Doubtful && State.StoreReachable)
-    Step.Effects.push_back(read_configuration{});
-  if (!Addresses.empty())
-    Step.Effects.push_back(
-        query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()],
-                   Step.Now + PeerAnswerTime});
+  State.NextPeerQuery = Step.Now + PeerQueryInterval;
+  Step.Effects.push_back(
+      query_peer{Addresses[State.PeerQueryCount++ % Addresses.size()],
+                 Step.Now + PeerAnswerTime});
 }
 
 } // namespace limpetbridge::serving
--- a/libs/serving/src/gateway_requests.cpp
+++ b/libs/serving/src/gateway_requests.cpp
@@ -127,7 +127,7 @@
       {"output_tokens", std::to_string(Request.Call.Prompt.MaxOutputTokens)},
       {"target_sequence", std::to_string(Entry->Target.Sequence)},
       {"targets_age_ms",
-       std::to_string(toMilliseconds(Step.Now - Step.State.TargetsKnownAt))},
+       std::to_string(toMilliseconds(Step.Now - Step.State.Targets.KnownAt))},
       {"configuration", std::to_string(Step.State.Configuration.Version)},
       {"configuration_age_ms",
        std::to_string(configurationAgeMs(Step.State, Step.Now))},
@@ -160,8 +160,7 @@
 
 auto dispatchRequest(const gateway_step &Step, request_number Number) -> void {
   auto &Request = Step.State.Requests.at(Number);
-  Request.AwaitsView = false;
-  Request.AwaitsConfiguration = false;
+  Request.Awaited.reset();
   if (refuseWithoutKey(Step, Number))
     return;
   if (Request.Deadline - Step.Now < MinAttemptTime)
@@ -169,11 +168,15 @@
                          "no time is left");
   if (!Request.MayHaveRun && exceedsStop(Step.State, Request, Step.Now))
     return refuseStopping(Step, Number);
-  if (refuseIfQuarantined(Step, Number) || awaitCrashRows(Step, Number) ||
-      awaitConfirmation(Step, Number))
+  if (refuseIfQuarantined(Step, Number) || awaitCrashRows(Step, Number))
+    return;
+  // The key may have been removed since the request was routed.
+  if (Request.Workspace &&
+      awaitKnowledge(Step, Number, knowledge_kind::Configuration))
+    return;
+  if (refuseWithDoubtfulKey(Step, Number) ||
+      awaitKnowledge(Step, Number, knowledge_kind::Targets))
     return;
-  if (!mayChooseTargets(Step.State, Step.Now))
-    return awaitView(Step, Number);
   const auto &Call = Request.Call;
   auto PickRequest = makePickRequest(Step, Request);
   const auto AdapterHeldUntil =
@@ -303,29 +306,40 @@
   if (State.Configuration.Version == 0)
     return refuseRequest(Step, Event.Number, result_code::NotReady,
                          NotReadyRetryAfterMs, "no configuration is known");
-  const auto *Route = State.Routes.find(Event.Call.Host, Event.Call.Path);
+  routeRequest(Step, Event.Number);
+}
+
+auto routeRequest(const gateway_step &Step, request_number Number) -> void {
+  auto &State = Step.State;
+  if (awaitKnowledge(Step, Number, knowledge_kind::Configuration))
+    return;
+  auto &Request = State.Requests.at(Number);
+  const auto &Call = Request.Call;
+  const auto *Route = State.Routes.find(Call.Host, Call.Path);
+  if (Route == nullptr && !isConfigurationCurrent(State, Step.Now))
+    return refuseRequest(Step, Number, result_code::NotReady,
+                         NotReadyRetryAfterMs,
+                         "a newer configuration may have a route");
   if (Route == nullptr)
-    return refuseRequest(Step, Event.Number, result_code::NotFound, 0,
+    return refuseRequest(Step, Number, result_code::NotFound, 0,
                          "no route for host and path");
+  Request.IsRouted = true;
   Request.Route = *Route;
-  Request.KeyDigest = Event.Call.Key.digest(State.Options.KeySecret);
-  if (refuseWithoutKey(Step, Event.Number))
+  Request.KeyDigest = Call.Key.digest(State.Options.KeySecret);
+  if (refuseWithoutKey(Step, Number))
     return;
   Request.Service = chooseService(State, *Route);
-  Request.Deadline =
-      std::min(Event.Call.CallerDeadline,
-               Event.Call.Arrived + milliseconds(Route->TimeoutMs));
+  Request.Deadline = std::min(Call.CallerDeadline,
+                              Call.Arrived + milliseconds(Route->TimeoutMs));
   Request.FirstOutputDeadline =
       Route->FirstOutputTimeoutMs > 0
           ? std::min(Request.Deadline,
-                     Event.Call.Arrived +
-                         milliseconds(Route->FirstOutputTimeoutMs))
+                     Call.Arrived + milliseconds(Route->FirstOutputTimeoutMs))
           : Request.Deadline;
   // Before it counts as demand for its model.
-  if (refuseIfQuarantined(Step, Event.Number) ||
-      refuseIfOverloaded(Step, Event.Number))
+  if (refuseIfQuarantined(Step, Number) || refuseIfOverloaded(Step, Number))
     return;
-  admitRequest(Step, Event.Number);
+  admitRequest(Step, Number);
 }
 
 auto handle(const gateway_step &Step, const first_output &Event) -> void {
--- a/libs/serving/src/gateway_workspaces.cpp
+++ b/libs/serving/src/gateway_workspaces.cpp
@@ -11,6 +11,9 @@
 /// Retry-after of a request whose key a newer configuration may have: that is
 /// known after about one query to another gateway, ms.
 constexpr std::int64_t UndecidedRetryAfterMs = 500;
+/// Retry-after of a request whose key no gateway knows to be valid still, as
+/// far as is known, ms.
+constexpr std::int64_t DoubtfulRetryAfterMs = 1000;
 
 auto needsKey(const gateway_state &State, const request_state &Request)
     -> bool {
@@ -30,9 +33,8 @@
     return key_verdict::Removed;
   // A 4xx tells the caller not to repeat the request, so it takes a
   // configuration that is known to be recent.
-  return isConfigurationStale(State) || !areKeysCurrent(State, Step.Now)
-             ? key_verdict::Undecided
-             : key_verdict::Unknown;
+  return isConfigurationCurrent(State, Step.Now) ? key_verdict::Unknown
+                                                 : key_verdict::Undecided;
 }
 
 auto reasonOf(key_verdict Verdict) -> std::string {
@@ -87,12 +89,21 @@
                                      : "no header field can hold the key"}});
   std::vector<request_number> Waiting;
   for (const auto &[Number, Request] : State.Requests)
-    if (Request.CurrentTarget.empty())
+    if (Request.IsRouted && Request.CurrentTarget.empty())
       Waiting.push_back(Number);
   for (const auto Number : Waiting)
     static_cast<void>(refuseWithoutKey(Step, Number));
 }
 
+auto areKeysCurrent(const gateway_state &State, time_point Now) -> bool {
+  if (!State.Options.RevocationIsStrict ||
+      State.Configuration.Workspaces.empty())
+    return true;
+  const auto KnownAt = State.ConfigurationAge.KnownAt;
+  return KnownAt != time_point() &&
+         Now - KnownAt <= maxViewAge(State.Options.RevocationBound);
+}
+
 auto refuseWithoutKey(const gateway_step &Step, request_number Number) -> bool {
   auto &Request = Step.State.Requests.at(Number);
   if (!needsKey(Step.State, Request)) {
@@ -116,6 +127,17 @@
   return true;
 }
 
+auto refuseWithDoubtfulKey(const gateway_step &Step, request_number Number)
+    -> bool {
+  if (!Step.State.Requests.at(Number).Workspace ||
+      areKeysCurrent(Step.State, Step.Now))
+    return false;
+  Step.Effects.push_back(record_key_check{key_verdict::Undecided, {}});
+  refuseRequest(Step, Number, result_code::NotReady, DoubtfulRetryAfterMs,
+                "the key may have been removed since the last configuration");
+  return true;
+}
+
 auto hasValidKey(const gateway_state &State, request_number Number) -> bool {
   const auto Found = State.Requests.find(Number);
   if (Found == State.Requests.end())
--- a/libs/serving/tests/gateway_fixture.h
+++ b/libs/serving/tests/gateway_fixture.h
@@ -105,8 +105,11 @@
     Options.Self = instance_name("g1");
     Options.DataCentre = data_centre_name("north");
     Options.Retries.Extra = 100;
+    // Most tests let time pass without confirming the configuration.
+    Options.MaxConfigurationAge = std::chrono::hours(1);
     State = makeGatewayState(Options);
     dispatch(configuration_read{makeConfiguration(1)});
+    dispatch(configuration_confirmed{Now});
   }
 
   /// Applies \p Event; Effects holds what it caused.
--- a/libs/serving/tests/gateway_relay_test.cpp
+++ b/libs/serving/tests/gateway_relay_test.cpp
@@ -84,6 +84,7 @@
     restart();
     advance(milliseconds(100));
     Harness.dispatch(configuration_read{makeConfiguration(1)});
+    Harness.dispatch(configuration_confirmed{Harness.Now});
     advance(seconds(1));
     CPPUNIT_ASSERT(QueriedAddresses.empty());
   }
--- a/libs/serving/tests/quota_test.cpp
+++ b/libs/serving/tests/quota_test.cpp
@@ -294,7 +294,9 @@
     Options.Quota.Window = seconds(8);
     Options.Quota.Overrun = 0.1;
     Options.Incarnation = Incarnation;
+    Options.MaxConfigurationAge = std::chrono::hours(1);
     Gateway.State = makeGatewayState(Options);
+    Gateway.dispatch(configuration_confirmed{Gateway.Now});
     Gateway.addTarget("l1", "ledger", {});
     Gateway.addTarget("l2", "ledger", {});
   }
