Suspensions: what is known gets older while the process clock stands still

The steady clock does not count a suspension of the machine, so rows and configuration seemed as recent after it as before, and requests were decided and sent by them without asking anybody.

Cause: the ages count from points of the steady clock; only quotas looked at the boot clock, and only where there are quotas.

Evidence: configuration_age_test resume_clockStoodStill fails without the one line that moves KnownAt back (run), and passes with it.

Why it works: every event first compares the two clocks, as it did for quotas; a suspension of a second or more makes both kinds of knowledge older by its length, and the process does not count as alone for the next 10 s. Shorter ones add up until they are a second. Cost: two readings of clocks an event.

--- a/apps/limpetbridge/src/serving/gateway_node.cpp
+++ b/apps/limpetbridge/src/serving/gateway_node.cpp
@@ -157,8 +157,8 @@
 }
 
 auto gateway_node::apply(const gateway_event &Event) -> void {
-  if (State.Quotas && hasBeenSuspended())
-    apply(machine_resumed{gatewayIncarnation()});
+  if (const auto Suspension = takeSuspension())
+    apply(machine_resumed{gatewayIncarnation(), *Suspension});
   const bool ReadTargets = State.ReadsTargets;
   if (const auto *Ended = std::get_if<attempt_ended>(&Event))
     countAttempt(*Ended);
--- a/apps/limpetbridge/src/serving/gateway_node.h
+++ b/apps/limpetbridge/src/serving/gateway_node.h
@@ -137,8 +137,9 @@
   [[nodiscard]] auto lostDigests() const -> std::int64_t;
   /// Records the age of the configuration that a decision rests on.
   auto observeConfigurationAge(const char *Decision) -> void;
-  /// True if the machine has been suspended since the last call.
-  auto hasBeenSuspended() -> bool;
+  /// How long the machine was suspended since the last suspension that was
+  /// taken; not set if it was not.
+  auto takeSuspension() -> std::optional<duration>;
   /// Sets what the metrics tell of quotas.
   auto setQuotaMetrics(time_point Now) -> void;
   /// Logs \p Report if this process lags behind or has lost digests.
@@ -190,7 +191,7 @@
   target_connections TargetConnections;
   bool CrashesChanged = false; ///< Since the last write began.
   bool WritingCrashes = false; ///< writeCrashRow runs.
-  /// Of the machine, since it started; as of the last call of hasBeenSuspended.
+  /// Of the machine, since it started; as of the last call of takeSuspension.
   std::optional<duration> SuspendedTime;
   serving::target_paces Paces; ///< Of streams, since the last tick.
   loop_monitor Loop{process_clock::now()};
--- a/apps/limpetbridge/src/serving/gateway_quota.cpp
+++ b/apps/limpetbridge/src/serving/gateway_quota.cpp
@@ -1,5 +1,5 @@
-/// Messages about quotas, and what would make a gateway's part of them wrong: a
-/// clock that has stood still.
+/// Messages about quotas, and what would make a gateway's part of them and the
+/// age of its knowledge wrong: a clock that has stood still.
 #include "gateway_node.h"
 
 #include "gateway_settings.h"
@@ -29,17 +29,18 @@
       std::chrono::duration_cast<milliseconds>(SinceEpoch).count());
 }
 
-auto gateway_node::hasBeenSuspended() -> bool {
+auto gateway_node::takeSuspension() -> std::optional<duration> {
   /// Less than this is no suspension: the clocks are read one after the other.
   constexpr duration MinSuspension = seconds(1);
   // Only the boot clock goes on while the machine is suspended.
   const auto Suspended = readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
   if (!SuspendedTime)
     SuspendedTime = Suspended;
-  if (Suspended - *SuspendedTime < MinSuspension)
-    return false;
+  const auto Since = Suspended - *SuspendedTime;
+  if (Since < MinSuspension)
+    return std::nullopt;
   SuspendedTime = Suspended;
-  return true;
+  return Since;
 }
 
 auto gateway_node::execute(const send_quota_reports &Effect) -> void {
--- a/libs/serving/include/serving/gateway_events.h
+++ b/libs/serving/include/serving/gateway_events.h
@@ -344,6 +344,7 @@
 /// other gateways has not.
 struct machine_resumed {
   std::uint64_t Incarnation = 0; ///< From now on, for quotas.
+  duration Suspended = duration::zero();
 };
 
 /// This gateway stops. Streams that are not complete by the deadline are cut.
--- a/libs/serving/include/serving/knowledge_state.h
+++ b/libs/serving/include/serving/knowledge_state.h
@@ -34,6 +34,10 @@
 
   /// Records that all changes until \p AsOf are known.
   auto record(time_point AsOf) -> void;
+
+  /// Makes what is known older by a time in which the process clock stood
+  /// still and that of the store went on.
+  auto addSuspension(duration Suspended) -> void;
 };
 
 } // namespace limpetbridge::serving
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -44,7 +44,8 @@
 
 // gateway_quota.cpp
 auto handle(const gateway_step &Step, const quota_report &Event) -> void;
-auto handle(const gateway_step &Step, const machine_resumed &Event) -> void;
+/// Begins with no share, as a process that starts.
+auto restartQuotas(const gateway_step &Step, std::uint64_t Incarnation) -> void;
 /// Charges the request to the quota of its workspace, once in its life, and
 /// begins to serve it. It may have to wait for tokens, or is refused.
 auto admitRequest(const gateway_step &Step, request_number Number) -> void;
@@ -217,6 +218,7 @@
 // gateway_freshness.cpp
 auto handle(const gateway_step &Step, const configuration_confirmed &Event)
     -> void;
+auto handle(const gateway_step &Step, const machine_resumed &Event) -> void;
 /// Records that the rows of the targets are complete as of \p AsOf.
 auto recordView(const gateway_step &Step, time_point AsOf) -> void;
 /// Records what another gateway's answer says of its knowledge and of this
--- a/libs/serving/src/gateway_freshness.cpp
+++ b/libs/serving/src/gateway_freshness.cpp
@@ -330,6 +330,14 @@
   checkKnowledge(Step);
 }
 
+auto handle(const gateway_step &Step, const machine_resumed &Event) -> void {
+  auto &State = Step.State;
+  for (const auto Kind : AllKinds)
+    knowledgeOf(State, Kind).addSuspension(Event.Suspended);
+  State.RunningSince = Step.Now;
+  restartQuotas(Step, Event.Incarnation);
+}
+
 auto noteTurn(const gateway_step &Step) -> void {
   auto &State = Step.State;
   if (State.LastTurnAt != time_point() && Step.Now - State.LastTurnAt > MaxTurn)
--- a/libs/serving/src/gateway_quota.cpp
+++ b/libs/serving/src/gateway_quota.cpp
@@ -279,15 +279,16 @@
     retryQuotaWaits(Step, &Gained);
 }
 
-auto handle(const gateway_step &Step, const machine_resumed &Event) -> void {
+auto restartQuotas(const gateway_step &Step, std::uint64_t Incarnation)
+    -> void {
   auto &State = Step.State;
   if (!State.Quotas)
     return;
   // What it holds and has lent may have lapsed, so it begins with nothing, as a
   // process that starts. Tokens of requests under way are not returned to it.
-  State.Options.Incarnation = Event.Incarnation;
-  State.Quotas.emplace(State.Options.Quota, State.Options.Self,
-                       Event.Incarnation, State.Options.Seed);
+  State.Options.Incarnation = Incarnation;
+  State.Quotas.emplace(State.Options.Quota, State.Options.Self, Incarnation,
+                       State.Options.Seed);
   for (auto &[Number, Request] : State.Requests)
     Request.Charge.reset();
   addLogEntry(Step, log_level::Warning, "quotas_restarted",
--- a/libs/serving/src/knowledge_state.cpp
+++ b/libs/serving/src/knowledge_state.cpp
@@ -12,4 +12,9 @@
   KnownAt = std::max(KnownAt, AsOf);
 }
 
+auto knowledge_state::addSuspension(duration Suspended) -> void {
+  if (KnownAt != time_point())
+    KnownAt -= Suspended;
+}
+
 } // namespace limpetbridge::serving
--- a/libs/serving/tests/configuration_age_test.cpp
+++ b/libs/serving/tests/configuration_age_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(quota_raisedUnconfirmed_isNotEnforced);
   CPPUNIT_TEST(change_gatewayWithoutTime_neverDecidedByAnOldVersion);
   CPPUNIT_TEST(wake_routeUnknown_waitsForAConfirmation);
+  CPPUNIT_TEST(resume_clockStoodStill_nothingIsDecidedByWhatWasKnown);
   CPPUNIT_TEST(storeAway_allGateways_serviceGoesOn);
   CPPUNIT_TEST(storeAway_routeUnknown_mayReturn);
   CPPUNIT_TEST_SUITE_END();
@@ -114,6 +115,21 @@
     }
   }
 
+  /// The process clock does not count the time of a suspension.
+  auto resume_clockStoodStill_nothingIsDecidedByWhatWasKnown() -> void {
+    for (const auto *Path : {"/read/", "/added/"}) {
+      startFleet();
+      auto &Gateway = *findFollower();
+      apply(Gateway, machine_resumed{2, seconds(5)}, Now);
+      CPPUNIT_ASSERT(decide(Gateway.State.Options.Self.Text, Path).Code ==
+                     result_code::NotReady);
+      run(seconds(2));
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("t:1"),
+          decide(Gateway.State.Options.Self.Text, "/read/").Target);
+    }
+  }
+
   auto storeAway_allGateways_serviceGoesOn() -> void {
     for (const bool HasWorkspaces : {false, true}) {
       Workspaces.clear();
