Tests: series of changes at a gateway without time and with one source lost

Guards the bound of the configuration's age at the slowest gateway while its reader does not answer, no digest arrives, or the store turns it away.

--- a/libs/serving/src/gateway_freshness.cpp
+++ b/libs/serving/src/gateway_freshness.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-/// Share of the longest age from which on others are asked. A gateway that
+/// Shares of the longest age from which on others are asked. A gateway that
 /// reads the store or follows one that does stays below it: its knowledge is at
-/// most as old as the wait of a read and that of a query together.
+/// most as old as the wait of a read (see maxTargetsWait, maxConfigurationWait)
+/// and that of a query together.
 constexpr double TargetsAskingShare = 0.75;
 constexpr double ConfigurationAskingShare = 0.8;
 /// Gateways asked at a time: the answer of one may be lost.
@@ -43,7 +44,7 @@
 constexpr std::array AllKinds = {knowledge_kind::Targets,
                                  knowledge_kind::Configuration};
 
-/// What is logged of a kind, and told to callers.
+/// Names in the log, and the reason of refusals.
 struct kind_texts {
   const char *StaleEvent;
   const char *UsableEvent;
--- a/libs/serving/tests/configuration_age_test.cpp
+++ b/libs/serving/tests/configuration_age_test.cpp
@@ -44,10 +44,7 @@
   }
 
   auto route_addedUnconfirmed_isNotAnsweredWithNotFound() -> void {
-    auto Changed = makeConfiguration(3);
-    Changed.Routes.push_back(Changed.Routes.back());
-    Changed.Routes.back().Name = Changed.Routes.back().Prefix = "/added/";
-    checkUndecided(Changed, "/added/");
+    checkUndecided(withRouteAdded(), "/added/");
   }
 
   auto route_droppedUnconfirmed_isNotServed() -> void {
@@ -80,17 +77,18 @@
   /// Its answers arrive late or are lost, as it looks at them too rarely.
   auto change_gatewayWithoutTime_neverDecidedByAnOldVersion() -> void {
     for (const bool HasWorkspaces : {false, true})
-      for (const auto Interval : TurnIntervals) {
-        Workspaces.clear();
-        Key.clear();
-        if (HasWorkspaces) {
-          Workspaces = {{"w", {"key"}}};
-          Key = "key";
+      for (const auto Interval : TurnIntervals)
+        for (const int LostSource : {0, 1, 2, 3}) {
+          useWorkspaces(HasWorkspaces);
+          startFleet();
+          auto &Slow = *findFollower();
+          Slow.TurnInterval = Interval;
+          if (LostSource == 1)
+            Processes.at(Slow.State.AskedReader).AnswersQueries = false;
+          Slow.HearsDigests = LostSource != 2;
+          Slow.ReachesStore = LostSource != 3;
+          checkSeriesOfChanges();
         }
-        startFleet();
-        findFollower()->TurnInterval = Interval;
-        checkSeriesOfChanges();
-      }
   }
 
   /// What the configuration had is old after a suspension.
@@ -100,10 +98,7 @@
       auto &Gateway = *findFollower();
       Gateway.Alive = false;
       run(milliseconds(500));
-      auto Changed = makeConfiguration(3);
-      Changed.Routes.push_back(Changed.Routes.back());
-      Changed.Routes.back().Name = Changed.Routes.back().Prefix = "/added/";
-      Configurations[3] = Changed;
+      Configurations[3] = withRouteAdded();
       run(Asleep);
       Gateway.Alive = true;
       const auto Decision = decide(Gateway.State.Options.Self.Text, "/added/");
@@ -132,12 +127,7 @@
 
   auto storeAway_allGateways_serviceGoesOn() -> void {
     for (const bool HasWorkspaces : {false, true}) {
-      Workspaces.clear();
-      Key.clear();
-      if (HasWorkspaces) {
-        Workspaces = {{"w", {"key"}}};
-        Key = "key";
-      }
+      useWorkspaces(HasWorkspaces);
       startFleet();
       turnAllAway();
       for (int Round = 0; Round < 50; ++Round) {
@@ -162,6 +152,13 @@
   }
 
 private:
+  auto useWorkspaces(bool HasWorkspaces) -> void {
+    Workspaces.clear();
+    if (HasWorkspaces)
+      Workspaces = {{"w", {"key"}}};
+    Key = HasWorkspaces ? "key" : "";
+  }
+
   auto movedConfiguration(std::uint64_t Version) const -> configuration {
     auto Moved = Workspaces.empty() ? makeConfiguration(Version)
                                     : makeConfiguration(Version, Workspaces);
@@ -178,6 +175,13 @@
     return Moved;
   }
 
+  static auto withRouteAdded() -> configuration {
+    auto Changed = makeConfiguration(3);
+    Changed.Routes.push_back(Changed.Routes.back());
+    Changed.Routes.back().Name = Changed.Routes.back().Prefix = "/added/";
+    return Changed;
+  }
+
   auto startFleet() -> void {
     startWithTargets(GatewayCount);
     target Other;
