Gateways: a process that lacks ticks does not count as alone

A gateway whose loop turns every 4 s and hears no digests read the store at each turn, yet after 10 s counted as cut off from all others and decided by a configuration that had been replaced 4 s before. Found by configuration_age_test change_gatewayWithoutTime, whose turns now last up to 4 s, with one source lost; it failed there before. Without the limit of the age (a mutation) it fails too; with turns of up to 2 s it did not.

Cause: only gaps between events showed that a process could not hear, and requests are events. Now a second without a tick does as well, so a process that lacks time leaves requests to others however long it lacks it. The query after a freeze is sent as the first event comes, whatever it is.

--- a/libs/serving/include/serving/gateway.h
+++ b/libs/serving/include/serving/gateway.h
@@ -268,8 +268,9 @@
   time_point FirstViewAt;       ///< When the first read or answer arrived.
   time_point LastPeerMessageAt; ///< Digest or answer of any gateway.
   time_point LastTurnAt;        ///< Of the last event.
-  /// End of the last time in which this process had no turn and could not hear
-  /// of others; the epoch if there was none.
+  time_point LastTickAt;
+  /// End of the last time in which this process had too few turns to hear of
+  /// others; the epoch if there was none.
   time_point RunningSince;
   time_point NextKnowledgeQuery;
   duration KnowledgeAskInterval = duration::zero();
--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -225,8 +225,8 @@
 /// one's.
 auto recordPeerKnowledge(const gateway_step &Step, const peer_answered &Event)
     -> void;
-/// Notes that this process has a turn.
-auto noteTurn(const gateway_step &Step) -> void;
+/// Notes that this process has a turn, and asks others if it had none for long.
+auto noteTurn(const gateway_step &Step, bool IsTick) -> void;
 /// Asks others if something is about to be too old, and decides on the requests
 /// that wait for it.
 auto checkKnowledge(const gateway_step &Step) -> void;
--- a/libs/serving/src/gateway.cpp
+++ b/libs/serving/src/gateway.cpp
@@ -133,9 +133,9 @@
     -> gateway_effects {
   gateway_effects Effects;
   const gateway_step Step{State, Now, Effects};
-  noteTurn(Step);
-  std::visit([&](const auto &TypedEvent) { handle(Step, TypedEvent); }, Event);
   const bool IsTick = std::holds_alternative<tick>(Event);
+  noteTurn(Step, IsTick);
+  std::visit([&](const auto &TypedEvent) { handle(Step, TypedEvent); }, Event);
   if (!State.Paced.empty()) {
     if (IsTick || mayFreeTarget(Event))
       dispatchPaced(Step, IsTick);
--- a/libs/serving/src/gateway_freshness.cpp
+++ b/libs/serving/src/gateway_freshness.cpp
@@ -33,8 +33,8 @@
 constexpr duration StalePeerValidity = milliseconds(1500);
 /// A gateway that has heard of no other one for this long is alone.
 constexpr duration AloneAfter = seconds(10);
-/// A process that had no turn for longer was frozen or suspended, and could not
-/// hear of others.
+/// A process that had no turn or no tick for longer was frozen or lacks
+/// processor time, and could not hear of others.
 constexpr duration MaxTurn = seconds(1);
 /// Longest wait of requests for knowledge that is recent enough.
 constexpr duration MaxWait = milliseconds(400);
@@ -201,12 +201,11 @@
   }
 }
 
-/// \returns false if it had begun before.
-auto beginStaleness(const gateway_step &Step, knowledge_kind Kind) -> bool {
+auto beginStaleness(const gateway_step &Step, knowledge_kind Kind) -> void {
   auto &State = Step.State;
   auto &Known = knowledgeOf(State, Kind);
   if (Known.StaleSince != NoDeadline)
-    return false;
+    return;
   Known.StaleSince = Step.Now;
   addLogEntry(Step, log_level::Warning, textsOf(Kind).StaleEvent,
               {{textsOf(Kind).AgeField, std::to_string(Known.ageMs(Step.Now))},
@@ -214,7 +213,6 @@
                {"peers", std::to_string(State.PeerStatuses.size())},
                {"store_reachable", State.StoreReachable ? "true" : "false"},
                {"reads_targets", State.ReadsTargets ? "true" : "false"}});
-  return true;
 }
 
 auto endStaleness(const gateway_step &Step, knowledge_kind Kind) -> void {
@@ -339,11 +337,20 @@
   restartQuotas(Step, Event.Incarnation);
 }
 
-auto noteTurn(const gateway_step &Step) -> void {
+auto noteTurn(const gateway_step &Step, bool IsTick) -> void {
   auto &State = Step.State;
-  if (State.LastTurnAt != time_point() && Step.Now - State.LastTurnAt > MaxTurn)
+  const auto IsLate = [&](time_point Last) {
+    return Last != time_point() && Step.Now - Last > MaxTurn;
+  };
+  const bool Woke = IsLate(State.LastTurnAt);
+  if (Woke || IsLate(State.LastTickAt))
     State.RunningSince = Step.Now;
   State.LastTurnAt = Step.Now;
+  if (IsTick)
+    State.LastTickAt = Step.Now;
+  // Requests may come before the first tick.
+  if (Woke)
+    askForKnowledge(Step);
 }
 
 auto checkKnowledge(const gateway_step &Step) -> void {
@@ -375,9 +382,7 @@
   Request.Awaited.reset();
   if (mayDecide(State, Kind, Step.Now))
     return false;
-  // After a freeze, requests may come before the first tick.
-  if (beginStaleness(Step, Kind) && Step.Now - State.RunningSince < MaxTurn)
-    askForKnowledge(Step);
+  beginStaleness(Step, Kind);
   if (mustLeaveToOthers(State, Kind, Step.Now))
     refuseRequest(Step, Number, result_code::NotReady, StaleRetryAfterMs,
                   textsOf(Kind).Reason);
--- a/libs/serving/tests/configuration_age_test.cpp
+++ b/libs/serving/tests/configuration_age_test.cpp
@@ -77,7 +77,8 @@
   /// Its answers arrive late or are lost, as it looks at them too rarely.
   auto change_gatewayWithoutTime_neverDecidedByAnOldVersion() -> void {
     for (const bool HasWorkspaces : {false, true})
-      for (const auto Interval : TurnIntervals)
+      for (const auto Interval : {milliseconds(500), milliseconds(1000),
+                                  milliseconds(2000), milliseconds(4000)})
         for (const int LostSource : {0, 1, 2, 3}) {
           useWorkspaces(HasWorkspaces);
           startFleet();
