Controllers: a gateway that subscribes gets what was last published

Its log: the gateway had listed the instances 1 s before the controller registered, asked it for loads 1.6 s after its start and greeted it after 2 s. The controller published its first report at the load, when nobody had subscribed, and as nothing changed afterwards it never told it.

Cause: changes are sent once, to those that are subscribed at that time.

Fix: the first greeting of a subscription is answered with the last report. A gateway drops one that is older than what it knows, by its sequence.

One datagram for each gateway that subscribes after the controller has published.

--- a/apps/limpetbridge/src/serving/controller_node.cpp
+++ b/apps/limpetbridge/src/serving/controller_node.cpp
@@ -240,7 +240,12 @@
     log(log_level::Warning, "datagram_unreadable",
         {{"error", toString(Message.error())}});
   else if (const auto *Greeting = std::get_if<greeting>(&Message.value())) {
-    Subscribers[Greeting->Address] = process_clock::now() + SubscriptionTtl;
+    const auto Now = process_clock::now();
+    auto &ExpiresAt = Subscribers[Greeting->Address];
+    // Changes are told once, so a new subscriber needs the last one.
+    if (Now >= ExpiresAt && Published.Incarnation > 0)
+      LinkSocket->send(Greeting->Address, encodeLink(Published));
+    ExpiresAt = Now + SubscriptionTtl;
     if (Greeting->StoreEra > StoreEra)
       checkEra(Greeting->StoreEra);
   }
--- a/testing/emulator/tests/containment_test.cpp
+++ b/testing/emulator/tests/containment_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(digest_namesThatAreNotUtf8_loadsGoOn);
   CPPUNIT_TEST(peerAnswer_unexpectedError_processGoesOn);
   CPPUNIT_TEST(order_unexpectedError_endsOnlyItsLoad);
+  CPPUNIT_TEST(order_unexpectedErrorBeforeTheFirstGreeting_holdingsAreTold);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,7 +229,27 @@
   }
 
   auto order_unexpectedError_endsOnlyItsLoad() -> void {
-    const auto Failing = std::make_shared<std::atomic<bool>>(true);
+    const auto Failing = failOrders();
+    startWithController();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{503}, chat("b").Head.Status);
+    *Failing = false;
+    CPPUNIT_ASSERT(eventually([&] { return chat("b").Body == wholeStream(); }));
+  }
+
+  /// The gateway lists the controller late and asks for loads before it greets.
+  auto order_unexpectedErrorBeforeTheFirstGreeting_holdingsAreTold() -> void {
+    failOrders();
+    addEngine();
+    start();
+    Fleet->startController("e1");
+    awaitHoldings();
+  }
+
+private:
+  /// Makes the orders of the controller that is started next fail. \returns
+  /// what ends that.
+  auto failOrders() -> std::shared_ptr<std::atomic<bool>> {
+    auto Failing = std::make_shared<std::atomic<bool>>(true);
     Fleet->ChangeControllerHooks = [Failing](controller_hooks &Hooks) {
       Hooks.BuildOrderRequest =
           [Failing, Inner = Hooks.BuildOrderRequest](const order_facts &Facts) {
@@ -237,28 +258,33 @@
             return Inner(Facts);
           };
     };
-    startWithController();
-    CPPUNIT_ASSERT_EQUAL(std::uint16_t{503}, chat("b").Head.Status);
-    *Failing = false;
-    CPPUNIT_ASSERT(eventually([&] { return chat("b").Body == wholeStream(); }));
+    return Failing;
   }
 
-private:
-  /// Starts a controller and a gateway; the engine holds model a.
-  auto startWithController() -> void {
+  /// Adds an engine that holds model a.
+  auto addEngine() -> void {
     auto &Engine = Fleet->addWorker("e1", "models");
     Fleet->Outside.call([&] {
       Engine.Behaviour = behaviour::Stream;
       return Engine.Models.insert("a").second;
     });
     Fleet->publish("e1");
+  }
+
+  auto awaitHoldings() -> void {
+    CPPUNIT_ASSERT(eventually([&] {
+      return Fleet->metric("target_told_age_ms{target=\"e1\"}") >= 0;
+    }));
+  }
+
+  /// Starts a controller and a gateway; the engine holds model a.
+  auto startWithController() -> void {
+    addEngine();
     Fleet->startController("e1");
     start();
     CPPUNIT_ASSERT(eventually([&] { return chat("a").Body == wholeStream(); }));
     // Before the controller is listed, no load can be requested.
-    CPPUNIT_ASSERT(eventually([&] {
-      return Fleet->metric("target_told_age_ms{target=\"e1\"}") >= 0;
-    }));
+    awaitHoldings();
   }
 
   auto chat(const std::string &Model) -> client_answer {
