--- a/libs/serving/tests/store_era_test.cpp
+++ b/libs/serving/tests/store_era_test.cpp
@@ -109,7 +109,8 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, AgeMs());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{-1},
                          targetsReadAgeMs(Gateway.State, Gateway.Now));
-    CPPUNIT_ASSERT(mayDecide(Gateway.State, knowledge_kind::Targets, Gateway.Now));
+    CPPUNIT_ASSERT(
+        mayDecide(Gateway.State, knowledge_kind::Targets, Gateway.Now));
     Gateway.dispatch(targets_read{});
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, AgeMs());
   }
