--- a/libs/serving/src/details/gateway_parts.h
+++ b/libs/serving/src/details/gateway_parts.h
@@ -235,8 +235,8 @@
 /// \returns false if it may be decided.
 auto awaitKnowledge(const gateway_step &Step, request_number Number,
                     knowledge_kind Kind) -> bool;
-/// True if no other gateway need know a newer configuration. A 4xx tells the
-/// caller not to return, so it takes that.
+/// True if the configuration is recent enough to decide by and no digest names
+/// a newer one. A 404 or 401 takes both, as its caller does not return.
 auto isConfigurationCurrent(const gateway_state &State, time_point Now) -> bool;
 
 // gateway_connections.cpp
--- a/libs/serving/src/gateway_freshness.cpp
+++ b/libs/serving/src/gateway_freshness.cpp
@@ -31,10 +31,11 @@
 /// one does not wait for better knowledge, and asks again only in the last
 /// third.
 constexpr duration StalePeerValidity = milliseconds(1500);
-/// A gateway that has heard of no other one for this long is alone.
+/// A gateway that has received no message of another one for this long is
+/// alone.
 constexpr duration AloneAfter = seconds(10);
 /// A process that had no turn or no tick for longer was frozen or lacks
-/// processor time, and could not hear of others.
+/// processor time, and could not receive messages.
 constexpr duration MaxTurn = seconds(1);
 /// Longest wait of requests for knowledge that is recent enough.
 constexpr duration MaxWait = milliseconds(400);
@@ -127,8 +128,8 @@
 }
 
 /// Addresses of the gateways that may know better: those whose last digests say
-/// so, else those that are heard, else all that are known. A gateway that the
-/// store turns away may have got no row of another one.
+/// so, else those that send digests, else all that are known, else the seeds: a
+/// gateway that the store turns away may have no row of another one.
 auto findSources(const gateway_step &Step,
                  const std::vector<knowledge_kind> &Lacking)
     -> std::vector<std::string> {
